--- /dev/null
+++ b/chivepond/control/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes keep in step: configuration, membership, claims, status."""
--- /dev/null
+++ b/chivepond/control/catalog.py
@@ -0,0 +1,52 @@
+"""The index versions of each service that this node knows of."""
+
+import result
+
+from chivepond.control import object_cache, shard_index
+from chivepond.platform import kinds
+from chivepond.wire import codec, index_record, notice, shard_map
+
+
+class Catalog:
+    """Published versions by service; a withdrawn one is gone from here."""
+
+    __slots__ = ('_by_service', '_current_by_service')
+
+    def __init__(self, cache: object_cache.ObjectCache) -> None:
+        """Follow the index records in ``cache``."""
+        self._by_service: dict[str, dict[int, shard_index.ShardIndex]] = {}
+        self._current_by_service: dict[str, int] = {}
+        cache.listen(self._on_notice)
+
+    def current(self, service: str) -> shard_index.ShardIndex | None:
+        """Return the version for new searches, if the service has one."""
+        version = self._current_by_service.get(service, 0)
+        return self.at(service, version)
+
+    def at(self, service: str, version: int) -> shard_index.ShardIndex | None:
+        """Return a published version."""
+        return self._by_service.get(service, {}).get(version)
+
+    def _on_notice(self, told: notice.Notice) -> None:
+        if not told.key.startswith(f'{kinds.INDEX}/'):
+            return
+        match codec.decode(index_record.IndexRecord, told.body):
+            case result.Ok(record):
+                self._by_service[record.service] = {
+                    one.version: _shard_index(record.index, one)
+                    for one in record.published
+                }
+                self._current_by_service[record.service] = record.current
+
+
+def _shard_index(
+    index: str,
+    told: shard_map.ShardMap,
+) -> shard_index.ShardIndex:
+    return shard_index.ShardIndex(
+        index=index,
+        version=told.version,
+        searchers_by_shard={
+            entry.shard: entry.searchers for entry in told.shards
+        },
+    )
--- /dev/null
+++ b/chivepond/control/request_key.py
@@ -0,0 +1,23 @@
+"""Keys of non-idempotent requests: when they were issued."""
+
+import re
+
+import result
+
+from chivepond.errors import invalid, quoting
+
+_FORM = re.compile(r'(?P<issued>\d{13})-[A-Za-z0-9_-]{8,64}')
+
+
+def issued_ms(key: str) -> result.Result[int, invalid.Invalid]:
+    """Return when a key was issued, in milliseconds since the epoch."""
+    found = _FORM.fullmatch(key)
+    if found is None:
+        return result.Err(
+            invalid.Invalid(
+                message=f'{quoting.quoted(key)} is no request key',
+                remedy='send <13 digits of milliseconds since the epoch>-'
+                '<8 to 64 letters, digits, - or _>',
+            ),
+        )
+    return result.Ok(int(found['issued']))
--- /dev/null
+++ b/chivepond/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure code, with time and randomness passed in."""
--- /dev/null
+++ b/chivepond/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: what callers talk to."""
--- /dev/null
+++ b/chivepond/entry/search_state.py
@@ -0,0 +1,77 @@
+"""One search at its entry, until it is answered."""
+
+import dataclasses
+
+from chivepond.control import shard_index
+from chivepond.entry import place
+from chivepond.wire import (
+    coverage,
+    hit,
+    missing_shard,
+    owner_answer,
+    search_request,
+    shard_outcome,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class SearchState:
+    """What is known so far; all of it from one index version.
+
+    ``deadline`` is in seconds of the loop's clock.
+    """
+
+    request: search_request.SearchRequest
+    request_id: str
+    index: shard_index.ShardIndex
+    deadline: float
+    wanted: int
+    covered: set[str] = dataclasses.field(default_factory=set)
+    reason_by_shard: dict[str, str] = dataclasses.field(default_factory=dict)
+    tried_by_shard: dict[str, set[place.Place]] = dataclasses.field(
+        default_factory=dict,
+    )
+    hits: list[hit.Hit] = dataclasses.field(default_factory=list)
+    attempts: int = 0
+
+    def absorb(self, answer: owner_answer.OwnerAnswer) -> None:
+        """Take an owner's answer, unless it is for another version.
+
+        Guards against a mix of versions, which shows as hits that disagree;
+        and against a shard counted twice when both its owner and its
+        standby answered.
+        """
+        self.attempts += answer.attempts
+        if answer.index_version != self.index.version:
+            return
+        fresh = set(answer.covered) - self.covered
+        self.covered |= fresh
+        self.hits.extend(one for one in answer.hits if one.shard in fresh)
+        for lost in answer.missing:
+            self.reason_by_shard[lost.shard] = lost.reason
+
+    def coverage(self) -> coverage.Coverage:
+        """Return what is covered of the version's shard map."""
+        shards = self.index.searchers_by_shard
+        missing = [
+            missing_shard.MissingShard(
+                shard=shard,
+                reason=self.reason_by_shard.get(shard, shard_outcome.LATE),
+            )
+            for shard in shards
+            if shard not in self.covered
+        ]
+        return coverage.Coverage(
+            total=len(shards),
+            covered=len(shards) - len(missing),
+            missing=missing,
+        )
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether some searcher said that the version is gone."""
+        return any(
+            reason == shard_outcome.WITHDRAWN
+            for shard, reason in self.reason_by_shard.items()
+            if shard not in self.covered
+        )
--- /dev/null
+++ b/chivepond/errors/problem.py
@@ -0,0 +1,23 @@
+"""The base of every error that chivepond gives."""
+
+import dataclasses
+from typing import ClassVar
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Problem:
+    """An error with its remedy.
+
+    ``retry_after_ms`` is set where coming back helps: milliseconds to wait.
+    """
+
+    kind: ClassVar[str] = 'internal'
+    status: ClassVar[int] = 500
+
+    message: str
+    remedy: str
+    retry_after_ms: int | None = None
+
+    def __str__(self) -> str:
+        """Return the message and the remedy in one line."""
+        return f'{self.message}; {self.remedy}'
--- /dev/null
+++ b/chivepond/errors/shed.py
@@ -0,0 +1,14 @@
+"""The error for work turned away to protect the rest."""
+
+import dataclasses
+from typing import ClassVar
+
+from chivepond.errors import problem
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shed(problem.Problem):
+    """The caller or the service is over its share; nothing was run."""
+
+    kind: ClassVar[str] = 'not_run'
+    status: ClassVar[int] = 429
--- /dev/null
+++ b/chivepond/node.py
@@ -0,0 +1,208 @@
+"""One node: its roles, its copies and its servers."""
+
+import asyncio
+import contextlib
+import random
+import types
+from typing import Self
+
+import result
+
+from chivepond.control import (
+    acceptor,
+    catalog,
+    claim_store,
+    configuration,
+    directory,
+    editor,
+    heartbeats,
+    object_cache,
+    refused_document,
+    relay,
+)
+from chivepond.control import application as operator_application
+from chivepond.entry import application as entry_application
+from chivepond.entry import commands, peers, searches
+from chivepond.observe import events, journal
+from chivepond.owner import application as peer_application
+from chivepond.owner import command_runner, owner
+from chivepond.platform import client as platform_client
+from chivepond.platform import kinds
+from chivepond.settings import node_settings
+from chivepond.transport import address, server
+from chivepond.wire import codec, node_status
+
+_MS_PER_S = 1000
+
+
+class Node:
+    """Runs while it is entered; leaving is a planned stop that cuts nothing."""
+
+    def __init__(self, settings: node_settings.NodeSettings) -> None:
+        """Build the parts; nothing is sent or bound yet."""
+        self.settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._loops: list[asyncio.Task[None]] = []
+        self._is_leaving = False
+        rng = random.Random()
+        self.cache = object_cache.ObjectCache()
+        self.configuration = configuration.Configuration(self.cache)
+        self.catalog = catalog.Catalog(self.cache)
+        self.directory = directory.Directory(settings, self.cache)
+        self.platform = platform_client.PlatformClient(
+            address.parse(settings.platform).unwrap(),
+            settings.platform_timeout_ms / _MS_PER_S,
+        )
+        claims = claim_store.ClaimStore(self.platform)
+        self.peers = peers.Peers(self.directory)
+        self.owner = owner.Owner(self.configuration, self.directory, rng)
+        runner = command_runner.CommandRunner(self.owner, claims)
+        self.searches = searches.Searches(
+            settings,
+            self.configuration,
+            self.catalog,
+            self.directory,
+            self.peers,
+            self.owner,
+        )
+        self.commands = commands.Commands(
+            settings,
+            self.configuration,
+            self.catalog,
+            self.directory,
+            self.peers,
+            claims,
+            runner,
+        )
+        self.heartbeats = heartbeats.Heartbeats(
+            settings,
+            self.cache,
+            self.configuration,
+            self.directory,
+            self.peers,
+        )
+        self.relay = relay.Relay(
+            settings,
+            self.platform,
+            self.cache,
+            self.directory,
+            rng,
+        )
+        self.acceptor = acceptor.Acceptor(
+            self.platform,
+            self.cache,
+            self.configuration,
+        )
+        callers = entry_application.EntryApplication(
+            self.searches,
+            self.commands,
+            self.waits_for,
+        )
+        between = peer_application.PeerApplication(
+            self.owner,
+            runner,
+            self.heartbeats,
+        )
+        operating = operator_application.OperatorApplication(
+            editor.Editor(self.platform),
+            self.status,
+        )
+        self.caller_server = server.Server(
+            callers.build(),
+            address.parse(settings.callers).unwrap(),
+            settings.shutdown_grace_ms / _MS_PER_S,
+        )
+        self.peer_server = server.Server(
+            between.build(),
+            address.parse(settings.peers).unwrap(),
+            settings.shutdown_grace_ms / _MS_PER_S,
+        )
+
+        self.operator_server = server.Server(
+            operating.build(),
+            address.parse(settings.operators).unwrap(),
+            settings.shutdown_grace_ms / _MS_PER_S,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Start to serve and to follow the platform and the peers."""
+        for part in (self.platform, self.peers, self.owner):
+            await self._stack.enter_async_context(part)
+        await self._stack.enter_async_context(self.peer_server)
+        await self._stack.enter_async_context(self.operator_server)
+        await self._stack.enter_async_context(self.caller_server)
+        self._loops = [
+            asyncio.create_task(self.relay.run()),
+            asyncio.create_task(self.heartbeats.run()),
+            asyncio.create_task(self.acceptor.run()),
+        ]
+        journal.log(
+            events.NODE_STARTED,
+            node=self.settings.node_id,
+            callers=str(self.caller_server.address),
+            peers=str(self.peer_server.address),
+            operators=str(self.operator_server.address),
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Stop without cutting a request.
+
+        Guards against a stop that shows as broken answers: the balancer
+        and the peers keep sending for a while after they were told. So the
+        node first says that it leaves and goes on serving, then ends what
+        is in flight, and closes its connections last.
+        """
+        journal.log(events.NODE_STOPPING, node=self.settings.node_id)
+        self._is_leaving = True
+        self.heartbeats.is_leaving = True
+        await self.heartbeats.beat()
+        await asyncio.sleep(self.settings.balancer_lag_ms / _MS_PER_S)
+        for loop in self._loops:
+            loop.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+        await self._stack.aclose()
+        journal.log(events.NODE_STOPPED, node=self.settings.node_id)
+
+    def waits_for(self) -> str:
+        """Return what this node still needs to be ready, empty when ready."""
+        if self._is_leaving:
+            return 'leaving: a planned stop is under way'
+        if not self.configuration.revision:
+            return 'an accepted configuration, from the platform or a peer'
+        if not self.directory.view.searcher_by_id:
+            return 'the list of hosts, from the platform or a peer'
+        return ''
+
+    def status(self) -> node_status.NodeStatus:
+        """Return what operators see of this node."""
+        view = self.directory.view
+        refused = self._refused()
+        live = view.live_by_data_centre.get(self.settings.data_centre, [])
+        return node_status.NodeStatus(
+            node_id=self.settings.node_id,
+            data_centre=self.settings.data_centre,
+            revision=self.configuration.revision,
+            waits_for=self.waits_for(),
+            live_nodes=live,
+            searchers=len(view.searcher_by_id),
+            refused_revision=refused.revision,
+            refused_because=refused.message,
+        )
+
+    def _refused(self) -> refused_document.RefusedDocument:
+        none = refused_document.RefusedDocument(0, '', '')
+        told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
+        if told is None:
+            return none
+        match codec.decode(refused_document.RefusedDocument, told.body):
+            case result.Ok(found) if (
+                found.revision > self.configuration.revision
+            ):
+                return found
+        return none
--- /dev/null
+++ b/chivepond/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What the system says of itself: events, metrics, objectives."""
--- /dev/null
+++ b/chivepond/observe/journal.py
@@ -0,0 +1,64 @@
+"""Writes numbered events through logbook."""
+
+import sys
+
+import logbook
+import msgspec
+
+from chivepond.observe import event
+
+_logger = logbook.Logger('chivepond')
+
+
+class Journal:
+    """The log of one process, as lines for people or as JSON."""
+
+    __slots__ = ('_output', '_is_json')
+
+    def __init__(self, level: str, log_format: str) -> None:
+        """Write events of ``level`` and above to standard error."""
+        self._is_json = log_format == 'json'
+        self._output = logbook.StreamHandler(
+            sys.stderr,
+            level=level,
+            format_string='{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.message}',
+        )
+        self._output.formatter = self._format
+
+    def __enter__(self) -> 'Journal':
+        """Take the events of this process."""
+        self._output.push_application()
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        """Take no more."""
+        self._output.pop_application()
+
+    def _format(
+        self,
+        record: logbook.LogRecord,
+        unused: logbook.Handler,
+    ) -> str:
+        told = record.extra['told']
+        stamp = record.time.isoformat(timespec='milliseconds')
+        number = record.extra['number']
+        if self._is_json:
+            entry = {
+                'time': stamp,
+                'level': record.level_name,
+                'event': number,
+                'text': record.message,
+            }
+            return msgspec.json.encode(entry | told).decode()
+        head = (stamp, record.level_name, f'E{number}', record.message)
+        pairs = (f'{name}={said}' for name, said in told.items())
+        return ' '.join((*head, *pairs))
+
+
+def log(kind: event.Event, /, **told: object) -> None:
+    """Write one event with what is to be told of it."""
+    _logger.log(
+        kind.level,
+        kind.text,
+        extra={'number': kind.number, 'told': told},
+    )
--- /dev/null
+++ b/chivepond/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner role: one queue for each searcher that a node owns."""
--- /dev/null
+++ b/chivepond/owner/attempt.py
@@ -0,0 +1,37 @@
+"""One try at one shard."""
+
+from typing import TYPE_CHECKING
+
+from chivepond.wire import sub_query
+
+if TYPE_CHECKING:
+    from chivepond.owner import owner_call
+
+
+class Attempt:
+    """A sub-query on its way; times are seconds of the loop's clock."""
+
+    __slots__ = ('call', 'created_at', 'deadline', 'searcher_id', 'sub_query')
+
+    def __init__(
+        self,
+        call: 'owner_call.OwnerCall',
+        query: sub_query.SubQuery,
+        searcher_id: str,
+        now: float,
+    ) -> None:
+        """Belong to a call, for one searcher."""
+        self.call = call
+        self.sub_query = query
+        self.searcher_id = searcher_id
+        self.created_at = now
+        self.deadline = call.deadline
+
+    def __lt__(self, other: 'Attempt') -> bool:
+        """Order by deadline, for the queue."""
+        return self.deadline < other.deadline
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether somebody still waits for this shard."""
+        return self.sub_query.shard in self.call.pending
--- /dev/null
+++ b/chivepond/owner/owner_call.py
@@ -0,0 +1,98 @@
+"""The shards of one search at one owner, until they are answered."""
+
+import asyncio
+import heapq
+
+from chivepond.owner import shard_progress
+from chivepond.wire import (
+    hit,
+    missing_shard,
+    owner_answer,
+    owner_query,
+    shard_outcome,
+    sub_reply,
+)
+
+
+class OwnerCall:
+    """Collects replies; each shard counts once, whoever answers first."""
+
+    __slots__ = (
+        '_done',
+        '_hits',
+        'attempts',
+        'covered',
+        'deadline',
+        'missing',
+        'pending',
+        'query',
+        'started_at',
+    )
+
+    def __init__(
+        self,
+        query: owner_query.OwnerQuery,
+        started_at: float,
+        deadline: float,
+    ) -> None:
+        """Run from ``started_at`` to ``deadline``, seconds of the loop."""
+        self.query = query
+        self.started_at = started_at
+        self.deadline = deadline
+        self.attempts = 0
+        self.pending: dict[str, shard_progress.ShardProgress] = {}
+        self.covered: list[str] = []
+        self.missing: list[missing_shard.MissingShard] = []
+        self._hits: list[hit.Hit] = []
+        self._done = asyncio.get_running_loop().create_future()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the answer was given."""
+        return self._done.done()
+
+    def cover(self, reply: sub_reply.SubReply) -> None:
+        """Take the hits of one shard."""
+        self.pending.pop(reply.shard)
+        self.covered.append(reply.shard)
+        self._hits.extend(reply.hits)
+        self._finish_if_complete()
+
+    def miss(self, shard: str, reason: str) -> None:
+        """Give one shard up."""
+        self.pending.pop(shard, None)
+        self.missing.append(
+            missing_shard.MissingShard(shard=shard, reason=reason),
+        )
+        self._finish_if_complete()
+
+    def finish(self) -> None:
+        """Answer now; shards that are pending are late."""
+        for shard, progress in list(self.pending.items()):
+            self.miss(shard, progress.reason or shard_outcome.LATE)
+        self._finish_if_complete()
+
+    async def answer(self) -> owner_answer.OwnerAnswer:
+        """Wait until every shard is answered or given up."""
+        await self._done
+        return owner_answer.OwnerAnswer(
+            request_id=self.query.request_id,
+            index_version=self.query.index_version,
+            covered=self.covered,
+            missing=self.missing,
+            hits=best(self._hits, self.query.limit),
+            attempts=self.attempts,
+        )
+
+    def _finish_if_complete(self) -> None:
+        if not self.pending and not self._done.done():
+            self._done.set_result(None)
+
+
+def best(hits: list[hit.Hit], limit: int) -> list[hit.Hit]:
+    """Return the ``limit`` best hits, best first, in one order always."""
+    return heapq.nsmallest(limit, hits, key=_rank)
+
+
+def _rank(one: hit.Hit) -> tuple[float, str]:
+    return (-one.score, one.record_id)
--- /dev/null
+++ b/chivepond/settings/defaults.py
@@ -0,0 +1,106 @@
+"""The table of all settings, made from their types."""
+
+import dataclasses
+import types
+import typing
+from collections.abc import Mapping
+
+import msgspec
+
+from chivepond.settings import (
+    answer_policy,
+    audit_section,
+    capacity_service,
+    node_settings,
+    search_service,
+    service_objectives,
+)
+
+#: Where each type of settings stands, in the order of the table.
+KIND_BY_PLACE: Mapping[str, type[msgspec.Struct]] = types.MappingProxyType(
+    {
+        'node': node_settings.NodeSettings,
+        'search.services.NAME': search_service.SearchService,
+        'search.services.NAME.answer': answer_policy.AnswerPolicy,
+        'search.services.NAME.objectives': service_objectives.Objectives,
+        'capacity.services.NAME': capacity_service.CapacityService,
+        'audit': audit_section.AuditSection,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Setting:
+    """One line of the table."""
+
+    name: str
+    default: str
+    unit: str
+
+
+def settings_of(kind: type[msgspec.Struct]) -> list[Setting]:
+    """Return the settings of one type."""
+    hints = typing.get_type_hints(kind, include_extras=True)
+    return [
+        Setting(
+            name=field.encode_name,
+            default=_default(field),
+            unit=_unit(hints[field.name]),
+        )
+        for field in msgspec.structs.fields(kind)
+    ]
+
+
+def table() -> str:
+    """Return the table in Markdown."""
+    lines = []
+    for place, kind in KIND_BY_PLACE.items():
+        lines.extend([f'## {place}', '', _purpose(kind), ''])
+        lines.extend(['| setting | default | unit |', '| --- | --- | --- |'])
+        lines.extend(
+            f'| {one.name} | {one.default} | {one.unit} |'
+            for one in settings_of(kind)
+        )
+        lines.append('')
+    return '\n'.join(lines).rstrip()
+
+
+def _purpose(kind: type[msgspec.Struct]) -> str:
+    return (kind.__doc__ or '').partition('\n')[0]
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if field.required:
+        return 'required'
+    if field.default is msgspec.NODEFAULT:
+        told = field.default_factory()
+    else:
+        told = field.default
+    if isinstance(told, msgspec.Struct):
+        return 'see below'
+    return msgspec.json.encode(told).decode()
+
+
+def _unit(hint: typing.Any) -> str:
+    metas = getattr(hint, '__metadata__', ())
+    described = [_described(meta) for meta in metas]
+    if described:
+        return '; '.join(described)
+    choices = typing.get_args(hint)
+    if typing.get_origin(hint) is typing.Literal:
+        return ' or '.join(choices)
+    return ''
+
+
+def _described(meta: msgspec.Meta) -> str:
+    bounds = [
+        f'{sign} {bound}'
+        for sign, bound in (
+            ('>', meta.gt),
+            ('>=', meta.ge),
+            ('<', meta.lt),
+            ('<=', meta.le),
+        )
+        if bound is not None
+    ]
+    return ', '.join([meta.description or '', *bounds])
--- /dev/null
+++ b/chivepond/settings/node_settings.py
@@ -0,0 +1,54 @@
+"""The settings of one node."""
+
+import typing
+
+import msgspec
+
+_Address = typing.Annotated[str, msgspec.Meta(description='ip:port')]
+_Ms = typing.Annotated[float, msgspec.Meta(ge=0, description='milliseconds')]
+_Name = typing.Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1,
+        max_length=64,
+        pattern='^[a-z0-9][a-z0-9-]*$',
+        description='name: small letters, digits, hyphens',
+    ),
+]
+
+
+class NodeSettings(
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    frozen=True,
+    kw_only=True,
+):
+    """Where a node is, whom it serves, and its own intervals.
+
+    ``secret`` signs messages between nodes; with ``unsigned`` set they go
+    without a signature, which is logged.
+    """
+
+    node_id: _Name
+    data_centre: _Name
+    region: _Name
+    callers: _Address
+    peers: _Address
+    operators: _Address
+    platform: _Address
+    roles: list[typing.Literal['entry', 'owner']] = msgspec.field(
+        default_factory=lambda: ['entry', 'owner'],
+    )
+    secret: str = ''
+    unsigned: bool = False
+    log_format: typing.Literal['text', 'json'] = 'text'
+    log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    heartbeat_ms: _Ms = 500
+    heartbeat_timeout_ms: _Ms = 300
+    suspect_after_ms: _Ms = 1500
+    remove_after_ms: _Ms = 3000
+    platform_timeout_ms: _Ms = 1000
+    watch_ms: _Ms = 20000
+    poll_ms: _Ms = 30000
+    balancer_lag_ms: _Ms = 1000
+    shutdown_grace_ms: _Ms = 10000
--- /dev/null
+++ b/chivepond/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for searchers."""
--- /dev/null
+++ b/chivepond/standins/deployment_plan.py
@@ -0,0 +1,18 @@
+"""What an embedded deployment consists of."""
+
+import msgspec
+
+from chivepond.standins import service_plan
+
+
+class DeploymentPlan(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Data centres with their nodes, and services with their searchers.
+
+    ``node`` holds settings of the nodes that differ from the defaults.
+    """
+
+    services: list[service_plan.ServicePlan]
+    data_centres: list[str] = msgspec.field(default_factory=lambda: ['dc-a'])
+    nodes_per_data_centre: int = 3
+    node: dict[str, object] = msgspec.field(default_factory=dict)
+    claim_retention_s: int = 86400
--- /dev/null
+++ b/chivepond/standins/object_table.py
@@ -0,0 +1,132 @@
+"""The objects of the stand-in platform."""
+
+import asyncio
+
+import msgspec
+import result
+
+from chivepond.errors import conflict, not_found, problem
+from chivepond.wire import object_write, stored_object
+
+
+class ObjectTable:
+    """Versioned objects with conditional writes, in memory."""
+
+    __slots__ = ('_by_key', '_changed', '_is_closed', '_version')
+
+    def __init__(self) -> None:
+        """Start empty, at version zero."""
+        self._by_key: dict[tuple[str, str], stored_object.StoredObject] = {}
+        self._changed = asyncio.Event()
+        self._is_closed = False
+        self._version = 0
+
+    def read(
+        self,
+        kind: str,
+        name: str,
+    ) -> result.Result[stored_object.StoredObject, problem.Problem]:
+        """Return an object."""
+        found = self._by_key.get((kind, name))
+        if found is None:
+            return result.Err(
+                not_found.NotFound(
+                    message=f'there is no {kind}/{name}',
+                    remedy='create it with expect 0',
+                ),
+            )
+        return result.Ok(found)
+
+    def write(
+        self,
+        kind: str,
+        name: str,
+        write: object_write.ObjectWrite,
+    ) -> result.Result[stored_object.StoredObject, problem.Problem]:
+        """Replace an object if its version is the one expected."""
+        lost = self._lost(kind, name, write.expect)
+        if lost is not None:
+            return result.Err(lost)
+        self._version += 1
+        stored = stored_object.StoredObject(
+            kind=kind,
+            name=name,
+            version=self._version,
+            token=write.token,
+            body=write.body,
+        )
+        self._by_key[kind, name] = stored
+        self._announce()
+        return result.Ok(stored)
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        write: object_write.ObjectWrite,
+    ) -> result.Result[stored_object.StoredObject, problem.Problem]:
+        """Remove an object if its version is the one expected."""
+        lost = self._lost(kind, name, write.expect)
+        if lost is not None:
+            return result.Err(lost)
+        self._version += 1
+        return result.Ok(self._by_key.pop((kind, name)))
+
+    def publish(self, kind: str, name: str, body: msgspec.Raw) -> None:
+        """Replace an object whatever its version, as the platform itself."""
+        found = self._by_key.get((kind, name))
+        expect = 0 if found is None else found.version
+        write = object_write.ObjectWrite(expect=expect, token='', body=body)
+        self.write(kind, name, write)
+
+    def newer(
+        self,
+        kinds: frozenset[str],
+        after: int,
+    ) -> list[stored_object.StoredObject]:
+        """Return the objects of some kinds above a version, oldest first."""
+        found = [
+            stored
+            for stored in self._by_key.values()
+            if stored.kind in kinds and stored.version > after
+        ]
+        return sorted(found, key=lambda stored: stored.version)
+
+    async def wait_newer(
+        self,
+        kinds: frozenset[str],
+        after: int,
+        wait_s: float,
+    ) -> list[stored_object.StoredObject]:
+        """Return newer objects, waiting until there are some."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self._is_closed and not self.newer(kinds, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            return []
+        return self.newer(kinds, after)
+
+    def close(self) -> None:
+        """End all watches."""
+        self._is_closed = True
+        self._announce()
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _lost(
+        self,
+        kind: str,
+        name: str,
+        expect: int,
+    ) -> conflict.Conflict | None:
+        found = self._by_key.get((kind, name))
+        version = 0 if found is None else found.version
+        if version == expect:
+            return None
+        return conflict.Conflict(
+            message=f'{kind}/{name} is at version {version}, not {expect}',
+            remedy='read it, and decide again',
+        )
--- /dev/null
+++ b/chivepond/standins/placement.py
@@ -0,0 +1,63 @@
+"""Where the searchers and shards of a planned service stand."""
+
+import dataclasses
+
+from chivepond.standins import deployment_plan, service_plan
+from chivepond.wire import index_record, shard_entry, shard_map
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Placement:
+    """One searcher: its group and its data centre."""
+
+    searcher_id: str
+    group: str
+    data_centre: str
+
+
+def of_service(
+    plan: deployment_plan.DeploymentPlan,
+    service: service_plan.ServicePlan,
+) -> list[Placement]:
+    """Return the searchers of a service; copies go to the next places."""
+    placed = []
+    for group in range(service.groups):
+        for copy in range(service.copies):
+            number = (group + copy) % len(plan.data_centres)
+            where = plan.data_centres[number]
+            name = f'{service.name}-{group}-{where}'
+            placed.extend(
+                Placement(
+                    searcher_id=f'{name}-{replica}',
+                    group=name,
+                    data_centre=where,
+                )
+                for replica in range(service.replicas)
+            )
+    return placed
+
+
+def index_of(
+    plan: deployment_plan.DeploymentPlan,
+    service: service_plan.ServicePlan,
+    version: int,
+) -> index_record.IndexRecord:
+    """Return an index record with one version of all shards."""
+    searchers_by_group: dict[str, list[str]] = {}
+    for placed in of_service(plan, service):
+        number = placed.group.removeprefix(f'{service.name}-').split('-')[0]
+        searchers_by_group.setdefault(number, []).append(placed.searcher_id)
+    shards = [
+        shard_entry.ShardEntry(
+            shard=f'{service.name}-{number}-{shard}',
+            searchers=searchers,
+        )
+        for number, searchers in searchers_by_group.items()
+        for shard in range(service.shards_per_group)
+    ]
+    return index_record.IndexRecord(
+        service=service.name,
+        index=service.index,
+        current=version,
+        published=[shard_map.ShardMap(version=version, shards=shards)],
+    )
--- /dev/null
+++ b/chivepond/standins/platform.py
@@ -0,0 +1,220 @@
+"""The stand-in for the platform: objects, watches and the host list."""
+
+import asyncio
+import time
+import types
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+import result
+from starlette import applications, requests, responses, routing
+
+from chivepond.errors import problem, shed, unreachable
+from chivepond.standins import call_rate, object_table, platform_faults
+from chivepond.transport import address, bodies, replies, server
+from chivepond.wire import codec, host, host_list, object_list, object_write
+
+_MS_PER_S = 1000
+_GRACE_S = 1
+_DOWN_POLL_S = 0.02
+_FOREVER_S = 3600
+_OVER_RATE = shed.Shed(
+    message='the platform takes no more calls this second',
+    remedy='call less often',
+    retry_after_ms=1000,
+)
+
+_Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
+
+
+class PlatformStandin:
+    """Serves the object API of docs/PROTOCOLS.md, with faults on demand."""
+
+    __slots__ = (
+        '_host_version',
+        '_rate',
+        '_server',
+        'calls_by_path',
+        'faults',
+        'objects',
+    )
+
+    def __init__(self, listen: address.Address) -> None:
+        """Listen there once entered."""
+        self.objects = object_table.ObjectTable()
+        self.faults = platform_faults.PlatformFaults()
+        self.calls_by_path: dict[str, int] = {}
+        self._host_version = 0
+        self._rate = call_rate.CallRate()
+        self._server = server.Server(self._application(), listen, _GRACE_S)
+
+    @property
+    def address(self) -> address.Address:
+        """Where it listens."""
+        return self._server.address
+
+    async def __aenter__(self) -> Self:
+        """Start to serve."""
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all watches and stop serving."""
+        self.faults = platform_faults.PlatformFaults()
+        self.objects.close()
+        await self._server.__aexit__(kind, error, trace)
+
+    async def set_hosts(self, hosts: list[host.Host]) -> None:
+        """Publish a list of hosts, after the lag in force."""
+        await asyncio.sleep(self.faults.host_lag_ms / _MS_PER_S)
+        self._host_version += 1
+        listed = host_list.HostList(version=self._host_version, hosts=hosts)
+        self.objects.publish('hosts', 'all', codec.to_raw(listed))
+
+    def _application(self) -> applications.Starlette:
+        objects = '/v1/objects/{kind}/{name:path}'
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/v1/objects/{kind}', self._guarded('list', self._list)
+                ),
+                routing.Route(objects, self._guarded('read', self._read)),
+                routing.Route(
+                    objects,
+                    self._guarded('write', self._write),
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/v1/deletions/{kind}/{name:path}',
+                    self._guarded('delete', self._delete),
+                    methods=['POST'],
+                ),
+                routing.Route('/v1/watch', self._guarded('watch', self._watch)),
+                routing.Route(
+                    '/standin/faults',
+                    self._set_faults,
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/standin/hosts',
+                    self._set_hosts,
+                    methods=['POST'],
+                ),
+                routing.Route('/standin/calls', self._calls),
+            ],
+        )
+
+    async def _list(self, request: requests.Request) -> responses.Response:
+        kinds = frozenset((request.path_params['kind'],))
+        return replies.of_message(
+            object_list.ObjectList(entries=self.objects.newer(kinds, 0)),
+        )
+
+    async def _read(self, request: requests.Request) -> responses.Response:
+        params = request.path_params
+        return _reply(self.objects.read(params['kind'], params['name']))
+
+    async def _write(self, request: requests.Request) -> responses.Response:
+        write = await _body(request)
+        params = request.path_params
+        answer = write.and_then(
+            lambda told: self.objects.write(
+                params['kind'],
+                params['name'],
+                told,
+            ),
+        )
+        await self._lose_reply()
+        return _reply(answer)
+
+    async def _delete(self, request: requests.Request) -> responses.Response:
+        write = await _body(request)
+        params = request.path_params
+        return _reply(
+            write.and_then(
+                lambda told: self.objects.delete(
+                    params['kind'],
+                    params['name'],
+                    told,
+                ),
+            ),
+        )
+
+    async def _watch(self, request: requests.Request) -> responses.Response:
+        query = request.query_params
+        entries = await self.objects.wait_newer(
+            frozenset(query['kinds'].split(',')),
+            int(query['after']),
+            int(query['wait_ms']) / _MS_PER_S,
+        )
+        await self._while_down()
+        return replies.of_message(object_list.ObjectList(entries=entries))
+
+    async def _set_faults(
+        self,
+        request: requests.Request,
+    ) -> responses.Response:
+        told = codec.decode(
+            platform_faults.PlatformFaults,
+            await request.body(),
+        )
+        self.faults = told.unwrap()
+        return replies.of_message(self.faults)
+
+    async def _set_hosts(
+        self,
+        request: requests.Request,
+    ) -> responses.Response:
+        told = codec.decode(list[host.Host], await request.body())
+        await self.set_hosts(told.unwrap())
+        return replies.of_message(True)
+
+    async def _calls(self, request: requests.Request) -> responses.Response:
+        return replies.of_message(self.calls_by_path)
+
+    def _guarded(self, path: str, endpoint: _Endpoint) -> _Endpoint:
+        async def arrive(request: requests.Request) -> responses.Response:
+            self.calls_by_path[path] = self.calls_by_path.get(path, 0) + 1
+            await self._while_down()
+            await asyncio.sleep(self.faults.slow_ms / _MS_PER_S)
+            if self._rate.is_over(time.monotonic(), self.faults.calls_per_s):
+                return replies.of_problem(_OVER_RATE)
+            return await endpoint(request)
+
+        return arrive
+
+    async def _while_down(self) -> None:
+        while self.faults.down:
+            await asyncio.sleep(_DOWN_POLL_S)
+
+    async def _lose_reply(self) -> None:
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            await asyncio.sleep(_FOREVER_S)
+
+
+async def _body(
+    request: requests.Request,
+) -> result.Result[object_write.ObjectWrite, problem.Problem]:
+    raw = await bodies.read(request, bodies.MAX_PEER_BYTES)
+    return raw.and_then(
+        lambda told: codec.decode(object_write.ObjectWrite, told),
+    )
+
+
+def _reply(
+    answer: result.Result[object, problem.Problem],
+) -> responses.Response:
+    match answer:
+        case result.Ok(message):
+            return replies.of_message(message)
+        case result.Err(trouble):
+            return replies.of_problem(trouble)
+    return replies.of_problem(
+        unreachable.Unreachable(message='no answer', remedy='try again'),
+    )
--- /dev/null
+++ b/chivepond/standins/searcher.py
@@ -0,0 +1,384 @@
+"""The stand-in for a searcher: slots, stragglers, versions and faults."""
+
+import asyncio
+import random
+import types
+from collections.abc import AsyncIterator
+from typing import Self
+
+import result
+from starlette import applications, requests, responses, routing
+
+from chivepond.errors import problem
+from chivepond.standins import (
+    capped_protocol,
+    records,
+    searcher_counts,
+    searcher_faults,
+    searcher_profile,
+)
+from chivepond.transport import address, bodies, replies, server
+from chivepond.wire import (
+    attempt_ref,
+    cancel_batch,
+    codec,
+    query_batch,
+    searcher_command,
+    searcher_health,
+    searcher_result,
+    shard_outcome,
+    sub_query,
+    sub_reply,
+)
+
+_MS_PER_S = 1000
+_FROZEN_POLL_S = 0.02
+_SHED_RETRY_MS = 20
+_FALSE_LOAD = 0
+_NO_BATCH = problem.Problem(message='no batch', remedy='send one')
+_LINES = 'application/x-ndjson'
+
+
+class SearcherStandin:
+    """Serves the searchers' side of docs/PROTOCOLS.md."""
+
+    __slots__ = (
+        '_busy_slots',
+        '_protocol',
+        '_random',
+        '_running',
+        '_server',
+        '_slots',
+        '_started_at',
+        'counts',
+        'faults',
+        'profile',
+        'versions',
+    )
+
+    def __init__(
+        self,
+        profile: searcher_profile.SearcherProfile,
+        listen: address.Address,
+        versions: list[int],
+    ) -> None:
+        """Hold some index versions, and listen there once entered."""
+        self.profile = profile
+        self.versions = versions
+        self.faults = searcher_faults.SearcherFaults()
+        self.counts = searcher_counts.SearcherCounts()
+        self._busy_slots = 0
+        self._slots = asyncio.Semaphore(profile.slots)
+        self._running: dict[attempt_ref.AttemptRef, asyncio.Event] = {}
+        self._random = random.Random(profile.seed)
+        self._started_at = float(0)
+        self._protocol = capped_protocol.make(
+            self.counts,
+            profile.connections,
+            profile.connect_ms / _MS_PER_S,
+        )
+        self._server = server.Server(
+            self._application(),
+            listen,
+            protocol=self._protocol,
+        )
+
+    @property
+    def address(self) -> address.Address:
+        """Where it listens."""
+        return self._server.address
+
+    async def __aenter__(self) -> Self:
+        """Start to serve, cold at first."""
+        self._started_at = _now()
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Stop serving."""
+        self.faults = searcher_faults.SearcherFaults()
+        await self._server.__aexit__(kind, error, trace)
+
+    def apply_faults(self, faults: searcher_faults.SearcherFaults) -> None:
+        """Put other faults in force."""
+        self.faults = faults
+        if faults.silent:
+            for connection in self._protocol.open_now:
+                connection.is_silent = True
+
+    def _application(self) -> applications.Starlette:
+        return applications.Starlette(
+            routes=[
+                routing.Route('/v1/query', self._query, methods=['POST']),
+                routing.Route('/v1/cancel', self._cancel, methods=['POST']),
+                routing.Route('/v1/command', self._command, methods=['POST']),
+                routing.Route('/v1/health', self._health),
+                routing.Route('/v1/load', self._health),
+                routing.Route(
+                    '/standin/faults',
+                    self._set_faults,
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/standin/versions',
+                    self._set_versions,
+                    methods=['POST'],
+                ),
+                routing.Route('/standin/counts', self._counts),
+            ],
+        )
+
+    async def _query(self, request: requests.Request) -> responses.Response:
+        await self._while_frozen()
+        told = await _body(request, query_batch.QueryBatch)
+        match told:
+            case result.Ok(batch):
+                return responses.StreamingResponse(
+                    self._lines(batch),
+                    media_type=_LINES,
+                )
+            case result.Err(trouble):
+                return replies.of_problem(trouble)
+        return replies.of_problem(_NO_BATCH)
+
+    async def _cancel(self, request: requests.Request) -> responses.Response:
+        await self._while_frozen()
+        told = await _body(request, cancel_batch.CancelBatch)
+        for ref in told.unwrap().entries:
+            cancelled = self._running.get(ref)
+            if cancelled is not None:
+                self.counts.cancelled += 1
+                cancelled.set()
+        return replies.of_message(True)
+
+    async def _command(self, request: requests.Request) -> responses.Response:
+        await self._while_frozen()
+        told = (await _body(request, searcher_command.SearcherCommand)).unwrap()
+        if self._is_refusing() or not self._has_room():
+            return replies.of_message(
+                searcher_result.SearcherResult(
+                    key=told.key,
+                    outcome='refused',
+                    retry_after_ms=_SHED_RETRY_MS,
+                ),
+            )
+        await self._take_slot()
+        try:
+            await asyncio.sleep(self._work_s(1))
+            runs = self.counts.runs_by_key.get(told.key, 0) + 1
+            self.counts.runs_by_key[told.key] = runs
+        finally:
+            self._free_slot()
+        await asyncio.sleep(self.faults.late_ms / _MS_PER_S)
+        return replies.of_message(
+            searcher_result.SearcherResult(
+                key=told.key,
+                outcome='done',
+                result=f'run {runs} of {told.body} on {told.shard}',
+            ),
+        )
+
+    async def _health(self, request: requests.Request) -> responses.Response:
+        await self._while_frozen()
+        busy = _FALSE_LOAD if self.faults.false_load else self._busy_slots
+        return replies.of_message(
+            searcher_health.SearcherHealth(
+                state=self._state(),
+                in_flight=busy,
+                slots=self.profile.slots,
+                versions=self.versions,
+            ),
+        )
+
+    async def _set_faults(
+        self,
+        request: requests.Request,
+    ) -> responses.Response:
+        told = codec.decode(
+            searcher_faults.SearcherFaults,
+            await request.body(),
+        )
+        self.apply_faults(told.unwrap())
+        return replies.of_message(self.faults)
+
+    async def _set_versions(
+        self,
+        request: requests.Request,
+    ) -> responses.Response:
+        self.versions = codec.decode(
+            list[int],
+            await request.body(),
+        ).unwrap()
+        return replies.of_message(self.versions)
+
+    async def _counts(self, request: requests.Request) -> responses.Response:
+        return replies.of_message(self.counts)
+
+    async def _lines(
+        self,
+        batch: query_batch.QueryBatch,
+    ) -> AsyncIterator[bytes]:
+        refusal = self._refusal()
+        if refusal:
+            for entry in batch.entries:
+                yield _line(self._refused(entry, refusal))
+            return
+        await self._take_slot()
+        try:
+            self._count(batch)
+            async for reply in self._work(batch):
+                await self._while_frozen()
+                yield _line(reply)
+                if self.faults.twice:
+                    yield _line(reply)
+        finally:
+            self._free_slot()
+
+    async def _work(
+        self,
+        batch: query_batch.QueryBatch,
+    ) -> AsyncIterator[sub_reply.SubReply]:
+        size = len(batch.entries)
+        running = [
+            asyncio.create_task(self._search(entry, size))
+            for entry in batch.entries
+        ]
+        try:
+            for finished in asyncio.as_completed(running):
+                yield await finished
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _search(
+        self,
+        entry: sub_query.SubQuery,
+        size: int,
+    ) -> sub_reply.SubReply:
+        ref = attempt_ref.AttemptRef(
+            request_id=entry.request_id,
+            attempt=entry.attempt,
+            shard=entry.shard,
+        )
+        cancelled = asyncio.Event()
+        self._running[ref] = cancelled
+        try:
+            async with asyncio.timeout(self._work_s(size)):
+                await cancelled.wait()
+            return self._refused(entry, shard_outcome.CANCELLED)
+        except TimeoutError:
+            await asyncio.sleep(self.faults.late_ms / _MS_PER_S)
+            return self._found(entry)
+        finally:
+            self._running.pop(ref, None)
+
+    def _found(self, entry: sub_query.SubQuery) -> sub_reply.SubReply:
+        version = entry.index_version
+        if version not in self.versions:
+            return self._refused(entry, shard_outcome.WITHDRAWN)
+        if self.faults.wrong_version:
+            version += 1
+        return sub_reply.SubReply(
+            request_id=entry.request_id,
+            attempt=entry.attempt,
+            shard=entry.shard,
+            index_version=version,
+            outcome=shard_outcome.OK,
+            hits=records.search(
+                entry.shard,
+                version,
+                entry.query,
+                entry.limit,
+                self.profile.records_per_shard,
+            ),
+        )
+
+    def _refused(
+        self,
+        entry: sub_query.SubQuery,
+        outcome: str,
+    ) -> sub_reply.SubReply:
+        return sub_reply.SubReply(
+            request_id=entry.request_id,
+            attempt=entry.attempt,
+            shard=entry.shard,
+            index_version=entry.index_version,
+            outcome=outcome,
+            retry_after_ms=_SHED_RETRY_MS,
+        )
+
+    def _refusal(self) -> str:
+        if self.faults.draining:
+            return shard_outcome.DRAINING
+        if self.faults.shedding or not self._has_room():
+            self.counts.shed += 1
+            return shard_outcome.SHED
+        return ''
+
+    def _is_refusing(self) -> bool:
+        return self.faults.draining or self.faults.shedding
+
+    def _has_room(self) -> bool:
+        room = self.profile.slots + self.profile.backlog
+        return self._busy_slots < room
+
+    async def _take_slot(self) -> None:
+        self._busy_slots += 1
+        self.counts.peak_busy_slots = max(
+            self.counts.peak_busy_slots,
+            self._busy_slots,
+        )
+        await self._slots.acquire()
+
+    def _free_slot(self) -> None:
+        self._busy_slots -= 1
+        self._slots.release()
+
+    def _count(self, batch: query_batch.QueryBatch) -> None:
+        self.counts.batches += 1
+        self.counts.sub_queries += len(batch.entries)
+        self.counts.last_work_at = _now()
+
+    def _work_s(self, size: int) -> float:
+        profile = self.profile
+        work = profile.work_ms * (1 + profile.batch_marginal * (size - 1))
+        if self._is_straggler():
+            work *= profile.straggler_factor
+        if self._state() == 'cold':
+            work *= profile.cold_factor
+        return work * self.faults.slow_factor / _MS_PER_S
+
+    def _is_straggler(self) -> bool:
+        one_in = self.profile.straggler_one_in
+        return one_in > 0 and self._random.randrange(one_in) == 0
+
+    def _state(self) -> str:
+        if self.faults.draining:
+            return 'draining'
+        age_ms = (_now() - self._started_at) * _MS_PER_S
+        return 'cold' if age_ms < self.profile.cold_start_ms else 'ready'
+
+    async def _while_frozen(self) -> None:
+        while self.faults.frozen:
+            await asyncio.sleep(_FROZEN_POLL_S)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _line(reply: sub_reply.SubReply) -> bytes:
+    return b'%b\n' % codec.encode(reply)
+
+
+async def _body(
+    request: requests.Request,
+    kind: type,
+) -> result.Result[object, problem.Problem]:
+    raw = await bodies.read(request, bodies.MAX_PEER_BYTES)
+    return raw.and_then(lambda told: codec.decode(kind, told))
--- /dev/null
+++ b/chivepond/standins/searcher_profile.py
@@ -0,0 +1,28 @@
+"""How a stand-in searcher behaves."""
+
+import msgspec
+
+
+class SearcherProfile(msgspec.Struct, forbid_unknown_fields=True):
+    """Sizes and times of a searcher.
+
+    A batch holds one slot until its last entry is done. Each entry of a
+    batch of ``n`` works ``work_ms * (1 + batch_marginal * (n - 1))``;
+    stragglers, one in ``straggler_one_in``, that times
+    ``straggler_factor``. Times are in milliseconds.
+    """
+
+    searcher_id: str
+    service: str
+    slots: int = 2
+    backlog: int = 0
+    connections: int = 25
+    connect_ms: float = 0
+    work_ms: float = 4
+    batch_marginal: float = 0.1
+    straggler_one_in: int = 0
+    straggler_factor: float = 10
+    cold_start_ms: float = 0
+    cold_factor: float = 5
+    records_per_shard: int = 20
+    seed: int = 1
--- /dev/null
+++ b/chivepond/standins/service_plan.py
@@ -0,0 +1,36 @@
+"""The searchers and shards of one service of an embedded deployment."""
+
+import msgspec
+
+from chivepond.standins import searcher_profile
+
+
+class ServicePlan(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Replica groups of searchers, each with shards of its own.
+
+    Each group stands in ``copies`` of the data centres, with ``replicas``
+    searchers in each. The document says the rest in ``search`` and
+    ``capacity``, as operators would write it.
+    """
+
+    name: str
+    index: str
+    groups: int = 4
+    replicas: int = 2
+    shards_per_group: int = 1
+    copies: int = 1
+    search: dict[str, object] = msgspec.field(default_factory=dict)
+    capacity: dict[str, object] = msgspec.field(default_factory=dict)
+    profile: dict[str, object] = msgspec.field(default_factory=dict)
+
+    def searcher_profile(
+        self,
+        searcher_id: str,
+        seed: int,
+    ) -> searcher_profile.SearcherProfile:
+        """Return the profile of one searcher."""
+        told = {'searcher_id': searcher_id, 'service': self.name, 'seed': seed}
+        return msgspec.convert(
+            self.profile | told,
+            searcher_profile.SearcherProfile,
+        )
--- /dev/null
+++ b/chivepond/tests/support.py
@@ -0,0 +1,265 @@
+"""What the tests share: processes, requests and small builders."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+import types
+from collections.abc import Coroutine
+from typing import Any, Self
+
+import msgspec
+import result
+
+from chivepond.errors import problem
+from chivepond.standins import deployment_plan, embedded, placement
+from chivepond.transport import address, client, exchange
+from chivepond.wire import (
+    codec,
+    host,
+    search_answer,
+    search_request,
+)
+
+TIMEOUT_S = 5
+_CONNECTIONS = 8
+_READY_TRIES = 400
+_READY_POLL_S = 0.05
+_BIN = pathlib.Path(sys.executable).parent
+
+Answer = result.Result[search_answer.SearchAnswer, problem.Problem]
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """Run a test on a loop of its own."""
+    asyncio.run(main)
+
+
+async def search(to: client.Client, service: str, query: str = 'a') -> Answer:
+    """Search a service through one node."""
+    return await exchange.post(
+        search_answer.SearchAnswer,
+        to,
+        '/v1/search',
+        search_request.SearchRequest(
+            service=service,
+            query=query,
+            caller='test',
+            limit=100,
+        ),
+        TIMEOUT_S,
+    )
+
+
+class Program:
+    """One process of the system, ended when it is left."""
+
+    __slots__ = ('_arguments', '_drain', 'lines', 'process')
+
+    def __init__(self, *arguments: str) -> None:
+        """Run a program of the package with some arguments."""
+        self._arguments = arguments
+        self.lines: list[str] = []
+        self._drain: asyncio.Task[None] | None = None
+        self.process: asyncio.subprocess.Process
+
+    async def __aenter__(self) -> Self:
+        """Start the process and collect what it writes."""
+        name, *rest = self._arguments
+        self.process = await asyncio.create_subprocess_exec(
+            str(_BIN / name),
+            *rest,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self._drain = asyncio.create_task(self._collect())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Kill the process if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def line_with(self, words: str) -> str:
+        """Return the first line that contains ``words``, when it comes."""
+        for _ in range(_READY_TRIES):
+            for line in self.lines:
+                if words in line:
+                    return line
+            await asyncio.sleep(_READY_POLL_S)
+        raise AssertionError(f'no {words!r} in {self.lines}')
+
+    async def stop(self, number: signal.Signals) -> int:
+        """Send a signal; return the exit code."""
+        self.process.send_signal(number)
+        return await self.process.wait()
+
+    async def _collect(self) -> None:
+        stream = self.process.stdout
+        if stream is None:
+            return
+        async for line in stream:
+            self.lines.append(line.decode().rstrip())
+
+
+class Processes:
+    """A planned deployment whose parts are processes of their own."""
+
+    __slots__ = (
+        '_folder',
+        '_stack',
+        'address_by_id',
+        'node_by_id',
+        'plan',
+        'platform',
+        'searcher_by_id',
+    )
+
+    def __init__(
+        self,
+        plan: deployment_plan.DeploymentPlan,
+        folder: pathlib.Path,
+    ) -> None:
+        """Keep settings files in ``folder``."""
+        self.plan = plan
+        self._folder = folder
+        self._stack = contextlib.AsyncExitStack()
+        self.node_by_id: dict[str, Program] = {}
+        self.searcher_by_id: dict[str, Program] = {}
+        self.address_by_id: dict[str, address.Address] = {}
+        self.platform: client.Client
+
+    async def __aenter__(self) -> Self:
+        """Start platform, searchers and nodes; wait until all are ready."""
+        await self._start_platform()
+        for service in self.plan.services:
+            for seed, placed in enumerate(
+                placement.of_service(self.plan, service),
+            ):
+                profile = service.searcher_profile(placed.searcher_id, seed)
+                await self._start_searcher(placed.searcher_id, profile)
+            record = placement.index_of(self.plan, service, 1)
+            await self.write('index', service.name, record)
+        await self.write('deployment', 'draft', embedded.document_of(self.plan))
+        told = []
+        for where in self.plan.data_centres:
+            for number in range(self.plan.nodes_per_data_centre):
+                told.append(await self._start_node(f'{where}-{number}', where))
+        await self._publish_hosts(told)
+        for node_id in self.node_by_id:
+            await self.wait_ready(node_id)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        await self._stack.aclose()
+
+    def caller_client(self, node_id: str) -> client.Client:
+        """Return a client that calls a node."""
+        return client.Client(self.address_by_id[node_id], _CONNECTIONS)
+
+    async def write(self, kind: str, name: str, message: object) -> None:
+        """Create an object on the platform."""
+        write = {'expect': 0, 'token': '', 'body': message}
+        body = msgspec.json.encode(write)
+        path = f'/v1/objects/{kind}/{name}'
+        (await self.platform.post(path, body, TIMEOUT_S)).unwrap()
+
+    async def wait_ready(self, node_id: str) -> None:
+        """Wait until a node is ready for callers."""
+        async with self.caller_client(node_id) as to:
+            for _ in range(_READY_TRIES):
+                if await is_ready(to):
+                    return
+                await asyncio.sleep(_READY_POLL_S)
+        raise AssertionError(f'{node_id} is not ready')
+
+    async def _start(self, *arguments: str) -> Program:
+        return await self._stack.enter_async_context(Program(*arguments))
+
+    async def _start_platform(self) -> None:
+        started = await self._start('chivepond-standin', 'platform')
+        listen = await started.line_with('127.0.0.1:')
+        target = address.parse(listen).unwrap()
+        self.address_by_id['platform'] = target
+        self.platform = client.Client(target, _CONNECTIONS)
+
+    async def _start_searcher(self, searcher_id: str, profile: object) -> None:
+        path = self._folder / f'{searcher_id}.yaml'
+        path.write_bytes(msgspec.yaml.encode(profile))
+        started = await self._start(
+            'chivepond-standin',
+            'searcher',
+            '--profile',
+            str(path),
+        )
+        listen = await started.line_with('127.0.0.1:')
+        self.searcher_by_id[searcher_id] = started
+        self.address_by_id[searcher_id] = address.parse(listen).unwrap()
+
+    async def _start_node(self, node_id: str, where: str) -> host.Host:
+        told = {
+            'node_id': node_id,
+            'data_centre': where,
+            'region': where,
+            'callers': '127.0.0.1:0',
+            'peers': '127.0.0.1:0',
+            'operators': '127.0.0.1:0',
+            'platform': str(self.address_by_id['platform']),
+            'secret': 'processes',
+            'log_format': 'json',
+        }
+        path = self._folder / f'{node_id}.yaml'
+        path.write_bytes(msgspec.yaml.encode(told | self.plan.node))
+        started = await self._start('chivepondd', '--settings', str(path))
+        self.node_by_id[node_id] = started
+        line = await started.line_with('node started')
+        listens = msgspec.json.decode(line)
+        self.address_by_id[node_id] = address.parse(
+            listens['callers'],
+        ).unwrap()
+        return host.Host(
+            host_id=node_id,
+            role='node',
+            data_centre=where,
+            region=where,
+            address=listens['peers'],
+        )
+
+    async def _publish_hosts(self, nodes: list[host.Host]) -> None:
+        listed = list(nodes)
+        for service in self.plan.services:
+            listed.extend(
+                host.Host(
+                    host_id=placed.searcher_id,
+                    role='searcher',
+                    data_centre=placed.data_centre,
+                    region=placed.data_centre,
+                    address=str(self.address_by_id[placed.searcher_id]),
+                    service=service.name,
+                    replica_group=placed.group,
+                )
+                for placed in placement.of_service(self.plan, service)
+            )
+        body = codec.encode(listed)
+        (await self.platform.post('/standin/hosts', body, TIMEOUT_S)).unwrap()
+
+
+async def is_ready(to: client.Client) -> bool:
+    """Ask a node, as the balancer does, whether it takes callers."""
+    match await to.get('/readyz', 1):
+        case result.Ok(reply):
+            return reply.status == 200
+    return False
--- /dev/null
+++ b/chivepond/tests/test_whole_path.py
@@ -0,0 +1,100 @@
+"""The whole path through real processes, with a kill and a planned stop."""
+
+import asyncio
+import pathlib
+import signal
+
+import result
+
+from chivepond.standins import deployment_plan, service_plan
+from chivepond.tests import support
+from chivepond.transport import client
+from chivepond.wire import search_answer
+
+_SERVICE = 'pass-lookup'
+_SHARDS = 4
+
+
+def _plan() -> deployment_plan.DeploymentPlan:
+    return deployment_plan.DeploymentPlan(
+        services=[
+            service_plan.ServicePlan(
+                name=_SERVICE,
+                index='passes',
+                groups=2,
+                shards_per_group=2,
+                search={'deadline_ms': 1500},
+            ),
+        ],
+        node={'balancer_lag_ms': 600},
+    )
+
+
+class _Caller:
+    """Searches through one node like a caller behind the balancer."""
+
+    def __init__(self, to: client.Client) -> None:
+        """Call through ``to``."""
+        self._to = to
+        self.answers: list[search_answer.SearchAnswer] = []
+        self.failures: list[str] = []
+
+    async def run(self) -> None:
+        """Search until the node says that it takes no more callers."""
+        while await support.is_ready(self._to):
+            match await support.search(self._to, _SERVICE):
+                case result.Ok(given):
+                    self.answers.append(given)
+                case result.Err(trouble):
+                    self.failures.append(str(trouble))
+
+
+def _check(given: search_answer.SearchAnswer) -> None:
+    """Check that an answer is whole and its coverage true."""
+    covered = given.coverage
+    missing = {lost.shard for lost in covered.missing}
+    assert covered.total == _SHARDS
+    assert covered.covered + len(missing) == covered.total
+    assert not missing & {hit.shard for hit in given.hits}
+    assert {hit.body.rsplit(' v')[-1] for hit in given.hits} <= {'1'}
+
+
+def test_whole_answer_through_kill_and_planned_shutdown(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Answers stay whole while one node dies and another leaves.
+
+    A user searches while one entry host crashes and one is replaced.
+    Traffic runs through all three nodes; one is killed, then another gets
+    SIGTERM. The killed owner's searchers must pass to other owners, and
+    the planned stop must cut none of its callers' requests.
+    """
+    support.run(_kill_and_stop(tmp_path))
+
+
+async def _kill_and_stop(folder: pathlib.Path) -> None:
+    async with support.Processes(_plan(), folder) as deployed:
+        callers = {
+            node_id: _Caller(deployed.caller_client(node_id))
+            for node_id in deployed.node_by_id
+        }
+        running = {
+            node_id: asyncio.create_task(caller.run())
+            for node_id, caller in callers.items()
+        }
+        await asyncio.sleep(0.5)
+        await deployed.node_by_id['dc-a-0'].stop(signal.SIGKILL)
+        await asyncio.sleep(0.5)
+        stopped = await deployed.node_by_id['dc-a-1'].stop(signal.SIGTERM)
+        assert stopped == 0
+        await asyncio.sleep(0.5)
+        running['dc-a-2'].cancel()
+        await asyncio.wait(running.values())
+        for node_id in ('dc-a-1', 'dc-a-2'):
+            assert callers[node_id].failures == []
+            assert callers[node_id].answers
+        for caller in callers.values():
+            for given in caller.answers:
+                _check(given)
+        last = callers['dc-a-2'].answers[-1]
+        assert last.coverage.covered == _SHARDS
--- /dev/null
+++ b/chivepond/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs over the library."""
--- /dev/null
+++ b/chivepond/tools/config_commands.py
@@ -0,0 +1,128 @@
+"""The commands that read and edit the deployment's document."""
+
+import asyncio
+import pathlib
+
+import msgspec
+import result
+
+from chivepond.control import draft_check
+from chivepond.errors import invalid, problem
+from chivepond.settings import defaults, loader
+from chivepond.tools import console, exit_code, node_client, program_flags
+from chivepond.wire import (
+    codec,
+    edit_result,
+    node_status,
+    section_edit,
+    section_view,
+)
+
+_WAIT_S = 8
+_POLL_S = 0.2
+
+
+async def show(program: program_flags.ProgramFlags) -> int:
+    """Write a section with the count of edits to base a new one on."""
+    told = program.flags
+    answer = await node_client.get(
+        section_view.SectionView,
+        told.operators,
+        f'/v1/config/{told.section}',
+    )
+    match answer:
+        case result.Ok(seen) if told.json:
+            console.say_json(seen)
+            return exit_code.ExitCode.OK
+        case result.Ok(seen):
+            body = msgspec.json.decode(seen.body)
+            console.say(f'# {seen.section}, --base_edits {seen.edits}')
+            console.say(msgspec.yaml.encode(body).decode().rstrip())
+            return exit_code.ExitCode.OK
+    return console.complain(answer.unwrap_err())
+
+
+async def check(program: program_flags.ProgramFlags) -> int:
+    """Check a section in a file."""
+    read = _load(program)
+    if read.is_err():
+        return console.complain(read.unwrap_err())
+    console.say('the section is right')
+    return exit_code.ExitCode.OK
+
+
+async def apply(program: program_flags.ProgramFlags) -> int:
+    """Put a section in force, and wait until the node has it."""
+    read = _load(program)
+    if read.is_err():
+        return console.complain(read.unwrap_err())
+    told = program.flags
+    answer = await node_client.post(
+        edit_result.EditResult,
+        told.operators,
+        '/v1/config',
+        section_edit.SectionEdit(
+            section=told.section,
+            base_edits=told.base_edits,
+            body=read.unwrap(),
+        ),
+    )
+    match answer:
+        case result.Ok(edited):
+            return await _wait_in_force(told.operators, edited)
+    return console.complain(answer.unwrap_err())
+
+
+async def defaults_table(program: program_flags.ProgramFlags) -> int:
+    """Write the table of all settings."""
+    console.say(defaults.table())
+    return exit_code.ExitCode.OK
+
+
+def _load(
+    program: program_flags.ProgramFlags,
+) -> result.Result[msgspec.Raw, invalid.Invalid]:
+    told = program.flags
+    kind = draft_check.KIND_BY_SECTION.get(told.section)
+    if kind is None:
+        return result.Err(
+            invalid.Invalid(
+                message=f'there is no section {told.section!r}',
+                remedy='say --section search, capacity or audit',
+            ),
+        )
+    return loader.load(kind, pathlib.Path(told.file)).map(codec.to_raw)
+
+
+async def _wait_in_force(
+    operators: str,
+    edited: edit_result.EditResult,
+) -> int:
+    for _ in range(int(_WAIT_S / _POLL_S)):
+        status = await node_client.get(
+            node_status.NodeStatus,
+            operators,
+            '/v1/status',
+        )
+        match status:
+            case result.Ok(seen) if seen.revision >= edited.revision:
+                console.say(f'revision {edited.revision} is in force')
+                return exit_code.ExitCode.OK
+            case result.Ok(seen) if seen.refused_revision == edited.revision:
+                return console.complain(_refused(seen))
+        await asyncio.sleep(_POLL_S)
+    return console.complain(_slow(edited))
+
+
+def _refused(seen: node_status.NodeStatus) -> problem.Problem:
+    return invalid.Invalid(
+        message=f'revision {seen.refused_revision}: {seen.refused_because}',
+        remedy='mend the section; the revision before stays in force',
+    )
+
+
+def _slow(edited: edit_result.EditResult) -> problem.Problem:
+    return problem.Problem(
+        message=f'revision {edited.revision} is not in force after {_WAIT_S} s',
+        remedy='see `chivepond status` on the nodes',
+    )
--- /dev/null
+++ b/chivepond/tools/daemon.py
@@ -0,0 +1,77 @@
+"""chivepondd: runs one node until it is told to stop."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+import result
+import uvloop
+
+from chivepond import node
+from chivepond.observe import events, journal
+from chivepond.settings import loader, node_settings
+from chivepond.tools import console, exit_code, program_flags
+
+_USAGE = """chivepondd: runs one node of the query tier.
+
+Examples:
+  chivepondd --settings node.yaml
+  chivepondd --settings node.yaml --check
+
+A first SIGTERM or SIGINT stops it without cutting a request; a second one
+stops it at once.
+"""
+
+
+def run() -> None:
+    """Run the program, and exit with its code."""
+    sys.exit(main(sys.argv))
+
+
+def main(arguments: list[str]) -> int:
+    """Return the exit code."""
+    program = program_flags.ProgramFlags(_USAGE)
+    program.text('settings', '', 'the YAML file with the node settings')
+    program.switch('check', 'check the settings and exit')
+    parsed = program.parse(arguments)
+    if parsed.is_err():
+        return console.complain(parsed.unwrap_err())
+    if program.flags.help:
+        program.show_help()
+        return exit_code.ExitCode.OK
+    loaded = loader.load(
+        node_settings.NodeSettings,
+        pathlib.Path(program.flags.settings),
+    )
+    match loaded:
+        case result.Ok(settings):
+            return _start(settings, is_check=program.flags.check)
+        case _:
+            return console.complain(loaded.unwrap_err())
+
+
+def _start(settings: node_settings.NodeSettings, *, is_check: bool) -> int:
+    if is_check:
+        console.say('the settings are right')
+        return exit_code.ExitCode.OK
+    with journal.Journal(settings.log_level, settings.log_format):
+        if settings.unsigned:
+            journal.log(events.MESSAGES_UNSIGNED)
+        return uvloop.run(_serve(settings))
+
+
+async def _serve(settings: node_settings.NodeSettings) -> int:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _on_signal, stopping)
+    async with node.Node(settings):
+        await stopping.wait()
+    return exit_code.ExitCode.OK
+
+
+def _on_signal(stopping: asyncio.Event) -> None:
+    if stopping.is_set():
+        sys.exit(exit_code.ExitCode.FAILED)
+    stopping.set()
--- /dev/null
+++ b/chivepond/tools/operator_cli.py
@@ -0,0 +1,106 @@
+"""chivepond: the command line of callers and operators."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+
+from chivepond.errors import invalid
+from chivepond.observe import journal
+from chivepond.tools import (
+    config_commands,
+    console,
+    demo,
+    exit_code,
+    program_flags,
+    request_commands,
+    status_commands,
+)
+
+_USAGE = """chivepond: asks a node, and edits the deployment's document.
+
+Examples:
+  chivepond demo
+  chivepond search --callers 127.0.0.1:8101 --service pass-lookup --query Rai
+  chivepond command --callers 127.0.0.1:8101 --service permit-desk \\
+      --shard_key member-7 --body 'stamp permit 7'
+  chivepond config get --operators 127.0.0.1:8301 --section search
+  chivepond config check --section search --file search.yaml
+  chivepond config apply --operators 127.0.0.1:8301 --section search \\
+      --file search.yaml --base_edits 3
+  chivepond config defaults
+  chivepond status --operators 127.0.0.1:8301
+
+Exit codes: 0 done, 1 failed, 2 wrong use, 3 not run, 4 outcome unknown,
+5 unreachable.
+"""
+
+_Command = Callable[[program_flags.ProgramFlags], Awaitable[int]]
+
+
+async def _demo(program: program_flags.ProgramFlags) -> int:
+    with journal.Journal('WARNING', 'text'):
+        return await demo.run()
+
+
+_command_by_words: dict[tuple[str, ...], _Command] = {
+    ('demo',): _demo,
+    ('search',): request_commands.search,
+    ('command',): request_commands.command,
+    ('config', 'get'): config_commands.show,
+    ('config', 'check'): config_commands.check,
+    ('config', 'apply'): config_commands.apply,
+    ('config', 'defaults'): config_commands.defaults_table,
+    ('status',): status_commands.status,
+}
+
+
+def run() -> None:
+    """Run the program, and exit with its code."""
+    sys.exit(main(sys.argv))
+
+
+def main(arguments: list[str]) -> int:
+    """Return the exit code."""
+    program = _flags()
+    parsed = program.parse(arguments)
+    if parsed.is_err():
+        return console.complain(parsed.unwrap_err())
+    if program.flags.help:
+        program.show_help()
+        return exit_code.ExitCode.OK
+    chosen = _command_by_words.get(tuple(program.words))
+    if chosen is None:
+        return console.complain(_unknown(program.words))
+    return asyncio.run(chosen(program))
+
+
+def _flags() -> program_flags.ProgramFlags:
+    program = program_flags.ProgramFlags(_USAGE)
+    program.switch('json', 'write JSON, for programs')
+    program.text('callers', '127.0.0.1:8101', 'ip:port of a node, for callers')
+    program.text(
+        'operators',
+        '127.0.0.1:8301',
+        'ip:port of a node, for operators',
+    )
+    program.text('service', '', 'the service to ask')
+    program.text('query', '', 'what to search for')
+    program.number('limit', 10, 'hits wanted')
+    program.text('cursor', '', 'the cursor of the last answer')
+    program.text('caller', 'command-line', 'the name of the caller')
+    program.number('deadline_ms', 0, "milliseconds; 0 for the service's own")
+    program.text('key', '', 'the request key; made up when empty')
+    program.text('shard_key', '', 'chooses the shard that runs a command')
+    program.text('body', '', 'what a command is to do')
+    program.text('section', '', 'search, capacity or audit')
+    program.text('file', '', 'the YAML file with a section')
+    program.number('base_edits', 0, 'edits that the edit was made from')
+    return program
+
+
+def _unknown(words: list[str]) -> invalid.Invalid:
+    told = ' '.join(words)
+    return invalid.Invalid(
+        message=f'there is no command {told!r}',
+        remedy='see chivepond --help',
+    )
--- /dev/null
+++ b/chivepond/tools/program_flags.py
@@ -0,0 +1,78 @@
+"""Flags of one program, parsed without touching those of others."""
+
+import sys
+
+import result
+from absl import flags
+
+from chivepond.errors import invalid
+
+
+class ProgramFlags:
+    """The flags and the words of one command line."""
+
+    __slots__ = ('_usage', 'flags', 'words')
+
+    def __init__(self, usage: str) -> None:
+        """Show ``usage`` above the list of flags."""
+        self._usage = usage
+        self.flags = flags.FlagValues()
+        self.flags.set_gnu_getopt(True)
+        self.words: list[str] = []
+        flags.DEFINE_bool(
+            'help',
+            default=False,
+            help='show this help',
+            short_name='h',
+            flag_values=self.flags,
+        )
+
+    def text(self, name: str, default: str | None, meaning: str) -> None:
+        """Add a flag that takes text."""
+        flags.DEFINE_string(name, default, meaning, flag_values=self.flags)
+
+    def number(self, name: str, default: int, meaning: str) -> None:
+        """Add a flag that takes a whole number of at least zero."""
+        flags.DEFINE_integer(
+            name,
+            default,
+            meaning,
+            lower_bound=0,
+            flag_values=self.flags,
+        )
+
+    def switch(self, name: str, meaning: str) -> None:
+        """Add a flag that is on or off, off by default."""
+        flags.DEFINE_bool(
+            name,
+            default=False,
+            help=meaning,
+            flag_values=self.flags,
+        )
+
+    def parse(
+        self,
+        arguments: list[str],
+    ) -> result.Result[list[str], invalid.Invalid]:
+        """Return the words that are no flags."""
+        try:
+            self.words = self.flags(arguments)[1:]
+        except flags.Error as error:
+            return result.Err(
+                invalid.Invalid(
+                    message=str(error),
+                    remedy=f'see {arguments[0]} --help',
+                ),
+            )
+        return result.Ok(self.words)
+
+    def show_help(self) -> None:
+        """Write the usage and the flags to standard output."""
+        names = sorted(self.flags)
+        sys.stdout.write(f'{self._usage}\nFlags:\n')
+        for name in names:
+            flag = self.flags[name]
+            if len(name) > 1:
+                sys.stdout.write(
+                    f'  --{name}: {flag.help} (default {flag.default})\n',
+                )
--- /dev/null
+++ b/chivepond/tools/standin.py
@@ -0,0 +1,92 @@
+"""chivepond-standin: runs a stand-in platform or searcher."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import result
+import uvloop
+
+from chivepond.errors import invalid
+from chivepond.settings import loader
+from chivepond.standins import platform, searcher, searcher_profile
+from chivepond.tools import console, exit_code, program_flags
+from chivepond.transport import address
+
+_USAGE = """chivepond-standin: runs a stand-in platform or searcher.
+
+Examples:
+  chivepond-standin platform --listen 127.0.0.1:8000
+  chivepond-standin searcher --listen 127.0.0.1:0 --profile searcher.yaml
+
+The first line written tells the address. Faults are set by POST to
+/standin/faults; docs/PROTOCOLS.md lists them.
+"""
+
+
+def run() -> None:
+    """Run the program, and exit with its code."""
+    sys.exit(main(sys.argv))
+
+
+def main(arguments: list[str]) -> int:
+    """Return the exit code."""
+    program = program_flags.ProgramFlags(_USAGE)
+    program.text('listen', '127.0.0.1:0', 'ip:port to listen on')
+    program.text('profile', '', 'the YAML file with a searcher profile')
+    program.text('versions', '1', 'index versions held, with commas')
+    parsed = program.parse(arguments)
+    if parsed.is_err():
+        return console.complain(parsed.unwrap_err())
+    if program.flags.help:
+        program.show_help()
+        return exit_code.ExitCode.OK
+    made = _make(program)
+    if made.is_err():
+        return console.complain(made.unwrap_err())
+    return uvloop.run(_serve(program))
+
+
+def _make(
+    program: program_flags.ProgramFlags,
+) -> result.Result[address.Address, invalid.Invalid]:
+    if program.words not in (['platform'], ['searcher']):
+        return result.Err(
+            invalid.Invalid(
+                message='name what to stand in for',
+                remedy='say platform or searcher',
+            ),
+        )
+    return address.parse(program.flags.listen)
+
+
+async def _serve(program: program_flags.ProgramFlags) -> int:
+    built = _build(program)
+    if built.is_err():
+        return console.complain(built.unwrap_err())
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with built.unwrap() as standin:
+        console.say(str(standin.address))
+        await stopping.wait()
+    return exit_code.ExitCode.OK
+
+
+def _build(
+    program: program_flags.ProgramFlags,
+) -> result.Result[Any, invalid.Invalid]:
+    listen = address.parse(program.flags.listen).unwrap()
+    if program.words == ['platform']:
+        return result.Ok(platform.PlatformStandin(listen))
+    versions = [int(one) for one in program.flags.versions.split(',')]
+    profile = loader.load(
+        searcher_profile.SearcherProfile,
+        pathlib.Path(program.flags.profile),
+    )
+    return profile.map(
+        lambda told: searcher.SearcherStandin(told, listen, versions),
+    )
--- /dev/null
+++ b/chivepond/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP between processes: a bounded client and server over libraries."""
--- /dev/null
+++ b/chivepond/transport/address.py
@@ -0,0 +1,43 @@
+"""An address to listen on or to connect to."""
+
+import dataclasses
+import ipaddress
+
+import result
+
+from chivepond.errors import invalid
+
+_MAX_PORT = 65535
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """An IP number and a TCP port; port zero asks the system for one."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``ip:port``, with brackets around IPv6."""
+        if ':' in self.ip:
+            return f'[{self.ip}]:{self.port}'
+        return f'{self.ip}:{self.port}'
+
+
+def parse(text: str) -> result.Result[Address, invalid.Invalid]:
+    """Return the address in ``ip:port``; names of hosts are not looked up."""
+    ip, _, port = text.rpartition(':')
+    try:
+        number = ipaddress.ip_address(ip.strip('[]'))
+    except ValueError:
+        return result.Err(_wrong(text))
+    if not port.isdecimal() or int(port) > _MAX_PORT:
+        return result.Err(_wrong(text))
+    return result.Ok(Address(ip=str(number), port=int(port)))
+
+
+def _wrong(text: str) -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'{text!r} is no address',
+        remedy='write an IP number and a port, such as 127.0.0.1:8080',
+    )
--- /dev/null
+++ b/chivepond/transport/bodies.py
@@ -0,0 +1,54 @@
+"""Bodies of requests, bounded in size and in time to arrive."""
+
+import asyncio
+
+import result
+from starlette import requests
+
+from chivepond.errors import invalid, problem, too_large
+
+#: The longest that a body may take to arrive, in seconds.
+ARRIVAL_S = 5
+
+#: The largest body a caller may send, in bytes.
+MAX_CALLER_BYTES = 65536
+
+#: The largest body between processes of the system, in bytes.
+MAX_PEER_BYTES = 4194304
+
+
+async def read(
+    request: requests.Request,
+    max_bytes: int,
+) -> result.Result[bytes, problem.Problem]:
+    """Return the body, or say that it is too large or came too slowly.
+
+    Guards against a client that sends without end or stops midway: it
+    shows as memory or requests that never go away.
+    """
+    parts = bytearray()
+    try:
+        async with asyncio.timeout(ARRIVAL_S):
+            async for part in request.stream():
+                parts += part
+                if len(parts) > max_bytes:
+                    return result.Err(_too_large(max_bytes))
+    except TimeoutError:
+        return result.Err(_too_slow())
+    except requests.ClientDisconnect:
+        return result.Err(_too_slow())
+    return result.Ok(bytes(parts))
+
+
+def _too_large(max_bytes: int) -> too_large.TooLarge:
+    return too_large.TooLarge(
+        message=f'the body has more than {max_bytes} bytes',
+        remedy='send a smaller one',
+    )
+
+
+def _too_slow() -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'the body did not arrive within {ARRIVAL_S} s',
+        remedy='send it whole, at once',
+    )
--- /dev/null
+++ b/chivepond/transport/checked_connection.py
@@ -0,0 +1,21 @@
+"""A connection that goes back to its pool only after a whole reply."""
+
+from urllib import parse as url_parse
+
+from aiosonic import connection
+
+
+class CheckedConnection(connection.Connection):
+    """Closes itself unless the reply in progress was read to its end.
+
+    Guards against a library fault: a request that times out, or is
+    cancelled, on a reused connection leaves it in the pool with ``keep``
+    still set, and the next request reads the previous request's answer.
+    Clearing ``keep`` when the connection is taken makes the release close
+    it; the library sets it again once it has read the reply's head.
+    """
+
+    def reuse(self, urlparsed: url_parse.ParseResult, verify: bool) -> bool:
+        """Tell whether the open connection serves, and distrust it."""
+        self.keep = False
+        return super().reuse(urlparsed, verify)
--- /dev/null
+++ b/chivepond/transport/client.py
@@ -0,0 +1,184 @@
+"""A client for one address, with a bounded pool of its own."""
+
+import asyncio
+import types
+from collections.abc import AsyncIterator
+from typing import Self
+
+import aiosonic
+import result
+from aiosonic import connectors, exceptions, pools, timeout
+
+from chivepond.errors import unreachable
+from chivepond.transport import (
+    address,
+    checked_connection,
+    number_resolver,
+    reply,
+)
+
+_FAILURES = (
+    exceptions.AiosonicError,
+    ConnectionError,
+    OSError,
+    EOFError,
+    ValueError,
+)
+_CONNECT_S = 2
+_IDLE_MS = 60000
+
+
+class Client:
+    """Exchanges with one process; never over a connection that timed out.
+
+    The pools of the library are keyed by host without the port, so each
+    address gets a client, and with it a pool, of its own. Only POST and GET
+    are sent: the library repeats PUT and DELETE by itself when a reused
+    connection drops, POST it does not.
+    """
+
+    __slots__ = ('_base', '_client', '_connector', '_headers', 'target')
+
+    def __init__(self, target: address.Address, connections: int) -> None:
+        """Keep at most ``connections`` open to ``target``."""
+        self.target = target
+        self._base = f'http://{target}'
+        self._headers = {'content-type': 'application/json'}
+        self._connector = connectors.TCPConnector(
+            pool_configs={
+                ':default': pools.PoolConfig(
+                    size=connections,
+                    max_conn_idle_ms=_IDLE_MS,
+                ),
+            },
+            timeouts=timeout.Timeouts(
+                sock_connect=_CONNECT_S,
+                sock_read=None,
+                pool_acquire=None,
+                request_timeout=None,
+            ),
+            connection_cls=checked_connection.CheckedConnection,
+            resolver=number_resolver.NumberResolver(),
+        )
+        self._client = aiosonic.HTTPClient(connector=self._connector)
+
+    async def __aenter__(self) -> Self:
+        """Return the client; connections open when they are needed."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def post(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: dict[str, str] | None = None,
+    ) -> result.Result[reply.Reply, unreachable.Unreachable]:
+        """Send one POST, once, and return the whole reply."""
+        return await self._exchange('POST', path, body, timeout_s, headers)
+
+    async def get(
+        self,
+        path: str,
+        timeout_s: float,
+    ) -> result.Result[reply.Reply, unreachable.Unreachable]:
+        """Send one GET, which the library may repeat, and return the reply."""
+        return await self._exchange('GET', path, b'', timeout_s, None)
+
+    async def lines(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> AsyncIterator[result.Result[bytes, unreachable.Unreachable]]:
+        """Send one POST and yield the lines of its reply as they arrive.
+
+        A failure is the last thing yielded.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for line in self._stream(path, body):
+                    yield result.Ok(line)
+        except TimeoutError:
+            await self.distrust_idle()
+            yield result.Err(self._failed(path, 'no whole reply in time'))
+        except _FAILURES as error:
+            yield result.Err(self._failed(path, _text(error)))
+
+    async def distrust_idle(self) -> None:
+        """Close idle connections, and busy ones when they come back.
+
+        Guards against connections that something between the two ends has
+        forgotten: they show as time-outs on old connections while new ones
+        work. Siblings of one that timed out are likely lost as well, so the
+        next exchange opens a fresh one.
+        """
+        for pool in self._connector.pools.values():
+            await pool.cleanup()
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: dict[str, str] | None,
+    ) -> result.Result[reply.Reply, unreachable.Unreachable]:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return result.Ok(
+                    await self._whole(method, path, body, headers),
+                )
+        except TimeoutError:
+            await self.distrust_idle()
+            return result.Err(self._failed(path, 'no whole reply in time'))
+        except _FAILURES as error:
+            return result.Err(self._failed(path, _text(error)))
+
+    async def _whole(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+    ) -> reply.Reply:
+        response = await self._client.request(
+            url=self._base + path,
+            method=method,
+            headers=self._headers | headers if headers else self._headers,
+            data=body,
+        )
+        return reply.Reply(response.status_code, await response.content())
+
+    async def _stream(self, path: str, body: bytes) -> AsyncIterator[bytes]:
+        async with self._client.stream(
+            'POST',
+            self._base + path,
+            headers=self._headers,
+            data=body,
+        ) as response:
+            pending = b''
+            async for chunk in response.read_chunks():
+                *whole, pending = (pending + chunk).split(b'\n')
+                for line in whole:
+                    yield line
+            if pending:
+                yield pending
+
+    def _failed(self, path: str, why: str) -> unreachable.Unreachable:
+        return unreachable.Unreachable(
+            message=f'{self._base}{path}: {why}',
+            remedy='see whether that process runs and can be reached',
+        )
+
+
+def _text(error: BaseException) -> str:
+    return f'{type(error).__name__} {error}'.strip()
--- /dev/null
+++ b/chivepond/transport/endpoints.py
@@ -0,0 +1,65 @@
+"""HTTP endpoints made from functions over messages."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import result
+from starlette import applications, requests, responses, routing
+
+from chivepond.errors import problem
+from chivepond.observe import events, journal
+from chivepond.transport import bodies, replies
+from chivepond.wire import codec
+
+Outcome = result.Result[Any, problem.Problem]
+Serve = Callable[[Any], Awaitable[Outcome]]
+
+
+def post(
+    path: str,
+    kind: type[Any],
+    serve: Serve,
+    max_bytes: int = bodies.MAX_PEER_BYTES,
+) -> routing.Route:
+    """Return a route that decodes a ``kind`` and replies with the outcome."""
+
+    async def endpoint(request: requests.Request) -> responses.Response:
+        raw = await bodies.read(request, max_bytes)
+        told = raw.and_then(lambda body: codec.decode(kind, body))
+        if told.is_err():
+            return replies.of_problem(told.unwrap_err())
+        return reply(await serve(told.unwrap()))
+
+    return routing.Route(path, endpoint, methods=['POST'])
+
+
+def reply(outcome: Outcome) -> responses.Response:
+    """Return the HTTP reply for a message or an error."""
+    if outcome.is_err():
+        return replies.of_problem(outcome.unwrap_err())
+    return replies.of_message(outcome.unwrap())
+
+
+def application(routes: list[routing.BaseRoute]) -> applications.Starlette:
+    """Return an application whose unforeseen failures are told in form."""
+    return applications.Starlette(
+        routes=routes,
+        exception_handlers={Exception: _unforeseen},
+    )
+
+
+async def _unforeseen(
+    request: requests.Request,
+    error: Exception,
+) -> responses.Response:
+    journal.log(
+        events.REQUEST_FAILED,
+        path=request.url.path,
+        error=f'{type(error).__name__}: {error}',
+    )
+    return replies.of_problem(
+        problem.Problem(
+            message='the request met a fault of this node',
+            remedy='see event 1006 in its log, and report it',
+        ),
+    )
--- /dev/null
+++ b/chivepond/transport/replies.py
@@ -0,0 +1,39 @@
+"""HTTP replies made from messages and errors."""
+
+import math
+from typing import Any
+
+from starlette import responses
+
+from chivepond.errors import problem
+from chivepond.wire import codec, error_body, error_reply
+
+_JSON = 'application/json'
+_MS_PER_S = 1000
+
+
+def of_message(message: Any) -> responses.Response:
+    """Return a reply that carries ``message``."""
+    return responses.Response(codec.encode(message), media_type=_JSON)
+
+
+def of_problem(trouble: problem.Problem) -> responses.Response:
+    """Return the reply that tells a caller of an error, and when to return."""
+    body = error_reply.ErrorReply(
+        error=error_body.ErrorBody(
+            kind=trouble.kind,
+            message=trouble.message,
+            remedy=trouble.remedy,
+            retry_after_ms=trouble.retry_after_ms,
+        ),
+    )
+    headers = {}
+    if trouble.retry_after_ms is not None:
+        seconds = math.ceil(trouble.retry_after_ms / _MS_PER_S)
+        headers['retry-after'] = str(max(1, seconds))
+    return responses.Response(
+        codec.encode(body),
+        status_code=trouble.status,
+        headers=headers,
+        media_type=_JSON,
+    )
--- /dev/null
+++ b/chivepond/transport/reply.py
@@ -0,0 +1,11 @@
+"""A reply as it came over the wire."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """The status and the whole body of one HTTP reply."""
+
+    status: int
+    body: bytes
--- /dev/null
+++ b/chivepond/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, as slotted data classes, and their codec."""
--- /dev/null
+++ b/chivepond/wire/codec.py
@@ -0,0 +1,42 @@
+"""JSON to typed messages and back, by msgspec."""
+
+import functools
+from typing import Any, TypeVar
+
+import msgspec
+import result
+
+from chivepond.errors import invalid
+
+Kind = TypeVar('Kind')
+
+_encoder = msgspec.json.Encoder()
+
+#: Returns the JSON bytes of a message.
+encode = _encoder.encode
+
+
+@functools.cache
+def _decoder(kind: type[Kind]) -> msgspec.json.Decoder[Kind]:
+    return msgspec.json.Decoder(kind)
+
+
+def decode(
+    kind: type[Kind],
+    raw: bytes | msgspec.Raw,
+) -> result.Result[Kind, invalid.Invalid]:
+    """Return ``raw`` as a ``kind``, or what is wrong with it and where."""
+    try:
+        return result.Ok(_decoder(kind).decode(raw))
+    except (msgspec.DecodeError, RecursionError) as error:
+        return result.Err(
+            invalid.Invalid(
+                message=f'the {kind.__name__} could not be read: {error}',
+                remedy='send the fields that docs/INTERFACE.md lists',
+            ),
+        )
+
+
+def to_raw(message: Any) -> msgspec.Raw:
+    """Return a message encoded once, to be placed inside another."""
+    return msgspec.Raw(encode(message))
--- /dev/null
+++ b/chivepond/wire/shard_entry.py
@@ -0,0 +1,11 @@
+"""One shard of a shard map."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ShardEntry:
+    """A shard and the searchers that hold it."""
+
+    shard: str
+    searchers: list[str]
--- /dev/null
+++ b/chivepond/wire/sub_reply.py
@@ -0,0 +1,22 @@
+"""The reply of a searcher for one shard."""
+
+import dataclasses
+
+from chivepond.wire import hit
+
+
+@dataclasses.dataclass(slots=True)
+class SubReply:
+    """One line of a reply to a batch.
+
+    ``outcome`` is one of the names in ``shard_outcome``; ``hits`` is empty
+    unless it is ``ok``.
+    """
+
+    request_id: str
+    attempt: int
+    shard: str
+    index_version: int
+    outcome: str
+    hits: list[hit.Hit] = dataclasses.field(default_factory=list)
+    retry_after_ms: int = 0
