Accepted configuration only rises, and is retried until it is judged

Cause: a draft whose write met an outage was marked judged and never tried again; software that could not read the document in force could put an older one over it; a watch went on from the newest object known, past changes a peer had not handed over; an edit whose reply was lost could end as unknown or as a false conflict; an edit through older software dropped sections it did not know; a node that starts without the platform knew no peers. Ruled out: marking drafts as judged locally (forgets lost writes); comparing with the local cache only (stale after a pause). Change: the acceptor compares with the version its write is conditional on; only relays judge at once; the editor knows its own edit by a token; settings get seeds; the directory takes the platform's list in at the loop's time.

--- a/chivepond/control/acceptor.py
+++ b/chivepond/control/acceptor.py
@@ -1,42 +1,64 @@
 """Checks drafts of the document and puts good ones in force."""
 
 import asyncio
+import random
+from collections.abc import Awaitable, Callable
 
 import result
 
 from chivepond.control import (
     accepted_document,
-    configuration,
     draft_check,
     object_cache,
     refused_document,
+    revision_mark,
 )
-from chivepond.errors import invalid, problem
+from chivepond.errors import invalid, not_found, problem
 from chivepond.observe import events, journal
 from chivepond.platform import client as platform_client
 from chivepond.platform import kinds
 from chivepond.settings import deployment
-from chivepond.wire import codec, draft_document, notice
+from chivepond.wire import codec, draft_document, notice, stored_object
 
 _KIND = 'deployment'
+_ACCEPTED = 'accepted'
+_REFUSED = 'refused'
+_RETRY_S = 0.5
+_YIELD_S = 2
+
+_Stored = result.Result[stored_object.StoredObject, problem.Problem]
 
 
 class Acceptor:
-    """Accepts or refuses each draft once; the accepted one only rises."""
+    """Brings each draft to accepted or refused; the accepted only rises.
+
+    Relays judge at once. Other nodes wait a while first, so that 600 nodes
+    don't all write, and judge only if the relays have not.
+    """
 
-    __slots__ = ('_cache', '_configuration', '_judged', '_news', '_platform')
+    __slots__ = (
+        '_cache',
+        '_is_relay',
+        '_news',
+        '_platform',
+        '_random',
+        '_sleep',
+    )
 
     def __init__(
         self,
         platform: platform_client.PlatformClient,
         cache: object_cache.ObjectCache,
-        configured: configuration.Configuration,
+        is_relay: Callable[[], bool],
+        rng: random.Random,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         """Judge the drafts that come into ``cache``."""
+        self._sleep = sleep
         self._platform = platform
         self._cache = cache
-        self._configuration = configured
-        self._judged = 0
+        self._is_relay = is_relay
+        self._random = rng
         self._news = asyncio.Event()
         cache.listen(self._on_notice)
 
@@ -45,72 +67,136 @@
         while True:
             await self._news.wait()
             self._news.clear()
-            draft = self._cache.by_key.get(kinds.DEPLOYMENT_DRAFT)
-            if draft is not None and draft.version > self._judged:
-                await self._judge(draft)
-
-    async def _judge(self, draft: notice.Notice) -> None:
-        accepted = self._cache.by_key.get(kinds.DEPLOYMENT_ACCEPTED)
-        expect = 0 if accepted is None else accepted.version
-        if draft.version <= self._configuration.revision:
-            return
+            await self.settle()
+
+    def pending(self) -> notice.Notice | None:
+        """Return the newest draft while it is neither accepted nor refused."""
+        draft = self._cache.by_key.get(kinds.DEPLOYMENT_DRAFT)
+        if draft is None or self._is_judged(draft.version):
+            return None
+        return draft
+
+    async def attempt(self, draft: notice.Notice) -> None:
+        """Try once to accept or refuse a draft.
+
+        Whether that worked shows in ``pending``: a write whose reply was
+        lost counts for nothing until the object itself has been read.
+        """
         match check(draft):
             case result.Ok(document):
-                written = await self._write(
-                    'accepted',
-                    accepted_document.AcceptedDocument(
-                        revision=draft.version,
-                        document=document,
-                    ),
-                    expect,
+                message = accepted_document.AcceptedDocument(
+                    revision=draft.version,
+                    document=document,
                 )
-                self._keep(written)
+                await self._raise_to(draft.version, _ACCEPTED, message)
             case result.Err(wrong):
                 journal.log(
                     events.CONFIGURATION_REFUSED,
                     revision=draft.version,
                     why=wrong.message,
                 )
-                await self._refuse(draft.version, wrong)
-        self._judged = draft.version
-
-    async def _refuse(self, revision: int, wrong: invalid.Invalid) -> None:
-        known = self._cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
-        await self._write(
-            'refused',
-            refused_document.RefusedDocument(
-                revision=revision,
-                message=wrong.message,
-                remedy=wrong.remedy,
-            ),
-            0 if known is None else known.version,
-        )
+                await self._raise_to(
+                    draft.version,
+                    _REFUSED,
+                    refused_document.RefusedDocument(
+                        revision=draft.version,
+                        message=wrong.message,
+                        remedy=wrong.remedy,
+                    ),
+                )
 
-    async def _write(
+    async def settle(self) -> None:
+        """Try until the newest draft is judged, by whomever.
+
+        Guards against an outage just when a draft arrives: it shows as an
+        edit that never comes into force though the platform is back. A
+        draft counts as judged by what was read, never by having been tried.
+        """
+        if not self._is_relay():
+            await self._pause(_YIELD_S)
+        draft = self.pending()
+        while draft is not None:
+            await self.attempt(draft)
+            draft = self.pending()
+            if draft is not None:
+                await self._pause(_RETRY_S)
+
+    async def _raise_to(
         self,
+        revision: int,
         name: str,
         message: object,
-        expect: int,
-    ) -> result.Result[notice.Notice, problem.Problem]:
-        answer = await self._platform.write(_KIND, name, message, expect)
-        return answer.map(
-            lambda stored: notice.Notice(
-                key=f'{_KIND}/{name}',
+    ) -> None:
+        """Replace an object if the one there is of a lower revision.
+
+        Guards against a revert: an acceptor that was paused, or whose
+        software can't read the document in force, would put an older one
+        over it. The revision is compared with the very version that the
+        write is conditional on, so that no other can slip in between.
+        """
+        found = await self._read(name)
+        if found.is_err():
+            return
+        there = found.unwrap()
+        self._keep(there)
+        mark = codec.decode(revision_mark.RevisionMark, there.body)
+        if mark.is_err() or mark.unwrap().revision >= revision:
+            return
+        written = await self._platform.write(
+            _KIND,
+            name,
+            message,
+            there.version,
+        )
+        written.map(self._keep)
+
+    async def _read(self, name: str) -> _Stored:
+        """Return an object; one of version and revision zero for none."""
+        found = await self._platform.read(_KIND, name)
+        match found:
+            case result.Err(not_found.NotFound()):
+                nothing = revision_mark.RevisionMark(0)
+                return result.Ok(
+                    stored_object.StoredObject(
+                        kind=_KIND,
+                        name=name,
+                        version=0,
+                        token='',
+                        body=codec.to_raw(nothing),
+                    ),
+                )
+        return found
+
+    def _keep(self, stored: stored_object.StoredObject) -> None:
+        if not stored.version:
+            return
+        self._cache.offer(
+            notice.Notice(
+                key=f'{_KIND}/{stored.name}',
                 version=stored.version,
                 body=stored.body,
             ),
         )
 
-    def _keep(
-        self,
-        written: result.Result[notice.Notice, problem.Problem],
-    ) -> None:
-        match written:
-            case result.Ok(told):
-                self._cache.offer(told)
+    def _is_judged(self, revision: int) -> bool:
+        judged = (
+            self._known_revision(kinds.DEPLOYMENT_ACCEPTED),
+            self._known_revision(kinds.DEPLOYMENT_REFUSED),
+        )
+        return max(judged) >= revision
+
+    def _known_revision(self, key: str) -> int:
+        told = self._cache.by_key.get(key)
+        if told is None:
+            return 0
+        mark = codec.decode(revision_mark.RevisionMark, told.body)
+        return mark.map_or(0, _revision)
+
+    async def _pause(self, seconds: float) -> None:
+        await self._sleep(seconds * (1 + self._random.random()))
 
     def _on_notice(self, told: notice.Notice) -> None:
-        if told.key.startswith(f'{_KIND}/'):
+        if told.key == kinds.DEPLOYMENT_DRAFT:
             self._news.set()
 
 
@@ -122,3 +208,7 @@
         draft_document.DraftDocument,
         draft.body,
     ).and_then(draft_check.check)
+
+
+def _revision(mark: revision_mark.RevisionMark) -> int:
+    return mark.revision
--- a/chivepond/control/configuration.py
+++ b/chivepond/control/configuration.py
@@ -42,3 +42,9 @@
                     events.CONFIGURATION_IN_FORCE,
                     revision=accepted.revision,
                 )
+            case result.Err(wrong):
+                journal.log(
+                    events.CONFIGURATION_UNREADABLE,
+                    version=told.version,
+                    why=wrong.message,
+                )
--- a/chivepond/control/directory.py
+++ b/chivepond/control/directory.py
@@ -1,5 +1,8 @@
 """Who is there: the platform's list, corrected by what was heard."""
 
+import asyncio
+from collections.abc import Callable
+
 import result
 
 from chivepond.control import member, object_cache, view
@@ -10,17 +13,27 @@
 _MS_PER_S = 1000
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class Directory:
     """The view of this node; serves its own routing only."""
 
-    __slots__ = ('_hosts', '_member_by_id', '_settings', 'view')
+    __slots__ = ('_clock', '_hosts', '_member_by_id', '_settings', 'view')
 
     def __init__(
         self,
         settings: node_settings.NodeSettings,
         cache: object_cache.ObjectCache,
+        clock: Callable[[], float] = _loop_time,
     ) -> None:
-        """Follow the platform's list in ``cache``."""
+        """Follow the platform's list in ``cache``.
+
+        ``clock`` is that of the heartbeats: a list taken in at another
+        time would bring nodes back that have been silent for long.
+        """
+        self._clock = clock
         self._settings = settings
         self._hosts: list[host.Host] = []
         self._member_by_id: dict[str, member.Member] = {}
@@ -97,4 +110,4 @@
             case result.Ok(listed):
                 self._hosts = listed.hosts
                 self.view = view.View({}, {}, {})
-                self.refresh(0)
+                self.refresh(self._clock())
--- a/chivepond/control/editor.py
+++ b/chivepond/control/editor.py
@@ -1,6 +1,8 @@
 """Edits of one section of the document, safe against races."""
 
-import dataclasses
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
 
 import result
 
@@ -8,9 +10,11 @@
 from chivepond.errors import (
     conflict,
     invalid,
+    not_found,
     outcome_unknown,
     problem,
     quoting,
+    unreachable,
 )
 from chivepond.platform import client as platform_client
 from chivepond.wire import (
@@ -27,8 +31,11 @@
 _NAME = 'draft'
 _TRIES = 8
 _RETRY_MS = 500
+_RETRY_S = 0.25
+_TOKEN_BYTES = 9
 
 _Edited = result.Result[edit_result.EditResult, problem.Problem]
+_Sections = dict[str, draft_section.DraftSection]
 
 
 class Editor:
@@ -40,11 +47,16 @@
     error shows both.
     """
 
-    __slots__ = ('_platform',)
+    __slots__ = ('_pause', '_platform')
 
-    def __init__(self, platform: platform_client.PlatformClient) -> None:
-        """Edit the draft on ``platform``."""
+    def __init__(
+        self,
+        platform: platform_client.PlatformClient,
+        pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        """Edit the draft on ``platform``; ``pause`` waits some seconds."""
         self._platform = platform
+        self._pause = pause
 
     async def view(
         self,
@@ -60,45 +72,74 @@
         """Write an edit, on top of other sections' edits if need be."""
         if edit.section not in draft_check.KIND_BY_SECTION:
             return result.Err(_unknown_section(edit.section))
+        token = secrets.token_urlsafe(_TOKEN_BYTES)
+        is_unsure = False
         for _ in range(_TRIES):
-            outcome = await self._try(edit)
-            if not _lost_race(outcome):
+            outcome = await self._try(edit, token, is_unsure=is_unsure)
+            if not _may_try_again(outcome, is_unsure=is_unsure):
                 return outcome
-        return result.Err(
-            conflict.Conflict(
-                message=f'{_TRIES} other edits came first',
-                remedy='apply it again',
-                retry_after_ms=_RETRY_MS,
-            ),
-        )
+            if not _is_conflict(outcome):
+                is_unsure = True
+                await self._pause(_RETRY_S)
+        return result.Err(_unsure(edit) if is_unsure else _crowded())
 
-    async def _try(self, edit: section_edit.SectionEdit) -> _Edited:
+    async def _try(
+        self,
+        edit: section_edit.SectionEdit,
+        token: str,
+        *,
+        is_unsure: bool,
+    ) -> _Edited:
+        """Write the edit once, unless it is seen to be there already.
+
+        Guards against a reply lost after the write took effect: a blind
+        repeat would find its own edit and call it another operator's. The
+        token in the section tells whose it is. Writing again is safe, since
+        it is conditional on the version just read, like the lost one: of
+        the two at most one takes effect.
+        """
         stored = await self._read()
         if stored.is_err():
             return stored
         found = stored.unwrap()
-        read = codec.decode(draft_document.DraftDocument, found.body)
+        read = codec.decode(_Sections, found.body)
         if read.is_err():
             return read
-        seen = getattr(read.unwrap(), edit.section)
+        sections = read.unwrap()
+        seen = sections.get(edit.section, draft_section.DraftSection())
+        if seen.token == token:
+            return result.Ok(
+                edit_result.EditResult(found.version, seen.edits),
+            )
         if seen.edits != edit.base_edits:
-            return result.Err(_same_section(edit, seen))
+            return result.Err(
+                _unsure(edit) if is_unsure else _same_section(edit, seen),
+            )
+        return await self._write(edit, token, sections, found.version)
+
+    async def _write(
+        self,
+        edit: section_edit.SectionEdit,
+        token: str,
+        sections: _Sections,
+        expect: int,
+    ) -> _Edited:
+        """Write the draft with one section replaced.
+
+        Sections that this software does not know are kept as they are:
+        dropping them would lose other teams' edits during a rolling change.
+        """
         fresh = draft_section.DraftSection(
-            edits=seen.edits + 1,
+            edits=edit.base_edits + 1,
             body=edit.body,
+            token=token,
         )
-        draft = dataclasses.replace(read.unwrap(), **{edit.section: fresh})
-        written = await self._platform.write(
-            _KIND,
-            _NAME,
-            draft,
-            found.version,
-        )
+        draft = sections | {edit.section: fresh}
+        written = await self._platform.write(_KIND, _NAME, draft, expect)
+        if _is_uncertain(written):
+            return result.Err(_unsure(edit))
         return written.map(
-            lambda ok: edit_result.EditResult(
-                revision=ok.version,
-                edits=fresh.edits,
-            ),
+            lambda ok: edit_result.EditResult(ok.version, fresh.edits),
         )
 
     async def _read(
@@ -107,7 +148,7 @@
         """Return the draft, an empty one at version zero if none is there."""
         stored = await self._platform.read(_KIND, _NAME)
         match stored:
-            case result.Err(problem.Problem(kind='not_found')):
+            case result.Err(not_found.NotFound()):
                 return result.Ok(
                     stored_object.StoredObject(
                         kind=_KIND,
@@ -120,22 +161,59 @@
         return stored
 
 
-def _lost_race(outcome: _Edited) -> bool:
-    """Tell whether a write met another's, so that trying again helps.
+def _may_try_again(outcome: _Edited, *, is_unsure: bool) -> bool:
+    """Tell whether another try can settle the edit.
 
-    An edit of the same section is no race to win: its remedy says so.
+    An edit of the same section is no race to win: its remedy says so. Once
+    a write may have taken effect, no error of a read ends the matter.
     """
     match outcome:
         case result.Err(conflict.Conflict(remedy=remedy)):
             return remedy != _BOTH_SIDES_REMEDY
         case result.Err(outcome_unknown.OutcomeUnknown()):
-            return False
+            return True
+        case result.Err():
+            return is_unsure
+    return False
+
+
+def _is_conflict(outcome: _Edited) -> bool:
+    return isinstance(outcome.err(), conflict.Conflict)
+
+
+def _is_uncertain(
+    written: result.Result[stored_object.StoredObject, problem.Problem],
+) -> bool:
+    """Tell whether a write may have taken effect without a clear reply."""
+    match written:
+        case result.Err(
+            outcome_unknown.OutcomeUnknown() | unreachable.Unreachable()
+        ):
+            return True
     return False
 
 
 _BOTH_SIDES_REMEDY = 'get the section, put both edits together, apply again'
 
 
+_UNSURE_REMEDY = 'get the section: it shows whether your edit is in it'
+
+
+def _unsure(edit: section_edit.SectionEdit) -> outcome_unknown.OutcomeUnknown:
+    return outcome_unknown.OutcomeUnknown(
+        message=f'the edit of {edit.section} may have been written',
+        remedy=_UNSURE_REMEDY,
+    )
+
+
+def _crowded() -> conflict.Conflict:
+    return conflict.Conflict(
+        message=f'{_TRIES} other edits came first',
+        remedy='apply it again',
+        retry_after_ms=_RETRY_MS,
+    )
+
+
 def _same_section(
     edit: section_edit.SectionEdit,
     seen: draft_section.DraftSection,
--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -7,7 +7,7 @@
 from chivepond.control import configuration, directory, object_cache
 from chivepond.entry import peers as peer_clients
 from chivepond.settings import node_settings
-from chivepond.wire import heartbeat, host, notice_list, object_request
+from chivepond.wire import heartbeat, notice_list, object_request
 
 _MS_PER_S = 1000
 
@@ -73,15 +73,20 @@
     async def beat(self) -> None:
         """Exchange one heartbeat with each peer."""
         async with asyncio.TaskGroup() as group:
-            for peer in self._directory.peers():
-                group.create_task(self._beat(peer))
+            for target in self._targets():
+                group.create_task(self._beat(target))
         self._directory.refresh(_now())
 
-    async def _beat(self, peer: host.Host) -> None:
+    def _targets(self) -> list[str]:
+        """Return the peers' addresses, or the seeds while none is known."""
+        known = [peer.address for peer in self._directory.peers()]
+        return known or self._settings.seeds
+
+    async def _beat(self, target: str) -> None:
         sent_at = _now()
-        answer = await self._peers.post(
+        answer = await self._peers.post_to(
             heartbeat.Heartbeat,
-            peer.host_id,
+            target,
             '/internal/heartbeat',
             self.own(),
             self._settings.heartbeat_timeout_ms / _MS_PER_S,
@@ -89,9 +94,9 @@
         match answer:
             case result.Ok(told):
                 self._directory.heard(told, _now(), _now() - sent_at)
-                await self._fetch(peer, told)
+                await self._fetch(target, told)
 
-    async def _fetch(self, peer: host.Host, told: heartbeat.Heartbeat) -> None:
+    async def _fetch(self, target: str, told: heartbeat.Heartbeat) -> None:
         known = self._cache.version_by_key()
         newer = [
             key
@@ -100,9 +105,9 @@
         ]
         if not newer:
             return
-        answer = await self._peers.post(
+        answer = await self._peers.post_to(
             notice_list.NoticeList,
-            peer.host_id,
+            target,
             '/internal/objects',
             object_request.ObjectRequest(keys=newer),
             self._settings.platform_timeout_ms / _MS_PER_S,
--- a/chivepond/control/object_cache.py
+++ b/chivepond/control/object_cache.py
@@ -40,8 +40,3 @@
     def version_by_key(self) -> dict[str, int]:
         """Return what is known, without the bodies."""
         return {key: known.version for key, known in self.by_key.items()}
-
-    def newest(self) -> int:
-        """Return the highest version known, zero when nothing is."""
-        versions = (known.version for known in self.by_key.values())
-        return max(versions, default=0)
--- a/chivepond/control/relay.py
+++ b/chivepond/control/relay.py
@@ -29,6 +29,7 @@
     """
 
     __slots__ = (
+        '_after',
         '_cache',
         '_directory',
         '_is_away',
@@ -51,6 +52,7 @@
         self._cache = cache
         self._directory = hosts
         self._random = rng
+        self._after = 0
         self._is_away = False
 
     @property
@@ -76,10 +78,15 @@
         self,
         wait_s: float,
     ) -> result.Result[object_list.ObjectList, problem.Problem]:
-        """Fetch what is newer, waiting up to ``wait_s`` seconds for some."""
+        """Fetch what is newer, waiting up to ``wait_s`` seconds for some.
+
+        Guards against a change that is never fetched: what came from peers
+        or from own writes may be newer than changes not yet seen, so that
+        only the platform's own replies move the place to go on from.
+        """
         answer = await self._platform.watch(
             kinds.KEPT,
-            self._cache.newest(),
+            self._after,
             wait_s,
         )
         match answer:
@@ -92,6 +99,7 @@
 
     def _take(self, news: object_list.ObjectList) -> None:
         for stored in news.entries:
+            self._after = max(self._after, stored.version)
             self._cache.offer(
                 notice.Notice(
                     key=f'{stored.kind}/{stored.name}',
--- a/chivepond/entry/peers.py
+++ b/chivepond/entry/peers.py
@@ -51,9 +51,20 @@
         node = self._directory.view.node_by_id.get(node_id)
         if node is None:
             return result.Err(_unknown(node_id))
-        to = self._client(node.address)
+        return await self.post_to(kind, node.address, path, message, timeout_s)
+
+    async def post_to(
+        self,
+        kind: type[Kind],
+        target: str,
+        path: str,
+        message: Any,
+        timeout_s: float,
+    ) -> result.Result[Kind, problem.Problem]:
+        """Send a message to an address and return its typed answer."""
+        to = self._client(target)
         if to is None:
-            return result.Err(_unknown(node_id))
+            return result.Err(_unknown(target))
         return await exchange.post(kind, to, path, message, timeout_s)
 
     def _client(self, text: str) -> client.Client | None:
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -91,7 +91,8 @@
         self.acceptor = acceptor.Acceptor(
             self.platform,
             self.cache,
-            self.configuration,
+            lambda: self.relay.is_relay,
+            rng,
         )
         callers = entry_application.EntryApplication(
             self.searches,
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -62,6 +62,18 @@
     'platform back',
     'Calls on the platform succeed again.',
 )
+CONFIGURATION_UNREADABLE = event.Event(
+    2010,
+    'ERROR',
+    'configuration unreadable',
+    'This software cannot read the accepted document; the one before stays.',
+)
+NODE_WOKE = event.Event(
+    2011,
+    'WARNING',
+    'node woke from a pause',
+    'The process stood still; its view is stale until its peers answered.',
+)
 SEARCH_ANSWERED = event.Event(
     3001,
     'INFO',
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -25,6 +25,10 @@
 ):
     """Where a node is, whom it serves, and its own intervals.
 
+    ``seeds`` are addresses for peers of a few other nodes, asked while no
+    list of hosts is known: a node that starts while the platform is away
+    finds its peers by them.
+
     ``secret`` signs messages between nodes; with ``unsigned`` set they go
     without a signature, which is logged.
     """
@@ -36,6 +40,7 @@
     peers: _Address
     operators: _Address
     platform: _Address
+    seeds: list[_Address] = msgspec.field(default_factory=list)
     roles: list[typing.Literal['entry', 'owner']] = msgspec.field(
         default_factory=lambda: ['entry', 'owner'],
     )
--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -116,6 +116,7 @@
         '_folder',
         '_stack',
         'address_by_id',
+        'listens_by_id',
         'node_by_id',
         'plan',
         'platform',
@@ -134,6 +135,7 @@
         self.node_by_id: dict[str, Program] = {}
         self.searcher_by_id: dict[str, Program] = {}
         self.address_by_id: dict[str, address.Address] = {}
+        self.listens_by_id: dict[str, dict[str, str]] = {}
         self.platform: client.Client
 
     async def __aenter__(self) -> Self:
@@ -151,7 +153,7 @@
         told = []
         for where in self.plan.data_centres:
             for number in range(self.plan.nodes_per_data_centre):
-                told.append(await self._start_node(f'{where}-{number}', where))
+                told.append(await self.start_node(f'{where}-{number}', where))
         await self._publish_hosts(told)
         for node_id in self.node_by_id:
             await self.wait_ready(node_id)
@@ -209,7 +211,18 @@
         self.searcher_by_id[searcher_id] = started
         self.address_by_id[searcher_id] = address.parse(listen).unwrap()
 
-    async def _start_node(self, node_id: str, where: str) -> host.Host:
+    def operator_client(self, node_id: str) -> client.Client:
+        """Return a client of a node's side for operators."""
+        told = self.listens_by_id[node_id]['operators']
+        return client.Client(address.parse(told).unwrap(), _CONNECTIONS)
+
+    async def start_node(
+        self,
+        node_id: str,
+        where: str,
+        settings: dict[str, object] | None = None,
+    ) -> host.Host:
+        """Start a node with some settings of its own."""
         told = {
             'node_id': node_id,
             'data_centre': where,
@@ -222,11 +235,16 @@
             'log_format': 'json',
         }
         path = self._folder / f'{node_id}.yaml'
-        path.write_bytes(msgspec.yaml.encode(told | self.plan.node))
+        path.write_bytes(
+            msgspec.yaml.encode(
+                told | self.plan.node | (settings or {}),
+            )
+        )
         started = await self._start('chivepondd', '--settings', str(path))
         self.node_by_id[node_id] = started
         line = await started.line_with('node started')
         listens = msgspec.json.decode(line)
+        self.listens_by_id[node_id] = listens
         self.address_by_id[node_id] = address.parse(
             listens['callers'],
         ).unwrap()
--- /dev/null
+++ b/chivepond/tests/test_accepted_configuration.py
@@ -0,0 +1,394 @@
+"""An accepted configuration never reverts, and no edit is lost silently."""
+
+import random
+
+import msgspec
+import pytest
+import result
+from hypothesis import given, settings, stateful
+from hypothesis import strategies as st
+
+from chivepond.control import (
+    acceptor,
+    configuration,
+    directory,
+    editor,
+    object_cache,
+    relay,
+)
+from chivepond.errors import outcome_unknown
+from chivepond.platform import kinds
+from chivepond.settings import node_settings
+from chivepond.tests import stepped
+from chivepond.wire import (
+    codec,
+    draft_document,
+    notice,
+    section_edit,
+)
+
+_SECTIONS = ('search', 'audit')
+_BAD = b'{"nonsense":%d}'
+_NODES = 3
+_FATES = st.sampled_from(stepped.Fate)
+_AT = st.integers(0, _NODES)
+_PICK = st.integers(0, 69)
+_ACTIONS = st.sampled_from(
+    (
+        'edit',
+        'judge',
+        'edit',
+        'judge',
+        'judge',
+        'step',
+        'relay',
+        'finish',
+        'watch',
+        'late write',
+        'restart',
+    ),
+)
+
+
+class _Node:
+    """One node's copies, its configuration and its acceptor."""
+
+    def __init__(self, platform: stepped.SteppedPlatform) -> None:
+        """Start with nothing known."""
+        self.cache = object_cache.ObjectCache()
+        self.configuration = configuration.Configuration(self.cache)
+        self.acceptor = acceptor.Acceptor(
+            platform,
+            self.cache,
+            lambda: True,
+            random.Random(0),
+            platform.pause,
+        )
+        self.highest = 0
+        self.version = 0
+
+
+def _body(section: str, number: int, *, is_bad: bool) -> msgspec.Raw:
+    if is_bad:
+        return msgspec.Raw(_BAD % number)
+    if section == 'audit':
+        return msgspec.Raw(b'{"claim_retention_s":%d}' % (60 + number))
+    return msgspec.Raw(b'{"services":{"s%d":{"index":"i"}}}' % number)
+
+
+class AcceptedConfiguration(stateful.RuleBasedStateMachine):
+    """Nodes, editors and a platform that loses and delays."""
+
+    def __init__(self) -> None:
+        """Start with an empty platform."""
+        super().__init__()
+        self.platform = stepped.SteppedPlatform()
+        self.nodes = [_Node(self.platform) for _ in range(_NODES)]
+        self.running: list[stepped.Stepped] = []
+        self.edits: list[tuple[section_edit.SectionEdit, stepped.Stepped]] = []
+        self.seen_bodies: set[bytes] = set()
+        self.accepted = 0
+        self.number = 0
+
+    @stateful.rule(what=_ACTIONS, at=_AT, to=_AT, pick=_PICK, fate=_FATES)
+    def act(
+        self, what: str, at: int, to: int, pick: int, fate: stepped.Fate
+    ) -> None:
+        """Do one thing.
+
+        One rule for all, since the library leaves out most rules of a
+        machine in most of its runs, and a revert takes several of them.
+        """
+        node = at % _NODES
+        match what:
+            case 'edit':
+                section = _SECTIONS[pick % 2]
+                behind = int(pick % 7 == 6)
+                self.edit(section, behind, at, is_bad=pick % 17 == 16)
+            case 'judge':
+                self.judge(node, at_once=pick % 2 == 0)
+            case 'watch':
+                self.watch(node, only=pick % 2 == 0)
+            case 'relay':
+                self.relay(node, to % _NODES)
+            case 'restart':
+                self.restart(node)
+            case _:
+                self.go_on(what, pick, fate)
+
+    def go_on(self, what: str, pick: int, fate: stepped.Fate) -> None:
+        """Let something go on that is under way."""
+        match what:
+            case 'step':
+                self.step(pick, fate)
+            case 'finish':
+                self.finish(pick)
+            case 'late write':
+                self.late_write(pick)
+
+    def edit(self, section: str, behind: int, at: int, *, is_bad: bool) -> None:
+        """An operator edits, at times from an old view.
+
+        Either all goes well and a node hears of the draft, or it takes time.
+        """
+        self.number += 1
+        base = max(0, self._edits_of(section) - behind)
+        body = _body(section, self.number, is_bad=is_bad)
+        edit = section_edit.SectionEdit(section, base, body)
+        editing = editor.Editor(self.platform, self.platform.pause)
+        going = stepped.Stepped(self.platform, editing.apply(edit))
+        self.edits.append((edit, going))
+        self._start(going, at_once=at < _NODES)
+        if at < _NODES:
+            self.watch(at, only=True)
+
+    def step(self, pick: int, fate: stepped.Fate) -> None:
+        """A paused operation goes on to its next call."""
+        if self.running:
+            at = pick % len(self.running)
+            self.running[at].step(fate)
+            if self.running[at].is_done:
+                self.running.pop(at)
+
+    def finish(self, pick: int) -> None:
+        """An operation runs to its end without trouble."""
+        if self.running:
+            self.running.pop(pick % len(self.running)).finish()
+
+    def late_write(self, pick: int) -> None:
+        """A write that nobody waits for any more takes effect."""
+        delayed = self.platform.delayed
+        if delayed:
+            delayed.pop(pick % len(delayed)).act()
+
+    def judge(self, at: int, *, at_once: bool) -> None:
+        """An acceptor starts on the newest draft it knows."""
+        order = self.nodes[at:] + self.nodes[:at]
+        waiting = [one for one in order if one.acceptor.pending()]
+        judging = (waiting or order)[0].acceptor
+        draft = judging.pending()
+        if draft is not None:
+            going = stepped.Stepped(self.platform, judging.attempt(draft))
+            self._start(going, at_once=at_once)
+
+    def watch(self, at: int, *, only: bool) -> None:
+        """A node hears from the platform, at times of the draft only."""
+        for stored in self.platform.table.newer(frozenset(kinds.KEPT), 0):
+            if only and stored.name != 'draft':
+                continue
+            key = f'{stored.kind}/{stored.name}'
+            told = notice.Notice(key, stored.version, stored.body)
+            self.nodes[at].cache.offer(told)
+
+    def relay(self, source: int, to: int) -> None:
+        """A node hands its copies to a peer."""
+        copies = self.nodes[source].cache.by_key
+        for told in list(copies.values()):
+            self.nodes[to].cache.offer(told)
+
+    def restart(self, at: int) -> None:
+        """A node is replaced by one that knows nothing."""
+        self.nodes[at] = _Node(self.platform)
+
+    @stateful.invariant()
+    def accepted_only_rises(self) -> None:
+        """Neither the accepted object nor any node goes back."""
+        found = self.platform.table.read('deployment', 'accepted')
+        if found.is_ok():
+            revision = msgspec.json.decode(found.unwrap().body)['revision']
+            assert revision >= self.accepted
+            self.accepted = revision
+        accepted = kinds.DEPLOYMENT_ACCEPTED
+        for node in self.nodes:
+            assert node.configuration.revision >= node.highest
+            node.highest = node.configuration.revision
+            version = node.cache.version_by_key().get(accepted, 0)
+            assert version >= node.version
+            node.version = version
+
+    @stateful.invariant()
+    def remember_drafts(self) -> None:
+        """Note each body that was ever in the draft."""
+        for section in _SECTIONS:
+            self.seen_bodies.add(bytes(getattr(self._draft(), section).body))
+
+    def teardown(self) -> None:
+        """On a healthy platform all ends, and every answer was true."""
+        while self.running:
+            self.running.pop().finish()
+            self.remember_drafts()
+        while self.platform.delayed:
+            self.platform.delayed.pop().act()
+            self.remember_drafts()
+        counts = set()
+        for edit, going in self.edits:
+            was_written = bytes(edit.body) in self.seen_bodies
+            match going.outcome:
+                case result.Ok(written):
+                    assert was_written
+                    assert (edit.section, written.edits) not in counts
+                    counts.add((edit.section, written.edits))
+                case result.Err(outcome_unknown.OutcomeUnknown()):
+                    continue
+                case _:
+                    assert not was_written
+        self._all_judged()
+
+    def _start(self, going: stepped.Stepped, *, at_once: bool) -> None:
+        if at_once:
+            going.finish()
+        else:
+            self.running.append(going)
+
+    def _all_judged(self) -> None:
+        self.watch(0, only=False)
+        judging = self.nodes[0].acceptor
+        draft = judging.pending()
+        if draft is not None:
+            stepped.Stepped(self.platform, judging.attempt(draft)).finish()
+        assert judging.pending() is None
+        self.accepted_only_rises()
+
+    def _draft(self) -> draft_document.DraftDocument:
+        found = self.platform.table.read('deployment', 'draft')
+        if found.is_err():
+            return draft_document.DraftDocument()
+        body = found.unwrap().body
+        return codec.decode(draft_document.DraftDocument, body).unwrap()
+
+    def _edits_of(self, section: str) -> int:
+        return getattr(self._draft(), section).edits
+
+
+TestAcceptedConfiguration = AcceptedConfiguration.TestCase
+TestAcceptedConfiguration.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+)
+
+
+def _raw(message: object) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(message))
+
+
+@pytest.mark.parametrize(
+    'newer',
+    [
+        {'revision': 9, 'document': {'field of tomorrow': 1}},
+        {'form of tomorrow': 9},
+    ],
+)
+def test_accepted_is_not_lowered_by_software_that_cannot_read_it(
+    newer: object,
+) -> None:
+    """An old node leaves a newer document alone.
+
+    A user sees yesterday's rules come back in the middle of an upgrade.
+    Newer software accepts a document with a field that older nodes can't
+    read; one of those judges the draft before it, knowing no revision.
+    """
+    platform = stepped.SteppedPlatform()
+    node = _Node(platform)
+    platform.table.publish('deployment', 'accepted', _raw(newer))
+    node.cache.offer(notice.Notice(kinds.DEPLOYMENT_ACCEPTED, 1, _raw(newer)))
+    draft = notice.Notice(kinds.DEPLOYMENT_DRAFT, 8, _raw({}))
+    node.cache.offer(draft)
+    stepped.Stepped(platform, node.acceptor.attempt(draft)).finish()
+    kept = platform.table.read('deployment', 'accepted').unwrap()
+    assert kept.version == 1
+
+
+@given(st.lists(st.integers(1, 9), min_size=1))
+def test_accepted_copy_never_gets_older(versions: list[int]) -> None:
+    """A node keeps the newest copy, in whatever order copies come.
+
+    A node's rules go back after a peer woke up. The peer hands on copies
+    from before its pause, after newer ones have come.
+    """
+    cache = object_cache.ObjectCache()
+    for version in versions:
+        told = notice.Notice(kinds.DEPLOYMENT_ACCEPTED, version, _raw({}))
+        cache.offer(told)
+    kept = cache.version_by_key()
+    assert kept == {kinds.DEPLOYMENT_ACCEPTED: max(versions)}
+
+
+def test_accepted_draft_is_tried_again_after_an_outage() -> None:
+    """A draft that met an outage is accepted once the platform is back.
+
+    An operator's edit never comes into force, though all is healthy again.
+    The platform went away between the draft and its acceptance.
+    """
+    platform = stepped.SteppedPlatform()
+    node = _Node(platform)
+    node.cache.offer(notice.Notice(kinds.DEPLOYMENT_DRAFT, 8, _raw({})))
+    going = stepped.Stepped(platform, node.acceptor.settle())
+    going.step(stepped.Fate.AWAY)
+    going.step(stepped.Fate.DONE)
+    going.step(stepped.Fate.DONE)
+    going.step(stepped.Fate.AWAY)
+    going.finish()
+    assert node.configuration.revision == 8
+
+
+def test_accepted_edit_whose_reply_is_lost_is_told_as_written() -> None:
+    """An operator whose edit took effect is not told of a conflict.
+
+    An operator applies an edit and is told that somebody else made it. The
+    write took effect and its reply was lost; the repeat found it there.
+    """
+    platform = stepped.SteppedPlatform()
+    editing = editor.Editor(platform, platform.pause)
+    edit = section_edit.SectionEdit('audit', 0, msgspec.Raw(b'{}'))
+    going = stepped.Stepped(platform, editing.apply(edit))
+    going.step(stepped.Fate.DONE)
+    going.step(stepped.Fate.LOST)
+    assert going.finish().unwrap().edits == 1
+    assert platform.table.read('deployment', 'draft').unwrap().version == 1
+
+
+def test_accepted_document_older_than_a_peer_s_news_is_still_watched() -> None:
+    """A node asks the platform for what it has not seen itself.
+
+    A node stays on an old configuration for good. A peer handed it one
+    newer object, and its watch went on from there, past the accepted one.
+    """
+    platform = stepped.SteppedPlatform()
+    node = _Node(platform)
+    accepted = {'revision': 1, 'document': {}}
+    platform.table.publish('deployment', 'accepted', _raw(accepted))
+    node.cache.offer(notice.Notice('index/a', 5, _raw({})))
+    told = node_settings.NodeSettings(
+        node_id='a',
+        data_centre='dc',
+        region='r',
+        callers='',
+        peers='',
+        operators='',
+        platform='',
+    )
+    hosts = directory.Directory(told, node.cache)
+    bringing = relay.Relay(told, platform, node.cache, hosts, random.Random(0))
+    stepped.Stepped(platform, bringing.bring(0)).finish()
+    assert node.configuration.revision == 1
+
+
+def test_accepted_edit_keeps_sections_that_this_software_does_not_know() -> (
+    None
+):
+    """An edit through an old node leaves a new section in the draft.
+
+    A team sees its whole section gone after another team's edit. Newer
+    software has added a section; an edit of another section goes through a
+    node that does not know it.
+    """
+    platform = stepped.SteppedPlatform()
+    of_tomorrow = {'tomorrow': {'edits': 3, 'body': {'rule': 1}}}
+    platform.table.publish('deployment', 'draft', _raw(of_tomorrow))
+    editing = editor.Editor(platform, platform.pause)
+    edit = section_edit.SectionEdit('audit', 0, msgspec.Raw(b'{}'))
+    stepped.Stepped(platform, editing.apply(edit)).finish().unwrap()
+    kept = platform.table.read('deployment', 'draft').unwrap()
+    draft = msgspec.json.decode(kept.body)
+    assert draft['tomorrow']['body'] == {'rule': 1}
+    assert draft['audit']['edits'] == 1
