Membership by a bounded number of heartbeats, with suspicion and incarnations

Cause: each node sent a heartbeat to every other with all versions, took silence for death, and a list from the platform was taken in at time 0, which brought silent nodes back. Ruled out: clearing a suspect by hearing it directly at the same incarnation, since the suspicion would go on elsewhere.

--- a/chivepond/control/directory.py
+++ b/chivepond/control/directory.py
@@ -1,16 +1,30 @@
 """Who is there: the platform's list, corrected by what was heard."""
 
 import asyncio
+import random
+import time
 from collections.abc import Callable
 
 import result
 
-from chivepond.control import member, object_cache, view
+from chivepond.control import member, member_table, object_cache, view
 from chivepond.platform import kinds
 from chivepond.settings import node_settings
-from chivepond.wire import codec, heartbeat, host, host_list, notice
+from chivepond.wire import (
+    codec,
+    heartbeat,
+    host,
+    host_list,
+    member_news,
+    notice,
+)
 
 _MS_PER_S = 1000
+#: A suspected node keeps its work until it is removed.
+_IN_VIEW = (member.ALIVE, member.SUSPECT)
+_NEAR = 3
+_FAR = 1
+_REMOVED = 1
 
 
 def _loop_time() -> float:
@@ -20,7 +34,7 @@
 class Directory:
     """The view of this node; serves its own routing only."""
 
-    __slots__ = ('_clock', '_hosts', '_member_by_id', '_settings', 'view')
+    __slots__ = ('_clock', '_hosts', '_settings', 'members', 'view')
 
     def __init__(
         self,
@@ -36,7 +50,11 @@
         self._clock = clock
         self._settings = settings
         self._hosts: list[host.Host] = []
-        self._member_by_id: dict[str, member.Member] = {}
+        self.members = member_table.MemberTable(
+            settings.node_id,
+            int(time.time() * _MS_PER_S),
+            settings.remove_after_ms / _MS_PER_S,
+        )
         self.view = view.View({}, {}, {})
         cache.listen(self._on_notice)
 
@@ -47,6 +65,37 @@
             one for one in self.view.node_by_id.values() if one.host_id != own
         ]
 
+    def sample(self, rng: random.Random) -> list[host.Host]:
+        """Return a few peers to exchange heartbeats with.
+
+        Some of the data centre, one of the others, and one that is removed
+        from the view: it may be back, or wrongly thought dead.
+        """
+        near: list[host.Host] = []
+        far: list[host.Host] = []
+        removed: list[host.Host] = []
+        for peer in self.peers():
+            is_near = peer.data_centre == self._settings.data_centre
+            if self._is_live(peer):
+                (near if is_near else far).append(peer)
+            else:
+                removed.append(peer)
+        return [
+            *_drawn(near, _NEAR, rng),
+            *_drawn(far, _FAR, rng),
+            *_drawn(removed, _REMOVED, rng),
+        ]
+
+    def round_trip_s(self, data_centre: str) -> float:
+        """Return the mean round trip to a data centre, zero if unknown."""
+        measured = [
+            self.members.round_trip_s(peer.host_id)
+            for peer in self.peers()
+            if peer.data_centre == data_centre
+        ]
+        known = [one for one in measured if one]
+        return sum(known) / len(known) if known else 0
+
     def heard(
         self,
         beat: heartbeat.Heartbeat,
@@ -54,14 +103,15 @@
         round_trip_s: float = 0,
     ) -> None:
         """Take a sign of life."""
-        known = self._member_by_id.get(beat.node_id)
-        if known is None:
-            known = member.Member(node_id=beat.node_id, heard_at=now)
-            self._member_by_id[beat.node_id] = known
-        known.heard_at = now
-        known.is_leaving = beat.is_leaving
+        state = member.LEAVING if beat.is_leaving else member.ALIVE
+        sender = member_news.MemberNews(
+            beat.node_id,
+            state,
+            beat.incarnation,
+        )
+        self.members.take([sender, *beat.news], now)
         if round_trip_s:
-            known.round_trip_s = round_trip_s
+            self.members.measured(beat.node_id, round_trip_s, now)
         self.refresh(now)
 
     def refresh(self, now: float) -> None:
@@ -69,7 +119,7 @@
         nodes = [one for one in self._hosts if one.role == 'node']
         live: dict[str, list[str]] = {}
         for one in nodes:
-            if self._is_live(one, now):
+            if self._is_live(one):
                 live.setdefault(one.data_centre, []).append(one.host_id)
         if live == self.view.live_by_data_centre and self.view.node_by_id:
             return
@@ -90,18 +140,12 @@
             live_by_data_centre=live,
         )
 
-    def _is_live(self, one: host.Host, now: float) -> bool:
+    def _is_live(self, one: host.Host) -> bool:
         if one.host_id == self._settings.node_id:
             return True
         if one.state != 'live':
             return False
-        known = self._member_by_id.get(one.host_id)
-        if known is None:
-            return True
-        silent_ms = (now - known.heard_at) * _MS_PER_S
-        return (
-            not known.is_leaving and silent_ms < self._settings.remove_after_ms
-        )
+        return self.members.state_of(one.host_id) in _IN_VIEW
 
     def _on_notice(self, told: notice.Notice) -> None:
         if told.key != kinds.HOSTS:
@@ -110,4 +154,14 @@
             case result.Ok(listed):
                 self._hosts = listed.hosts
                 self.view = view.View({}, {}, {})
-                self.refresh(self._clock())
+                now = self._clock()
+                self.members.prune([one.host_id for one in self._hosts], now)
+                self.refresh(now)
+
+
+def _drawn(
+    peers: list[host.Host],
+    count: int,
+    rng: random.Random,
+) -> list[host.Host]:
+    return rng.sample(peers, min(count, len(peers)))
--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -1,13 +1,16 @@
 """Tells other nodes that this one lives, and hears what they know."""
 
 import asyncio
+import dataclasses
+import random
 
 import result
 
 from chivepond.control import configuration, directory, object_cache
 from chivepond.entry import peers as peer_clients
+from chivepond.observe import events, journal
 from chivepond.settings import node_settings
-from chivepond.wire import heartbeat, notice_list, object_request
+from chivepond.wire import heartbeat, host, notice_list, object_request
 
 _MS_PER_S = 1000
 
@@ -20,8 +23,8 @@
         '_configuration',
         '_directory',
         '_peers',
+        '_random',
         '_settings',
-        'is_leaving',
     )
 
     def __init__(
@@ -31,6 +34,7 @@
         configured: configuration.Configuration,
         hosts: directory.Directory,
         peers: peer_clients.Peers,
+        rng: random.Random,
     ) -> None:
         """Keep ``cache`` and ``hosts`` in step with other nodes."""
         self._settings = settings
@@ -38,22 +42,34 @@
         self._configuration = configured
         self._directory = hosts
         self._peers = peers
-        self.is_leaving = False
+        self._random = rng
 
-    def own(self) -> heartbeat.Heartbeat:
-        """Return what this node says of itself."""
+    def own(self, receiver: str) -> heartbeat.Heartbeat:
+        """Return what this node says of itself, and news for the receiver."""
+        members = self._directory.members
         return heartbeat.Heartbeat(
             node_id=self._settings.node_id,
-            incarnation=0,
-            is_leaving=self.is_leaving,
+            incarnation=members.incarnation,
+            is_leaving=members.is_leaving,
             revision=self._configuration.revision,
-            version_by_key=self._cache.version_by_key(),
+            version_by_key={},
+            digest=self._cache.digest,
+            news=members.news_for(receiver),
         )
 
     def answer(self, beat: heartbeat.Heartbeat) -> heartbeat.Heartbeat:
-        """Take a heartbeat of a peer, and return this node's own."""
+        """Take a heartbeat of a peer, and return this node's own.
+
+        The versions of all objects go along only if the digests differ.
+        """
         self._directory.heard(beat, _now())
-        return self.own()
+        own = self.own(beat.node_id)
+        if beat.digest == own.digest:
+            return own
+        return dataclasses.replace(
+            own,
+            version_by_key=self._cache.version_by_key(),
+        )
 
     def copies(
         self, wanted: object_request.ObjectRequest
@@ -71,30 +87,42 @@
             await asyncio.sleep(self._settings.heartbeat_ms / _MS_PER_S)
 
     async def beat(self) -> None:
-        """Exchange one heartbeat with each peer."""
-        async with asyncio.TaskGroup() as group:
-            for target in self._targets():
-                group.create_task(self._beat(target))
+        """Exchange heartbeats with a few peers, with all after a pause."""
+        if self._directory.members.tick(_now()):
+            journal.log(events.NODE_WOKE)
+            await self._beat_all(self._directory.peers())
+        else:
+            await self._beat_all(self._directory.sample(self._random))
         self._directory.refresh(_now())
 
-    def _targets(self) -> list[str]:
-        """Return the peers' addresses, or the seeds while none is known."""
-        known = [peer.address for peer in self._directory.peers()]
-        return known or self._settings.seeds
+    async def leave(self) -> None:
+        """Tell all peers that this node leaves."""
+        self._directory.members.is_leaving = True
+        await self._beat_all(self._directory.peers())
+
+    async def _beat_all(self, peers: list[host.Host]) -> None:
+        async with asyncio.TaskGroup() as group:
+            for peer in peers:
+                group.create_task(self._beat(peer.host_id, peer.address))
+            if not self._directory.view.node_by_id:
+                for seed in self._settings.seeds:
+                    group.create_task(self._beat('', seed))
 
-    async def _beat(self, target: str) -> None:
+    async def _beat(self, node_id: str, target: str) -> None:
         sent_at = _now()
         answer = await self._peers.post_to(
             heartbeat.Heartbeat,
             target,
             '/internal/heartbeat',
-            self.own(),
+            self.own(node_id),
             self._settings.heartbeat_timeout_ms / _MS_PER_S,
         )
         match answer:
             case result.Ok(told):
                 self._directory.heard(told, _now(), _now() - sent_at)
                 await self._fetch(target, told)
+            case result.Err() if node_id:
+                self._directory.members.failed(node_id, _now())
 
     async def _fetch(self, target: str, told: heartbeat.Heartbeat) -> None:
         known = self._cache.version_by_key()
--- a/chivepond/control/object_cache.py
+++ b/chivepond/control/object_cache.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import xxhash
+
 from chivepond.wire import notice
 
 _Listener = Callable[[notice.Notice], None]
@@ -16,10 +18,11 @@
     one is the newest, whoever brought it.
     """
 
-    __slots__ = ('_listeners', 'by_key')
+    __slots__ = ('_listeners', 'by_key', 'digest')
 
     def __init__(self) -> None:
-        """Start with nothing known."""
+        """Start with nothing known; ``digest`` names what is held."""
+        self.digest = ''
         self.by_key: dict[str, notice.Notice] = {}
         self._listeners: list[_Listener] = []
 
@@ -33,6 +36,8 @@
         if known is not None and known.version >= offered.version:
             return False
         self.by_key[offered.key] = offered
+        versions = sorted(self.version_by_key().items())
+        self.digest = xxhash.xxh3_64_hexdigest(repr(versions).encode())
         for listener in self._listeners:
             listener(offered)
         return True
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -80,6 +80,7 @@
             self.configuration,
             self.directory,
             self.peers,
+            rng,
         )
         self.relay = relay.Relay(
             settings,
@@ -161,8 +162,7 @@
         """
         journal.log(events.NODE_STOPPING, node=self.settings.node_id)
         self._is_leaving = True
-        self.heartbeats.is_leaving = True
-        await self.heartbeats.beat()
+        await self.heartbeats.leave()
         await asyncio.sleep(self.settings.balancer_lag_ms / _MS_PER_S)
         for loop in self._loops:
             loop.cancel()
--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -172,6 +172,11 @@
         """Return a client that calls a node."""
         return client.Client(self.address_by_id[node_id], _CONNECTIONS)
 
+    def operator_client(self, node_id: str) -> client.Client:
+        """Return a client of a node's side for operators."""
+        told = self.listens_by_id[node_id]['operators']
+        return client.Client(address.parse(told).unwrap(), _CONNECTIONS)
+
     async def write(self, kind: str, name: str, message: object) -> None:
         """Create an object on the platform."""
         write = {'expect': 0, 'token': '', 'body': message}
@@ -188,34 +193,6 @@
                 await asyncio.sleep(_READY_POLL_S)
         raise AssertionError(f'{node_id} is not ready')
 
-    async def _start(self, *arguments: str) -> Program:
-        return await self._stack.enter_async_context(Program(*arguments))
-
-    async def _start_platform(self) -> None:
-        started = await self._start('chivepond-standin', 'platform')
-        listen = await started.line_with('127.0.0.1:')
-        target = address.parse(listen).unwrap()
-        self.address_by_id['platform'] = target
-        self.platform = client.Client(target, _CONNECTIONS)
-
-    async def _start_searcher(self, searcher_id: str, profile: object) -> None:
-        path = self._folder / f'{searcher_id}.yaml'
-        path.write_bytes(msgspec.yaml.encode(profile))
-        started = await self._start(
-            'chivepond-standin',
-            'searcher',
-            '--profile',
-            str(path),
-        )
-        listen = await started.line_with('127.0.0.1:')
-        self.searcher_by_id[searcher_id] = started
-        self.address_by_id[searcher_id] = address.parse(listen).unwrap()
-
-    def operator_client(self, node_id: str) -> client.Client:
-        """Return a client of a node's side for operators."""
-        told = self.listens_by_id[node_id]['operators']
-        return client.Client(address.parse(told).unwrap(), _CONNECTIONS)
-
     async def start_node(
         self,
         node_id: str,
@@ -256,6 +233,29 @@
             address=listens['peers'],
         )
 
+    async def _start(self, *arguments: str) -> Program:
+        return await self._stack.enter_async_context(Program(*arguments))
+
+    async def _start_platform(self) -> None:
+        started = await self._start('chivepond-standin', 'platform')
+        listen = await started.line_with('127.0.0.1:')
+        target = address.parse(listen).unwrap()
+        self.address_by_id['platform'] = target
+        self.platform = client.Client(target, _CONNECTIONS)
+
+    async def _start_searcher(self, searcher_id: str, profile: object) -> None:
+        path = self._folder / f'{searcher_id}.yaml'
+        path.write_bytes(msgspec.yaml.encode(profile))
+        started = await self._start(
+            'chivepond-standin',
+            'searcher',
+            '--profile',
+            str(path),
+        )
+        listen = await started.line_with('127.0.0.1:')
+        self.searcher_by_id[searcher_id] = started
+        self.address_by_id[searcher_id] = address.parse(listen).unwrap()
+
     async def _publish_hosts(self, nodes: list[host.Host]) -> None:
         listed = list(nodes)
         for service in self.plan.services:
