--- a/chivepond/control/application.py
+++ b/chivepond/control/application.py
@@ -6,21 +6,26 @@
 from starlette import applications, requests, responses, routing
 
 from chivepond.control import editor
+from chivepond.observe import metrics
 from chivepond.transport import endpoints
-from chivepond.wire import node_status, section_edit
+from chivepond.wire import node_burn, node_status, section_edit
 
 
 class OperatorApplication:
     """Routes operators' requests."""
 
-    __slots__ = ('_editor', '_status')
+    __slots__ = ('_burn', '_editor', '_scrapes', '_status')
 
     def __init__(
         self,
         editing: editor.Editor,
         status: Callable[[], node_status.NodeStatus],
+        burn: Callable[[], node_burn.NodeBurn],
+        scrapes: metrics.Metrics,
     ) -> None:
-        """Show ``status``, and pass edits on."""
+        """Show ``status`` and ``burn``, and pass edits on."""
+        self._burn = burn
+        self._scrapes = scrapes
         self._editor = editing
         self._status = status
 
@@ -29,6 +34,8 @@
         return endpoints.application(
             [
                 routing.Route('/v1/status', self._show_status),
+                routing.Route('/v1/burn', self._show_burn),
+                self._scrapes.route(),
                 routing.Route('/v1/config/{section}', self._view),
                 endpoints.post(
                     '/v1/config',
@@ -44,6 +51,12 @@
     ) -> responses.Response:
         return endpoints.reply(result.Ok(self._status()))
 
+    async def _show_burn(
+        self,
+        request: requests.Request,
+    ) -> responses.Response:
+        return endpoints.reply(result.Ok(self._burn()))
+
     async def _view(self, request: requests.Request) -> responses.Response:
         section = request.path_params['section']
         return endpoints.reply(await self._editor.view(section))
--- a/chivepond/control/request_key.py
+++ b/chivepond/control/request_key.py
@@ -6,7 +6,7 @@
 
 from chivepond.errors import invalid, quoting
 
-_FORM = re.compile(r'(?P<issued>\d{13})-[A-Za-z0-9_-]{8,64}')
+_FORM = re.compile(r'(?P<issued>[0-9]{13})-[A-Za-z0-9_-]{8,64}')
 
 
 def issued_ms(key: str) -> result.Result[int, invalid.Invalid]:
--- a/chivepond/entry/application.py
+++ b/chivepond/entry/application.py
@@ -5,6 +5,7 @@
 from starlette import applications, requests, responses, routing
 
 from chivepond.entry import commands, searches
+from chivepond.observe import metrics
 from chivepond.transport import bodies, endpoints
 from chivepond.wire import command_request, search_request
 
@@ -14,18 +15,20 @@
 class EntryApplication:
     """Routes callers' requests to searches and commands."""
 
-    __slots__ = ('_commands', '_searches', '_waits_for')
+    __slots__ = ('_commands', '_scrapes', '_searches', '_waits_for')
 
     def __init__(
         self,
         searching: searches.Searches,
         commanding: commands.Commands,
         waits_for: Callable[[], str],
+        scrapes: metrics.Metrics,
     ) -> None:
         """``waits_for`` names what readiness waits for, empty when ready."""
         self._searches = searching
         self._commands = commanding
         self._waits_for = waits_for
+        self._scrapes = scrapes
 
     def build(self) -> applications.Starlette:
         """Return the application."""
@@ -46,6 +49,7 @@
                 routing.Route('/v1/commands/{key}', self._standing),
                 routing.Route('/healthz', _health),
                 routing.Route('/readyz', self._ready),
+                self._scrapes.route(),
             ],
         )
 
--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -17,7 +17,7 @@
 from chivepond.entry import peers as peer_clients
 from chivepond.entry import place, planner
 from chivepond.errors import invalid, key_expired, not_run, problem, quoting
-from chivepond.observe import events, journal
+from chivepond.observe import events, journal, telemetry
 from chivepond.owner import command_runner
 from chivepond.settings import node_settings
 from chivepond.wire import (
@@ -52,6 +52,7 @@
         '_planner',
         '_runner',
         '_settings',
+        '_telemetry',
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         peers: peer_clients.Peers,
         claims: claim_store.ClaimStore,
         runner: command_runner.CommandRunner,
+        told: telemetry.Telemetry,
     ) -> None:
         """Run through ``runner`` where this node is the owner."""
         self._settings = settings
@@ -72,11 +74,15 @@
         self._peers = peers
         self._claims = claims
         self._runner = runner
+        self._telemetry = told
         self._planner = planner.Planner(settings.data_centre, settings.region)
 
     async def run(self, request: command_request.CommandRequest) -> _Answer:
         """Run a command at most once, or say how its key stands."""
+        started_at = _now()
         answer = await self._run(request)
+        took_ms = (_now() - started_at) * _MS_PER_S
+        self._telemetry.command_done(request, answer, took_ms)
         match answer:
             case result.Ok(given):
                 journal.log(
--- a/chivepond/entry/peers.py
+++ b/chivepond/entry/peers.py
@@ -8,7 +8,8 @@
 
 from chivepond.control import directory
 from chivepond.errors import problem, unreachable
-from chivepond.transport import address, client, exchange
+from chivepond.transport import address, client, exchange, message_signer
+from chivepond.wire import codec
 
 Kind = TypeVar('Kind')
 
@@ -18,10 +19,15 @@
 class Peers:
     """Reaches the other nodes by their ids."""
 
-    __slots__ = ('_client_by_address', '_clients', '_directory')
+    __slots__ = ('_client_by_address', '_clients', '_directory', '_signer')
 
-    def __init__(self, hosts: directory.Directory) -> None:
-        """Find addresses in the view of this node."""
+    def __init__(
+        self,
+        hosts: directory.Directory,
+        signer: message_signer.MessageSigner | None = None,
+    ) -> None:
+        """Find addresses in the view of this node; sign by ``signer``."""
+        self._signer = signer
         self._directory = hosts
         self._client_by_address: dict[str, client.Client] = {}
         self._clients = contextlib.AsyncExitStack()
@@ -54,7 +60,12 @@
         to = self._client(node.address)
         if to is None:
             return result.Err(_unknown(node_id))
-        return await exchange.post(kind, to, path, message, timeout_s)
+        body = codec.encode(message)
+        headers = {}
+        if self._signer is not None:
+            headers = self._signer.headers(node_id, 'POST', path, body)
+        answer = await to.post(path, body, timeout_s, headers)
+        return answer.and_then(lambda got: exchange.read(kind, got))
 
     def _client(self, text: str) -> client.Client | None:
         found = self._client_by_address.get(text)
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -15,7 +15,7 @@
 from chivepond.entry import cursor, place, planner, search_state
 from chivepond.entry import peers as peer_clients
 from chivepond.errors import invalid, not_run, problem, quoting
-from chivepond.observe import events, journal
+from chivepond.observe import search_trace, telemetry
 from chivepond.owner import owner, owner_call
 from chivepond.settings import node_settings, search_service
 from chivepond.wire import (
@@ -53,6 +53,7 @@
         '_planner',
         '_settings',
         '_tasks',
+        '_telemetry',
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         hosts: directory.Directory,
         peers: peer_clients.Peers,
         owned: owner.Owner,
+        told: telemetry.Telemetry,
     ) -> None:
         """Ask ``owned`` for this node's own searchers, peers for the rest."""
         self._settings = settings
@@ -71,6 +73,7 @@
         self._directory = hosts
         self._peers = peers
         self._owner = owned
+        self._telemetry = told
         self._planner = planner.Planner(settings.data_centre, settings.region)
         self._tasks: set[_OwnerTask] = set()
 
@@ -79,15 +82,19 @@
         request: search_request.SearchRequest,
     ) -> result.Result[search_answer.SearchAnswer, problem.Problem]:
         """Answer a search, or say why it was not run."""
-        started_at = _now()
-        answer = await self._answer(request, started_at)
-        self._record(request, answer, started_at)
+        trace = search_trace.SearchTrace(
+            request_id=request.request_id or secrets.token_urlsafe(_ID_BYTES),
+            started_at=_now(),
+        )
+        answer = await self._answer(request, trace)
+        took_ms = round((_now() - trace.started_at) * _MS_PER_S, 1)
+        self._telemetry.search_done(request, answer, trace, took_ms)
         return answer
 
     async def _answer(
         self,
         request: search_request.SearchRequest,
-        started_at: float,
+        trace: search_trace.SearchTrace,
     ) -> result.Result[search_answer.SearchAnswer, problem.Problem]:
         service = self._configuration.service(request.service)
         if service is None:
@@ -101,11 +108,18 @@
         checked = _check(request, service, page)
         if checked is not None:
             return result.Err(checked)
-        state = self._pin(request, service, page, started_at)
+        state = self._pin(request, service, page, trace)
         if state is None:
             return result.Err(_no_snapshot(request.service, page.version))
         policy = service.answer
-        state = await self._run(state, policy, started_at, bool(page.version))
+        state = await self._run(
+            state,
+            policy,
+            trace.started_at,
+            bool(page.version),
+        )
+        trace.attempts = state.attempts
+        trace.snapshot = f'{state.index.index}@{state.index.version}'
         return result.Ok(_merge(state, page))
 
     def _pin(
@@ -113,7 +127,7 @@
         request: search_request.SearchRequest,
         service: search_service.SearchService,
         page: cursor.Cursor,
-        started_at: float,
+        trace: search_trace.SearchTrace,
     ) -> search_state.SearchState | None:
         if page.version:
             index = self._catalog.at(request.service, page.version)
@@ -125,9 +139,9 @@
         deadline_ms = min(deadline_ms, service.deadline_ms)
         return search_state.SearchState(
             request=request,
-            request_id=request.request_id or secrets.token_urlsafe(_ID_BYTES),
+            request_id=trace.request_id,
             index=index,
-            deadline=started_at + deadline_ms / _MS_PER_S,
+            deadline=trace.started_at + deadline_ms / _MS_PER_S,
             wanted=page.offset + request.limit,
         )
 
@@ -281,32 +295,6 @@
             left_s,
         )
 
-    def _record(
-        self,
-        request: search_request.SearchRequest,
-        answer: result.Result[search_answer.SearchAnswer, problem.Problem],
-        started_at: float,
-    ) -> None:
-        took_ms = round((_now() - started_at) * _MS_PER_S, 1)
-        match answer:
-            case result.Ok(given):
-                journal.log(
-                    events.SEARCH_ANSWERED,
-                    request_id=given.request_id,
-                    service=request.service,
-                    version=given.snapshot.version,
-                    covered=given.coverage.covered,
-                    total=given.coverage.total,
-                    took_ms=took_ms,
-                )
-            case result.Err(trouble):
-                journal.log(
-                    events.SEARCH_REFUSED,
-                    service=request.service,
-                    kind=trouble.kind,
-                    took_ms=took_ms,
-                )
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -23,14 +23,28 @@
 from chivepond.control import application as operator_application
 from chivepond.entry import application as entry_application
 from chivepond.entry import commands, peers, searches
-from chivepond.observe import events, journal
+from chivepond.observe import (
+    burn,
+    events,
+    journal,
+    metrics,
+    node_gauges,
+    telemetry,
+)
 from chivepond.owner import application as peer_application
 from chivepond.owner import command_runner, owner
 from chivepond.platform import client as platform_client
 from chivepond.platform import kinds
 from chivepond.settings import node_settings
-from chivepond.transport import address, server
-from chivepond.wire import codec, node_status
+from chivepond.transport import (
+    address,
+    message_signer,
+    message_verifier,
+    server,
+    signed_application,
+    token_application,
+)
+from chivepond.wire import codec, node_burn, node_status
 
 _MS_PER_S = 1000
 
@@ -54,7 +68,16 @@
             settings.platform_timeout_ms / _MS_PER_S,
         )
         claims = claim_store.ClaimStore(self.platform)
-        self.peers = peers.Peers(self.directory)
+        self.telemetry = telemetry.Telemetry(
+            settings,
+            self.configuration,
+            lambda: self.platform.is_away,
+        )
+        self.metrics = metrics.Metrics(self.telemetry, self.gauges)
+        self.peers = peers.Peers(
+            self.directory,
+            message_signer.of_settings(settings),
+        )
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
         self.searches = searches.Searches(
@@ -64,6 +87,7 @@
             self.directory,
             self.peers,
             self.owner,
+            self.telemetry,
         )
         self.commands = commands.Commands(
             settings,
@@ -73,6 +97,7 @@
             self.peers,
             claims,
             runner,
+            self.telemetry,
         )
         self.heartbeats = heartbeats.Heartbeats(
             settings,
@@ -97,6 +122,7 @@
             self.searches,
             self.commands,
             self.waits_for,
+            self.metrics,
         )
         between = peer_application.PeerApplication(
             self.owner,
@@ -106,20 +132,29 @@
         operating = operator_application.OperatorApplication(
             editor.Editor(self.platform),
             self.status,
+            self.burn,
+            self.metrics,
         )
         self.caller_server = server.Server(
             callers.build(),
             address.parse(settings.callers).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
         )
-        self.peer_server = server.Server(
+        self.signed = signed_application.SignedApplication(
             between.build(),
+            message_verifier.of_settings(settings),
+        )
+        self.peer_server = server.Server(
+            self.signed,
             address.parse(settings.peers).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
         )
 
         self.operator_server = server.Server(
-            operating.build(),
+            token_application.TokenApplication(
+                operating.build(),
+                settings.operators_token,
+            ),
             address.parse(settings.operators).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
         )
@@ -195,6 +230,33 @@
             refused_because=refused.message,
         )
 
+    def burn(self) -> node_burn.NodeBurn:
+        """Return the counts for the report on service-level burn."""
+        services = self.configuration.document.search.by_service
+        return burn.collect(
+            self.settings.node_id,
+            self.telemetry,
+            {name: one.objectives for name, one in services.items()},
+        )
+
+    def gauges(self) -> node_gauges.NodeGauges:
+        """Return what a scrape shows besides requests."""
+        view = self.directory.view
+        live = view.live_by_data_centre.values()
+        return node_gauges.NodeGauges(
+            revision=self.configuration.revision,
+            live_nodes=sum(len(ids) for ids in live),
+            searchers=len(view.searcher_by_id),
+            is_ready=not self.waits_for(),
+            unsigned_refused=self.signed.refused,
+            connections_by_side={
+                'callers': self.caller_server.connections,
+                'peers': self.peer_server.connections,
+                'operators': self.operator_server.connections,
+            },
+            platform_calls_by_result=dict(self.platform.calls_by_result),
+        )
+
     def _refused(self) -> refused_document.RefusedDocument:
         none = refused_document.RefusedDocument(0, '', '')
         told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -92,3 +92,9 @@
     'searcher state',
     'A searcher is seen as ready, cold, draining, ejected or gone.',
 )
+MESSAGE_REFUSED = event.Event(
+    5000,
+    'WARNING',
+    'message between nodes refused',
+    'Its signature is missing, wrong, too old, or was seen before.',
+)
--- /dev/null
+++ b/chivepond/observe/service_counts.py
@@ -0,0 +1,69 @@
+"""What one service has done, counted plainly."""
+
+from collections import Counter
+
+from aioprometheus import histogram
+
+from chivepond.observe import time_ring
+
+#: Upper bounds of the latency histogram, in seconds.
+LATENCY_BOUNDS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.2,
+    0.27,
+    0.35,
+    0.5,
+    1,
+    2.5,
+    5,
+    10,
+)
+
+REQUESTS = 'requests'
+ANSWERED = 'answered'
+_FINE_S = 60
+_FINE_SLOTS = 360
+_COARSE_S = 1800
+_COARSE_SLOTS = 144
+
+
+class ServiceCounts:
+    """Totals since the start, and rings of the last 6 hours and 3 days."""
+
+    __slots__ = (
+        '_coarse',
+        '_fine',
+        'attempts',
+        'by_outcome',
+        'latency',
+        'missing_by_reason',
+        'shards',
+        'shards_covered',
+    )
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._fine = time_ring.TimeRing(_FINE_S, _FINE_SLOTS)
+        self._coarse = time_ring.TimeRing(_COARSE_S, _COARSE_SLOTS)
+        self.by_outcome: Counter[tuple[str, str]] = Counter()
+        self.latency = histogram.Histogram(*LATENCY_BOUNDS_S)
+        self.attempts = 0
+        self.shards = 0
+        self.shards_covered = 0
+        self.missing_by_reason: Counter[str] = Counter()
+
+    def add(self, name: str, now: float) -> None:
+        """Count one in the rings."""
+        self._fine.add(name, now)
+        self._coarse.add(name, now)
+
+    def window(self, window_s: int, now: float) -> dict[str, int]:
+        """Return the counts by name of the last ``window_s`` seconds."""
+        if window_s <= _FINE_S * _FINE_SLOTS:
+            return self._fine.total_by_name(window_s, now)
+        return self._coarse.total_by_name(window_s, now)
--- /dev/null
+++ b/chivepond/observe/telemetry.py
@@ -0,0 +1,219 @@
+"""One node's account of its requests: counts, burn and proofs."""
+
+import hmac
+import time
+from collections.abc import Callable
+
+import result
+
+from chivepond.control import configuration
+from chivepond.errors import invalid, key_expired, problem
+from chivepond.observe import (
+    events,
+    journal,
+    request_cause,
+    search_trace,
+    service_counts,
+)
+from chivepond.settings import node_settings
+from chivepond.wire import (
+    command_answer,
+    command_request,
+    coverage,
+    search_answer,
+    search_request,
+)
+
+#: Requests for services that the document does not name.
+UNKNOWN = 'unknown'
+SEARCH = 'search'
+COMMAND = 'command'
+
+_MAX_NAMED = 20
+_MAX_ID = 64
+_S_PER_MS = 0.001
+_DIGEST_CHARS = 32
+
+SearchOutcome = result.Result[search_answer.SearchAnswer, problem.Problem]
+CommandOutcome = result.Result[command_answer.CommandAnswer, problem.Problem]
+
+
+class Telemetry:
+    """Counts each request once, when it is over, and writes its proof."""
+
+    __slots__ = (
+        '_clock',
+        '_configuration',
+        '_settings',
+        'counts_by_service',
+        'is_platform_away',
+    )
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        configured: configuration.Configuration,
+        is_platform_away: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Read the time of the rings, in seconds, from ``clock``."""
+        self._settings = settings
+        self._configuration = configured
+        self._clock = clock
+        self.is_platform_away = is_platform_away
+        self.counts_by_service: dict[str, service_counts.ServiceCounts] = {}
+
+    def now(self) -> float:
+        """Return the time of the rings, in seconds."""
+        return self._clock()
+
+    def search_done(
+        self,
+        request: search_request.SearchRequest,
+        answer: SearchOutcome,
+        trace: search_trace.SearchTrace,
+        took_ms: float,
+    ) -> None:
+        """Count a search that was answered or refused, and prove it."""
+        counts = self._counts(request.service)
+        counts.attempts += trace.attempts
+        match answer:
+            case result.Ok(given):
+                self._count_answer(counts, SEARCH, request.service, took_ms)
+                self._count_coverage(counts, given.coverage)
+            case result.Err(trouble):
+                name = self._class(request)
+                self._count_refusal(counts, SEARCH, trouble, name)
+        self._prove(request, answer, trace, took_ms)
+
+    def command_done(
+        self,
+        request: command_request.CommandRequest,
+        answer: CommandOutcome,
+        took_ms: float,
+    ) -> None:
+        """Count a non-idempotent request that has its outcome."""
+        counts = self._counts(request.service)
+        match answer:
+            case result.Ok(_):
+                self._count_answer(counts, COMMAND, request.service, took_ms)
+            case result.Err(trouble):
+                self._count_refusal(counts, COMMAND, trouble, COMMAND)
+
+    def _counts(self, service: str) -> service_counts.ServiceCounts:
+        """Return the counts of a service, one for all unknown names.
+
+        Guards against names made up by callers, which would show as memory
+        and time series without bound.
+        """
+        known = self._configuration.service(service)
+        name = UNKNOWN if known is None else service
+        counts = self.counts_by_service.get(name)
+        if counts is None:
+            counts = service_counts.ServiceCounts()
+            self.counts_by_service[name] = counts
+        return counts
+
+    def _class(self, request: search_request.SearchRequest) -> str:
+        service = self._configuration.service(request.service)
+        if service is None:
+            return UNKNOWN
+        known = request.request_class in service.weight_by_class
+        return request.request_class if known else UNKNOWN
+
+    def _count_answer(
+        self,
+        counts: service_counts.ServiceCounts,
+        operation: str,
+        name: str,
+        took_ms: float,
+    ) -> None:
+        now = self._clock()
+        counts.by_outcome[operation, 'answered'] += 1
+        counts.add(service_counts.REQUESTS, now)
+        if operation != SEARCH:
+            return
+        counts.latency.observe(took_ms * _S_PER_MS)
+        counts.add(service_counts.ANSWERED, now)
+        service = self._configuration.service(name)
+        if service is None or took_ms <= service.objectives.latency_ms:
+            return
+        counts.add(f'latency {request_cause.SLOW_ANSWER}', now)
+
+    def _count_coverage(
+        self,
+        counts: service_counts.ServiceCounts,
+        covered: coverage.Coverage,
+    ) -> None:
+        counts.shards += covered.total
+        counts.shards_covered += covered.covered
+        for lost in covered.missing:
+            reason = request_cause.reason(lost)
+            counts.missing_by_reason[reason] += 1
+        if covered.missing:
+            cause = request_cause.of_coverage(covered)
+            counts.add(f'coverage {cause}', self._clock())
+
+    def _count_refusal(
+        self,
+        counts: service_counts.ServiceCounts,
+        operation: str,
+        trouble: problem.Problem,
+        request_class: str,
+    ) -> None:
+        counts.by_outcome[operation, trouble.kind] += 1
+        if isinstance(trouble, invalid.Invalid | key_expired.KeyExpired):
+            return
+        cause = request_cause.of_refusal(
+            trouble,
+            request_class,
+            is_platform_away=self.is_platform_away(),
+        )
+        counts.add(service_counts.REQUESTS, self._clock())
+        counts.add(f'availability {cause}', self._clock())
+
+    def _prove(
+        self,
+        request: search_request.SearchRequest,
+        answer: SearchOutcome,
+        trace: search_trace.SearchTrace,
+        took_ms: float,
+    ) -> None:
+        told = {
+            'request_id': trace.request_id[:_MAX_ID],
+            'service': request.service[:_MAX_ID],
+            'node': self._settings.node_id,
+            'revision': self._configuration.revision,
+            'attempts': trace.attempts,
+            'snapshot': trace.snapshot,
+            'took_ms': took_ms,
+        }
+        if self._configuration.document.audit.query_digests:
+            told['query_digest'] = self._digest(request.query)
+        match answer:
+            case result.Ok(given):
+                journal.log(
+                    events.SEARCH_ANSWERED,
+                    **told | _covered(given.coverage),
+                )
+            case result.Err(trouble):
+                journal.log(
+                    events.SEARCH_REFUSED,
+                    **told | {'kind': trouble.kind},
+                )
+
+    def _digest(self, query: str) -> str:
+        """Return a keyed digest; a plain one of a name could be guessed."""
+        key = self._settings.secret.encode()
+        text = query.encode(errors='surrogatepass')
+        return hmac.digest(key, text, 'sha256').hex()[:_DIGEST_CHARS]
+
+
+def _covered(told: coverage.Coverage) -> dict[str, object]:
+    named = [f'{lost.shard}:{lost.reason}' for lost in told.missing]
+    return {
+        'total': told.total,
+        'covered': told.covered,
+        'missing': len(named),
+        'missing_shards': ','.join(named[:_MAX_NAMED]),
+    }
--- /dev/null
+++ b/chivepond/observe/time_ring.py
@@ -0,0 +1,63 @@
+"""Counts over the last minutes and days, in bounded memory."""
+
+from array import array
+
+#: Columns beyond this many share the last one.
+MAX_COLUMNS = 32
+OTHER = 'other'
+
+
+class TimeRing:
+    """A ring of slots of equal length; each holds a count a column.
+
+    Times are in seconds of any clock that never goes back.
+    """
+
+    __slots__ = ('_column_by_name', '_head', '_slot_s', '_slots')
+
+    def __init__(self, slot_s: int, slots: int) -> None:
+        """Remember the last ``slots * slot_s`` seconds."""
+        self._slot_s = slot_s
+        self._slots = slots
+        self._head = 0
+        self._column_by_name: dict[str, array[int]] = {}
+
+    def add(self, name: str, now: float) -> None:
+        """Count one in a column."""
+        self._advance(now)
+        self._column(name)[self._head % self._slots] += 1
+
+    def total_by_name(self, window_s: int, now: float) -> dict[str, int]:
+        """Return the counts of the last ``window_s`` seconds."""
+        self._advance(now)
+        wanted = min(self._slots, window_s // self._slot_s)
+        places = [
+            (self._head - back) % self._slots
+            for back in range(min(wanted, self._head + 1))
+        ]
+        return {
+            name: sum(column[place] for place in places)
+            for name, column in self._column_by_name.items()
+        }
+
+    def _column(self, name: str) -> 'array[int]':
+        found = self._column_by_name.get(name)
+        if found is None:
+            if len(self._column_by_name) >= MAX_COLUMNS and name != OTHER:
+                return self._column(OTHER)
+            found = array('L', bytes(array('L').itemsize * self._slots))
+            self._column_by_name[name] = found
+        return found
+
+    def _advance(self, now: float) -> None:
+        """Clear the slots that time has passed over.
+
+        Guards against counts of an older turn of the ring: they would show
+        as burn that began before the window.
+        """
+        head = int(now // self._slot_s)
+        first = max(self._head, head - self._slots) + 1
+        for fresh in range(first, head + 1):
+            for column in self._column_by_name.values():
+                column[fresh % self._slots] = 0
+        self._head = max(self._head, head)
--- a/chivepond/platform/client.py
+++ b/chivepond/platform/client.py
@@ -2,13 +2,15 @@
 
 import secrets
 import types
+from collections import Counter
 from typing import Any, Self
 
 import msgspec
 import result
 
 from chivepond.errors import outcome_unknown, problem
-from chivepond.transport import address, client, exchange
+from chivepond.platform import counted_client
+from chivepond.transport import address, exchange
 from chivepond.wire import codec, object_list, object_write, stored_object
 
 _TOKEN_BYTES = 9
@@ -24,7 +26,7 @@
 
     def __init__(self, target: address.Address, timeout_s: float) -> None:
         """Give each exchange ``timeout_s`` seconds."""
-        self._client = client.Client(target, _CONNECTIONS)
+        self._client = counted_client.CountedClient(target, _CONNECTIONS)
         self._timeout_s = timeout_s
 
     async def __aenter__(self) -> Self:
@@ -40,6 +42,16 @@
         """Close all connections."""
         await self._client.__aexit__(kind, error, trace)
 
+    @property
+    def calls_by_result(self) -> Counter[str]:
+        """How many calls ended in each result."""
+        return self._client.calls_by_result
+
+    @property
+    def is_away(self) -> bool:
+        """Whether the last call found no platform that serves."""
+        return self._client.is_away
+
     async def read(
         self,
         kind: str,
--- a/chivepond/settings/loader.py
+++ b/chivepond/settings/loader.py
@@ -8,9 +8,26 @@
 import result
 
 from chivepond.errors import invalid
+from chivepond.settings import node_settings
 
 Kind = TypeVar('Kind')
 
+#: The largest document, in bytes; the platform keeps no larger value.
+MAX_BYTES = 1000000
+
+#: What the YAML library raises for text that is no settings. Dates out of
+#: range, keys that can't be hashed and the like come as plain errors.
+_FAILURES = (
+    msgspec.DecodeError,
+    RecursionError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    KeyError,
+    IndexError,
+    OverflowError,
+)
+
 _PLACE = re.compile(r'(?P<what>.*) - at `\$\.?(?P<place>[^`]*)`')
 
 
@@ -19,6 +36,13 @@
     path: pathlib.Path,
 ) -> result.Result[Kind, invalid.Invalid]:
     """Return the settings in a file."""
+    if path == pathlib.Path():
+        return result.Err(
+            invalid.Invalid(
+                message='no file is named',
+                remedy='name a YAML file; see --help for the flag',
+            ),
+        )
     try:
         text = path.read_bytes()
     except OSError as error:
@@ -37,10 +61,39 @@
     source: str,
 ) -> result.Result[Kind, invalid.Invalid]:
     """Return the settings in some YAML; ``source`` names it in errors."""
+    if len(text) > MAX_BYTES:
+        return result.Err(_too_large(source))
     try:
-        return result.Ok(msgspec.yaml.decode(text, type=kind))
-    except (msgspec.DecodeError, RecursionError) as error:
+        settings = msgspec.yaml.decode(text, type=kind)
+    except _FAILURES as error:
         return result.Err(_explain(source, str(error)))
+    return _check_across(settings, source)
+
+
+def _check_across(
+    settings: Kind,
+    source: str,
+) -> result.Result[Kind, invalid.Invalid]:
+    match settings:
+        case node_settings.NodeSettings():
+            wrong = settings.trouble()
+        case _:
+            wrong = None
+    if wrong is None:
+        return result.Ok(settings)
+    return result.Err(
+        invalid.Invalid(
+            message=f'{source}, at {wrong.place}: {wrong.what}',
+            remedy=wrong.remedy,
+        ),
+    )
+
+
+def _too_large(source: str) -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'{source} has more than {MAX_BYTES} bytes',
+        remedy='split it; the platform holds values of up to a megabyte',
+    )
 
 
 def _explain(source: str, text: str) -> invalid.Invalid:
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from chivepond.settings import setting_trouble
+from chivepond.transport import address
+
 _Address = typing.Annotated[str, msgspec.Meta(description='ip:port')]
 _Ms = typing.Annotated[float, msgspec.Meta(ge=0, description='milliseconds')]
 _Name = typing.Annotated[
@@ -26,7 +29,8 @@
     """Where a node is, whom it serves, and its own intervals.
 
     ``secret`` signs messages between nodes; with ``unsigned`` set they go
-    without a signature, which is logged.
+    without a signature, which is logged. ``operators_token``, when set, is
+    asked for on the operators' address.
     """
 
     node_id: _Name
@@ -41,6 +45,7 @@
     )
     secret: str = ''
     unsigned: bool = False
+    operators_token: str = ''
     log_format: typing.Literal['text', 'json'] = 'text'
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     heartbeat_ms: _Ms = 500
@@ -52,3 +57,23 @@
     poll_ms: _Ms = 30000
     balancer_lag_ms: _Ms = 1000
     shutdown_grace_ms: _Ms = 10000
+
+    def trouble(self) -> setting_trouble.SettingTrouble | None:
+        """Return what is wrong across settings, if anything is."""
+        for name in ('callers', 'peers', 'operators', 'platform'):
+            parsed = address.parse(getattr(self, name))
+            if parsed.is_err():
+                wrong = parsed.unwrap_err()
+                return setting_trouble.SettingTrouble(
+                    place=name,
+                    what=wrong.message,
+                    remedy=wrong.remedy,
+                )
+        if self.secret or self.unsigned:
+            return None
+        return setting_trouble.SettingTrouble(
+            place='secret',
+            what='neither `secret` nor `unsigned` is set',
+            remedy='set the same `secret` on all nodes, or `unsigned: true`'
+            ' where no stranger reaches the peers address',
+        )
--- /dev/null
+++ b/chivepond/tests/conftest.py
@@ -0,0 +1,10 @@
+"""Profile of the property-based tests: the same examples on every run."""
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    'chivepond',
+    derandomize=True,
+    deadline=None,
+)
+hypothesis.settings.load_profile('chivepond')
--- /dev/null
+++ b/chivepond/tests/test_account.py
@@ -0,0 +1,122 @@
+"""Metrics and the proof of a search."""
+
+from collections.abc import Callable
+
+import logbook
+import result
+
+from chivepond.errors import invalid
+from chivepond.observe import events, metrics, node_gauges
+from chivepond.tests import test_burn
+
+
+def _gauges() -> node_gauges.NodeGauges:
+    return node_gauges.NodeGauges(
+        revision=7,
+        live_nodes=3,
+        searchers=15,
+        is_ready=True,
+        unsigned_refused=2,
+        connections_by_side={'callers': 4},
+        platform_calls_by_result={'ok': 9},
+    )
+
+
+def _scrape(told: test_burn.Told) -> list[str]:
+    made = metrics.Metrics(told.telemetry, _gauges)
+    body, headers = made.render([])
+    assert headers['Content-Type'].startswith('text/plain; version=0.0.4')
+    return body.decode().splitlines()
+
+
+def test_scrape_shows_counts() -> None:
+    """A scrape shows what was counted, under names with their units."""
+    told = test_burn.Told()
+    told.answered(20, 'late')
+    told.answered(300)
+    told.done(result.Err(invalid.Invalid('wrong', 'mend it')))
+    lines = _scrape(told)
+    name = 'chivepond_search'
+    label = '{service="pass-lookup"}'
+    expected = {
+        f'# TYPE {name}_duration_seconds histogram',
+        f'{name}_duration_seconds_count{label} 2.0',
+        f'{name}_shards_total{label} 20',
+        f'{name}_shards_covered_total{label} 19',
+        f'chivepond_shard_attempts_total{label} 36',
+        'chivepond_configuration_revision 7',
+        'chivepond_platform_calls_total{result="ok"} 9',
+    }
+    assert expected - set(lines) == set()
+    buckets = [line for line in lines if 'le="0.025"' in line]
+    assert [line.split()[-1] for line in buckets] == ['1.0']
+    outcomes = [line for line in lines if line.startswith('chivepond_requests')]
+    assert len(outcomes) == 2
+    assert any('outcome="invalid"' in line for line in outcomes)
+
+
+def test_labels_are_bounded() -> None:
+    """Names that callers or searchers make up share one series.
+
+    A caller sends a new service name each time, and a searcher invents
+    reasons. Each would become a time series and memory that is kept for
+    ever; a scrape grows until the node dies.
+    """
+    told = test_burn.Told()
+    for number in range(200):
+        told.answered(20, f'made-up-{number}')
+        told.done(
+            result.Err(invalid.Invalid('unknown', 'name another')),
+            service=f'service "{number}"\n',
+        )
+    assert len(told.telemetry.counts_by_service) == 2
+    assert len(_scrape(told)) < 100
+
+
+def _proof(told: test_burn.Told, answer: Callable[[], None]) -> dict:
+    with logbook.TestHandler() as seen:
+        answer()
+    assert len(seen.records) == 1
+    proof = seen.records[0].extra['told']
+    assert 'Tenzing' not in repr(proof)
+    assert len(proof['query_digest']) == 32
+    return proof | {'event': seen.records[0].extra['number']}
+
+
+def test_each_answer_leaves_one_proof() -> None:
+    """An auditor finds what a search covered, and nothing of its query."""
+    told = test_burn.Told()
+    proof = _proof(told, lambda: told.answered(20, 'late', 'shed'))
+    expected = {
+        'event': events.SEARCH_ANSWERED.number,
+        'request_id': 'r',
+        'node': 'n',
+        'revision': 0,
+        'attempts': 12,
+        'total': 10,
+        'covered': 8,
+        'missing': 2,
+        'missing_shards': 's0:late,s1:shed',
+    }
+    assert expected.items() <= proof.items()
+
+
+def test_each_refusal_leaves_one_proof() -> None:
+    """A refusal is told with its kind, under the same digest."""
+    told = test_burn.Told()
+    refusal = result.Err(invalid.Invalid('wrong', 'mend it'))
+    proof = _proof(told, lambda: told.done(refusal))
+    again = _proof(told, lambda: told.answered(20))
+    assert proof['event'] == events.SEARCH_REFUSED.number
+    assert proof['kind'] == 'invalid'
+    assert proof['query_digest'] == again['query_digest']
+
+
+def test_proof_is_bounded() -> None:
+    """An answer that covers next to nothing still leaves a short line."""
+    told = test_burn.Told()
+    proof = _proof(
+        told, lambda: told.answered(20, *('late' for _ in range(400)))
+    )
+    assert proof['missing'] == 400
+    assert proof['missing_shards'].count(',') == 19
--- /dev/null
+++ b/chivepond/tests/test_message_signing.py
@@ -0,0 +1,159 @@
+"""Signatures of messages between nodes, and the operators' token."""
+
+import asyncio
+import random
+
+import pytest
+
+from chivepond.settings import loader, node_settings
+from chivepond.standins import deployment_plan, embedded, service_plan
+from chivepond.tests import support
+from chivepond.transport import (
+    address,
+    client,
+    message_signer,
+    message_verifier,
+    replay_window,
+    reply,
+)
+
+_BODY = b'{"node_id": "a"}'
+_PATH = '/internal/heartbeat'
+
+
+class _Link:
+    """A sender and a receiver on one clock of the test."""
+
+    def __init__(self, secret: str = 'told') -> None:
+        """Let ``a`` write to ``b``, who has the secret ``told``."""
+        self.now: float = 1000000
+        self.signer = message_signer.MessageSigner(secret, 'a', self._clock)
+        self.verifier = message_verifier.MessageVerifier(
+            'told',
+            'b',
+            self._clock,
+        )
+
+    def headers(self, receiver: str = 'b') -> dict[str, str]:
+        """Return the headers of a message."""
+        return self.signer.headers(receiver, 'POST', _PATH, _BODY)
+
+    def is_taken(
+        self,
+        headers: dict[str, str],
+        method: str = 'POST',
+        path: str = _PATH,
+        body: bytes = _BODY,
+    ) -> bool:
+        """Tell whether the receiver takes a message."""
+        return self.verifier.check(method, path, headers, body) is None
+
+    def _clock(self) -> float:
+        return self.now
+
+
+def test_takes_each_message_once_in_any_order() -> None:
+    """Messages overtake one another on their connections, and none is lost."""
+    link = _Link()
+    sent = [link.headers() for _ in range(replay_window.WIDTH)]
+    random.Random(1).shuffle(sent)
+    assert all(link.is_taken(headers) for headers in sent)
+    assert not any(link.is_taken(headers) for headers in sent)
+
+
+def test_refuses_a_recorded_message() -> None:
+    """A message recorded on the way and sent again is refused for ever.
+
+    Something on the path records a command between nodes and sends it
+    again: at once, after many others, or when its window is forgotten.
+    """
+    link = _Link()
+    recorded = link.headers()
+    assert link.is_taken(recorded)
+    assert not link.is_taken(recorded)
+    later = [link.headers() for _ in range(replay_window.WIDTH + 1)]
+    assert all(link.is_taken(headers) for headers in later)
+    assert not link.is_taken(recorded)
+    fresh = _Link()
+    fresh.now += message_verifier.WINDOW_S + 1
+    assert not fresh.is_taken(recorded)
+
+
+def test_refuses_a_message_to_another_node() -> None:
+    """A message to one node can't be sent on to another."""
+    link = _Link()
+    assert not link.is_taken(link.headers(receiver='c'))
+
+
+@pytest.mark.parametrize('name', list(_Link().headers()))
+def test_refuses_a_changed_header(name: str) -> None:
+    """Every header is covered by the signature."""
+    link = _Link()
+    headers = link.headers()
+    wrong = str(int(headers[name]) + 1) if headers[name].isdigit() else 'x'
+    assert not link.is_taken(headers | {name: wrong})
+    assert not link.is_taken({**headers, name: ''})
+
+
+def test_refuses_a_changed_message() -> None:
+    """Method, path, body and secret are covered by the signature."""
+    link = _Link()
+    assert not link.is_taken(link.headers(), method='GET')
+    assert not link.is_taken(link.headers(), path='/internal/command')
+    assert not link.is_taken(link.headers(), body=b'{}')
+    assert not link.is_taken(_Link(secret='guess').headers())
+    assert link.is_taken(link.headers())
+
+
+def test_settings_ask_for_a_secret() -> None:
+    """A node with neither a secret nor `unsigned` does not start."""
+    told = b"""
+{node_id: n, data_centre: d, region: r, callers: '127.0.0.1:0',
+ peers: '127.0.0.1:0', operators: '127.0.0.1:0', platform: '127.0.0.1:1'%s}
+"""
+    kind = node_settings.NodeSettings
+    wrong = loader.parse(kind, told % b'', 'n.yaml').unwrap_err()
+    assert wrong.message.startswith('n.yaml, at secret:')
+    assert 'unsigned: true' in wrong.remedy
+    assert loader.parse(kind, told % b', unsigned: true', 'n.yaml').is_ok()
+
+
+def test_running_node_refuses_strangers() -> None:
+    """A stranger on the peers' and operators' addresses is turned away.
+
+    A process without the secret posts a heartbeat as if it were a node,
+    and one without the token reads the status; both get 401 in the form of
+    errors, while the nodes themselves go on.
+    """
+    asyncio.run(_strangers())
+
+
+async def _strangers() -> None:
+    plan = deployment_plan.DeploymentPlan(
+        services=[service_plan.ServicePlan(name='p', index='i', groups=1)],
+        nodes_per_data_centre=2,
+        node={'balancer_lag_ms': 0, 'operators_token': 'let-me-in'},
+    )
+    async with embedded.EmbeddedDeployment(plan) as deployed:
+        first, second = deployed.node_by_id.values()
+        stranger = await _post(first.peer_server.address)
+        await _check_token(first.operator_server.address)
+        async with client.Client(second.caller_server.address, 1) as to:
+            given = (await support.search(to, 'p')).unwrap()
+        assert stranger.status == 401
+        assert b'"kind":"unauthorised"' in stranger.body
+        assert given.coverage.covered == given.coverage.total
+        assert (first.signed.refused, second.signed.refused) == (1, 0)
+
+
+async def _post(target: address.Address) -> reply.Reply:
+    async with client.Client(target, 1) as to:
+        return (await to.post(_PATH, _BODY, 2)).unwrap()
+
+
+async def _check_token(target: address.Address) -> None:
+    token = {'authorization': 'Bearer let-me-in'}
+    async with client.Client(target, 1) as to:
+        refused = (await to.get('/v1/status', 2)).unwrap()
+        shown = (await to.get('/v1/status', 2, token)).unwrap()
+    assert (refused.status, shown.status) == (401, 200)
--- /dev/null
+++ b/chivepond/tools/burn_commands.py
@@ -0,0 +1,125 @@
+"""The report on service-level burn, as text, JSON or a plot."""
+
+import importlib
+import pathlib
+from typing import Any
+
+import result
+
+from chivepond.errors import invalid, problem
+from chivepond.observe import burn
+from chivepond.tools import console, exit_code, node_client, program_flags
+from chivepond.wire import burn_line, node_burn
+
+_HOUR_S = 3600
+_MINUTE_S = 60
+_BAR_HEIGHT = 0.35
+_LINE_INCHES = 0.3
+_WIDTH_INCHES = 9
+
+_Lines = list[burn_line.BurnLine]
+
+
+async def report(program: program_flags.ProgramFlags) -> int:
+    """Write the report over one node or, with commas, several."""
+    told = program.flags
+    nodes = []
+    for target in told.operators.split(','):
+        answer = await node_client.get(
+            node_burn.NodeBurn,
+            target.strip(),
+            '/v1/burn',
+            node_client.token_headers(program),
+        )
+        if answer.is_err():
+            return console.complain(answer.unwrap_err())
+        nodes.append(answer.unwrap())
+    lines = burn.report(nodes)
+    if told.plot:
+        drawn = plot(lines, pathlib.Path(told.plot))
+        if drawn.is_err():
+            return console.complain(drawn.unwrap_err())
+    if told.json:
+        console.say_json(lines)
+    else:
+        show(lines, len(nodes))
+    return exit_code.ExitCode.OK
+
+
+def show(lines: _Lines, nodes: int) -> None:
+    """Write the report for people."""
+    console.say(f'service-level burn over {nodes} node(s); 1 = on budget')
+    for line in lines:
+        windows = f'{_span(line.short_s)}/{_span(line.long_s)}'
+        console.say(
+            f'{line.service:<16} {line.objective:<12} {windows:>7}'
+            f' {line.short_rate:8.2f} /{line.long_rate:8.2f}'
+            f' (fires at {line.threshold:g}) {_verdict(line)}',
+        )
+
+
+def _verdict(line: burn_line.BurnLine) -> str:
+    firing = 'FIRING' if line.is_firing else 'ok'
+    cause = f', most by {line.cause}' if line.cause else ''
+    return f'{firing}, {line.requests} requests{cause}'
+
+
+def plot(
+    lines: _Lines,
+    path: pathlib.Path,
+) -> result.Result[pathlib.Path, problem.Problem]:
+    """Draw the rates of both windows over the threshold of each line."""
+    try:
+        figures = importlib.import_module('matplotlib.figure')
+    except ImportError:
+        return result.Err(
+            invalid.Invalid(
+                message='--plot needs matplotlib, which is not installed',
+                remedy="install it: pip install 'chivepond[plots]'",
+            ),
+        )
+    try:
+        _draw(figures, lines, path)
+    except (OSError, ValueError) as error:
+        return result.Err(
+            invalid.Invalid(
+                message=f'{path} could not be written: {error}',
+                remedy='name a .png, .svg or .pdf file in a folder that exists',
+            ),
+        )
+    return result.Ok(path)
+
+
+def _draw(figures: Any, lines: _Lines, path: pathlib.Path) -> None:
+    height = max(2, _LINE_INCHES * len(lines))
+    figure = figures.Figure((_WIDTH_INCHES, height), layout='constrained')
+    axes = figure.subplots()
+    places = range(len(lines))
+    axes.barh(
+        [place - _BAR_HEIGHT / 2 for place in places],
+        [line.long_rate / line.threshold for line in lines],
+        _BAR_HEIGHT,
+        label='long window',
+    )
+    axes.barh(
+        [place + _BAR_HEIGHT / 2 for place in places],
+        [line.short_rate / line.threshold for line in lines],
+        _BAR_HEIGHT,
+        label='short window',
+    )
+    axes.set_yticks(places, [_name(line) for line in lines])
+    axes.axvline(1, color='red', label='fires')
+    axes.set_xlabel('burn rate as a share of the rate that fires')
+    axes.legend()
+    figure.savefig(path)
+
+
+def _name(line: burn_line.BurnLine) -> str:
+    return f'{line.service} {line.objective} {_span(line.long_s)}'
+
+
+def _span(seconds: int) -> str:
+    if seconds < _HOUR_S:
+        return f'{seconds // _MINUTE_S}m'
+    hours = seconds // _HOUR_S
+    return f'{hours}h' if hours < 24 else f'{hours // 24}d'
--- a/chivepond/tools/config_commands.py
+++ b/chivepond/tools/config_commands.py
@@ -7,7 +7,7 @@
 import result
 
 from chivepond.control import draft_check
-from chivepond.errors import invalid, problem
+from chivepond.errors import invalid, problem, quoting
 from chivepond.settings import defaults, loader
 from chivepond.tools import console, exit_code, node_client, program_flags
 from chivepond.wire import (
@@ -25,10 +25,13 @@
 async def show(program: program_flags.ProgramFlags) -> int:
     """Write a section with the count of edits to base a new one on."""
     told = program.flags
+    if told.section not in draft_check.KIND_BY_SECTION:
+        return console.complain(_no_section(told.section))
     answer = await node_client.get(
         section_view.SectionView,
         told.operators,
         f'/v1/config/{told.section}',
+        node_client.token_headers(program),
     )
     match answer:
         case result.Ok(seen) if told.json:
@@ -66,10 +69,11 @@
             base_edits=told.base_edits,
             body=read.unwrap(),
         ),
+        node_client.token_headers(program),
     )
     match answer:
         case result.Ok(edited):
-            return await _wait_in_force(told.operators, edited)
+            return await _wait_in_force(program, edited)
     return console.complain(answer.unwrap_err())
 
 
@@ -85,24 +89,27 @@
     told = program.flags
     kind = draft_check.KIND_BY_SECTION.get(told.section)
     if kind is None:
-        return result.Err(
-            invalid.Invalid(
-                message=f'there is no section {told.section!r}',
-                remedy='say --section search, capacity or audit',
-            ),
-        )
+        return result.Err(_no_section(told.section))
     return loader.load(kind, pathlib.Path(told.file)).map(codec.to_raw)
 
 
+def _no_section(name: str) -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'there is no section {quoting.quoted(name)}',
+        remedy='say --section search, capacity or audit',
+    )
+
+
 async def _wait_in_force(
-    operators: str,
+    program: program_flags.ProgramFlags,
     edited: edit_result.EditResult,
 ) -> int:
     for _ in range(int(_WAIT_S / _POLL_S)):
         status = await node_client.get(
             node_status.NodeStatus,
-            operators,
+            program.flags.operators,
             '/v1/status',
+            node_client.token_headers(program),
         )
         match status:
             case result.Ok(seen) if seen.revision >= edited.revision:
--- a/chivepond/tools/daemon.py
+++ b/chivepond/tools/daemon.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from chivepond import node
+from chivepond.errors import invalid
 from chivepond.observe import events, journal
 from chivepond.settings import loader, node_settings
 from chivepond.tools import console, exit_code, program_flags
@@ -40,6 +41,8 @@
     if program.flags.help:
         program.show_help()
         return exit_code.ExitCode.OK
+    if program.words:
+        return console.complain(_too_much(program.words))
     loaded = loader.load(
         node_settings.NodeSettings,
         pathlib.Path(program.flags.settings),
@@ -58,7 +61,24 @@
     with journal.Journal(settings.log_level, settings.log_format):
         if settings.unsigned:
             journal.log(events.MESSAGES_UNSIGNED)
-        return uvloop.run(_serve(settings))
+        try:
+            return uvloop.run(_serve(settings))
+        except OSError as error:
+            return console.complain(_cannot_listen(error))
+
+
+def _too_much(words: list[str]) -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'{" ".join(words)!r} is no flag',
+        remedy='see chivepondd --help',
+    )
+
+
+def _cannot_listen(error: OSError) -> invalid.Invalid:
+    return invalid.Invalid(
+        message=f'could not listen on an address of the settings: {error}',
+        remedy='name addresses of this host whose ports are free',
+    )
 
 
 async def _serve(settings: node_settings.NodeSettings) -> int:
--- a/chivepond/tools/demo.py
+++ b/chivepond/tools/demo.py
@@ -5,13 +5,14 @@
 
 import result
 
+from chivepond.observe import burn
 from chivepond.standins import (
     deployment_plan,
     embedded,
     searcher_faults,
     service_plan,
 )
-from chivepond.tools import console, exit_code
+from chivepond.tools import burn_commands, console, exit_code
 from chivepond.transport import client, exchange
 from chivepond.wire import (
     command_answer,
@@ -67,6 +68,8 @@
         await demo.search_everywhere()
         await demo.stamp_twice()
         await demo.drain()
+        nodes = [one.burn() for one in deployed.node_by_id.values()]
+        burn_commands.show(burn.report(nodes), len(nodes))
         return (
             exit_code.ExitCode.FAILED
             if demo.failures
--- a/chivepond/tools/node_client.py
+++ b/chivepond/tools/node_client.py
@@ -5,7 +5,9 @@
 import result
 
 from chivepond.errors import problem
+from chivepond.tools import program_flags
 from chivepond.transport import address, client, exchange
+from chivepond.wire import codec
 
 Kind = TypeVar('Kind')
 
@@ -17,23 +19,39 @@
     target: str,
     path: str,
     message: Any,
+    headers: dict[str, str] | None = None,
 ) -> result.Result[Kind, problem.Problem]:
     """Send a message to ``target`` and return the typed answer."""
     parsed = address.parse(target)
     if parsed.is_err():
         return parsed
     async with client.Client(parsed.unwrap(), 1) as to:
-        return await exchange.post(kind, to, path, message, _TIMEOUT_S)
+        answer = await to.post(
+            path,
+            codec.encode(message),
+            _TIMEOUT_S,
+            headers,
+        )
+        return answer.and_then(lambda got: exchange.read(kind, got))
 
 
 async def get(
     kind: type[Kind],
     target: str,
     path: str,
+    headers: dict[str, str] | None = None,
 ) -> result.Result[Kind, problem.Problem]:
     """Ask ``target`` for a message and return it typed."""
     parsed = address.parse(target)
     if parsed.is_err():
         return parsed
     async with client.Client(parsed.unwrap(), 1) as to:
-        return await exchange.get(kind, to, path, _TIMEOUT_S)
+        answer = await to.get(path, _TIMEOUT_S, headers)
+        return answer.and_then(lambda got: exchange.read(kind, got))
+
+
+def token_headers(program: program_flags.ProgramFlags) -> dict[str, str]:
+    """Return the header with the operators' token, if one was read."""
+    if not program.token:
+        return {}
+    return {'authorization': f'Bearer {program.token}'}
--- a/chivepond/tools/operator_cli.py
+++ b/chivepond/tools/operator_cli.py
@@ -7,6 +7,7 @@
 from chivepond.errors import invalid
 from chivepond.observe import journal
 from chivepond.tools import (
+    burn_commands,
     config_commands,
     console,
     demo,
@@ -29,6 +30,7 @@
       --file search.yaml --base_edits 3
   chivepond config defaults
   chivepond status --operators 127.0.0.1:8301
+  chivepond burn --operators 127.0.0.1:8301,127.0.0.1:8302 --plot burn.png
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 not run, 4 outcome unknown,
 5 unreachable.
@@ -50,6 +52,7 @@
     ('config', 'check'): config_commands.check,
     ('config', 'apply'): config_commands.apply,
     ('config', 'defaults'): config_commands.defaults_table,
+    ('burn',): burn_commands.report,
     ('status',): status_commands.status,
 }
 
@@ -68,6 +71,9 @@
     if program.flags.help:
         program.show_help()
         return exit_code.ExitCode.OK
+    token = program.read_token('token_file')
+    if token.is_err():
+        return console.complain(token.unwrap_err())
     chosen = _command_by_words.get(tuple(program.words))
     if chosen is None:
         return console.complain(_unknown(program.words))
@@ -81,8 +87,14 @@
     program.text(
         'operators',
         '127.0.0.1:8301',
-        'ip:port of a node, for operators',
+        'ip:port of a node, for operators; burn takes several with commas',
     )
+    program.text(
+        'token_file',
+        '',
+        "file with the operators' token, where one is set",
+    )
+    program.text('plot', '', 'burn: draw the report into this file too')
     program.text('service', '', 'the service to ask')
     program.text('query', '', 'what to search for')
     program.number('limit', 10, 'hits wanted')
--- a/chivepond/tools/program_flags.py
+++ b/chivepond/tools/program_flags.py
@@ -1,5 +1,6 @@
 """Flags of one program, parsed without touching those of others."""
 
+import pathlib
 import sys
 
 import result
@@ -11,7 +12,7 @@
 class ProgramFlags:
     """The flags and the words of one command line."""
 
-    __slots__ = ('_usage', 'flags', 'words')
+    __slots__ = ('_usage', 'flags', 'token', 'words')
 
     def __init__(self, usage: str) -> None:
         """Show ``usage`` above the list of flags."""
@@ -19,6 +20,7 @@
         self.flags = flags.FlagValues()
         self.flags.set_gnu_getopt(True)
         self.words: list[str] = []
+        self.token = ''
         flags.DEFINE_bool(
             'help',
             default=False,
@@ -66,6 +68,29 @@
             )
         return result.Ok(self.words)
 
+    def read_token(self, name: str) -> result.Result[str, invalid.Invalid]:
+        """Read the operators' token from the file that a flag names."""
+        path = self.flags[name].value
+        if not path:
+            return result.Ok('')
+        try:
+            self.token = pathlib.Path(path).read_text('utf-8').strip()
+        except (OSError, ValueError) as error:
+            return result.Err(
+                invalid.Invalid(
+                    message=f'--{name}: {path} could not be read: {error}',
+                    remedy='name a file that holds the token alone',
+                ),
+            )
+        if self.token.isascii() and self.token.isprintable():
+            return result.Ok(self.token)
+        return result.Err(
+            invalid.Invalid(
+                message=f'--{name}: {path} holds more than one plain line',
+                remedy='name a file that holds the token alone',
+            ),
+        )
+
     def show_help(self) -> None:
         """Write the usage and the flags to standard output."""
         names = sorted(self.flags)
--- a/chivepond/tools/standin.py
+++ b/chivepond/tools/standin.py
@@ -9,7 +9,7 @@
 import result
 import uvloop
 
-from chivepond.errors import invalid
+from chivepond.errors import invalid, quoting
 from chivepond.settings import loader
 from chivepond.standins import platform, searcher, searcher_profile
 from chivepond.tools import console, exit_code, program_flags
@@ -46,7 +46,15 @@
     made = _make(program)
     if made.is_err():
         return console.complain(made.unwrap_err())
-    return uvloop.run(_serve(program))
+    try:
+        return uvloop.run(_serve(program))
+    except OSError as error:
+        return console.complain(
+            invalid.Invalid(
+                message=f'could not listen on --listen: {error}',
+                remedy='name an address of this host whose port is free',
+            ),
+        )
 
 
 def _make(
@@ -82,11 +90,25 @@
     listen = address.parse(program.flags.listen).unwrap()
     if program.words == ['platform']:
         return result.Ok(platform.PlatformStandin(listen))
-    versions = [int(one) for one in program.flags.versions.split(',')]
+    versions = _versions(program.flags.versions)
+    if versions.is_err():
+        return versions
     profile = loader.load(
         searcher_profile.SearcherProfile,
         pathlib.Path(program.flags.profile),
     )
     return profile.map(
-        lambda told: searcher.SearcherStandin(told, listen, versions),
+        lambda told: searcher.SearcherStandin(told, listen, versions.unwrap()),
     )
+
+
+def _versions(text: str) -> result.Result[list[int], invalid.Invalid]:
+    try:
+        return result.Ok([int(one) for one in text.split(',')])
+    except ValueError:
+        return result.Err(
+            invalid.Invalid(
+                message=f'--versions {quoting.quoted(text)} is no list',
+                remedy='write whole numbers with commas, such as 1,2',
+            ),
+        )
--- a/chivepond/tools/status_commands.py
+++ b/chivepond/tools/status_commands.py
@@ -13,6 +13,7 @@
         node_status.NodeStatus,
         told.operators,
         '/v1/status',
+        node_client.token_headers(program),
     )
     match answer:
         case result.Ok(seen) if told.json:
--- a/chivepond/transport/address.py
+++ b/chivepond/transport/address.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 import ipaddress
+import re
 
 import result
 
-from chivepond.errors import invalid
+from chivepond.errors import invalid, quoting
 
 _MAX_PORT = 65535
+_PORT = re.compile('[0-9]{1,5}')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,13 +33,13 @@
         number = ipaddress.ip_address(ip.strip('[]'))
     except ValueError:
         return result.Err(_wrong(text))
-    if not port.isdecimal() or int(port) > _MAX_PORT:
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
         return result.Err(_wrong(text))
     return result.Ok(Address(ip=str(number), port=int(port)))
 
 
 def _wrong(text: str) -> invalid.Invalid:
     return invalid.Invalid(
-        message=f'{text!r} is no address',
+        message=f'{quoting.quoted(text)} is no address',
         remedy='write an IP number and a port, such as 127.0.0.1:8080',
     )
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -89,9 +89,10 @@
         self,
         path: str,
         timeout_s: float,
+        headers: dict[str, str] | None = None,
     ) -> result.Result[reply.Reply, unreachable.Unreachable]:
         """Send one GET, which the library may repeat, and return the reply."""
-        return await self._exchange('GET', path, b'', timeout_s, None)
+        return await self._exchange('GET', path, b'', timeout_s, headers)
 
     async def lines(
         self,
--- a/chivepond/transport/endpoints.py
+++ b/chivepond/transport/endpoints.py
@@ -4,13 +4,21 @@
 from typing import Any
 
 import result
-from starlette import applications, requests, responses, routing
+from starlette import (
+    applications,
+    exceptions,
+    requests,
+    responses,
+    routing,
+)
 
-from chivepond.errors import problem
+from chivepond.errors import invalid, not_found, problem, quoting
 from chivepond.observe import events, journal
 from chivepond.transport import bodies, replies
 from chivepond.wire import codec
 
+_NOT_FOUND = 404
+
 Outcome = result.Result[Any, problem.Problem]
 Serve = Callable[[Any], Awaitable[Outcome]]
 
@@ -41,11 +49,20 @@
 
 
 def application(routes: list[routing.BaseRoute]) -> applications.Starlette:
-    """Return an application whose unforeseen failures are told in form."""
-    return applications.Starlette(
+    """Return an application whose unforeseen failures are told in form.
+
+    A path with a slash too many is told as not found: a redirect would be
+    built from what the request says of its own host.
+    """
+    made = applications.Starlette(
         routes=routes,
-        exception_handlers={Exception: _unforeseen},
+        exception_handlers={
+            Exception: _unforeseen,
+            exceptions.HTTPException: _refused,
+        },
     )
+    made.router.redirect_slashes = False
+    return made
 
 
 async def _unforeseen(
@@ -63,3 +80,24 @@
             remedy='see event 1006 in its log, and report it',
         ),
     )
+
+
+async def _refused(
+    request: requests.Request,
+    error: Exception,
+) -> responses.Response:
+    """Tell of a path or a method that is not served, in form."""
+    told: problem.Problem = invalid.Invalid(
+        message=f'{quoting.quoted(request.method)} is not served here',
+        remedy='see docs/INTERFACE.md for the methods',
+    )
+    if getattr(error, 'status_code', 0) == _NOT_FOUND:
+        told = not_found.NotFound(
+            message=f'there is nothing at {quoting.quoted(_path(request))}',
+            remedy='see docs/INTERFACE.md for the paths',
+        )
+    return replies.of_problem(told)
+
+
+def _path(request: requests.Request) -> str:
+    return str(request.scope['path'])
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -76,6 +76,11 @@
         ip, port = self._socket.getsockname()[:2]
         return address.Address(ip=ip, port=port)
 
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def __aenter__(self) -> Self:
         """Start to answer."""
         self._task = asyncio.create_task(
--- /dev/null
+++ b/chivepond/transport/token_application.py
@@ -0,0 +1,46 @@
+"""An application that asks for a token, if one is set."""
+
+import hmac
+
+from starlette import requests, types
+
+from chivepond.errors import unauthorised
+from chivepond.transport import replies
+
+_SCHEME = 'Bearer '
+
+
+class TokenApplication:
+    """Stands before the operators' endpoints."""
+
+    __slots__ = ('_application', '_expected')
+
+    def __init__(self, application: types.ASGIApp, token: str) -> None:
+        """Ask for ``token``; an empty one asks for none."""
+        self._application = application
+        self._expected = f'{_SCHEME}{token}'.encode() if token else b''
+
+    async def __call__(
+        self,
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        """Refuse a request without the token, else pass it on."""
+        if self._expected and scope['type'] == 'http':
+            request = requests.Request(scope, receive)
+            given = request.headers.get('authorization', '')
+            if not hmac.compare_digest(
+                given.encode(errors='surrogatepass'),
+                self._expected,
+            ):
+                await replies.of_problem(_refused())(scope, receive, send)
+                return
+        await self._application(scope, receive, send)
+
+
+def _refused() -> unauthorised.Unauthorised:
+    return unauthorised.Unauthorised(
+        message='the request carries no valid token of an operator',
+        remedy='send `Authorization: Bearer TOKEN`, or use --token_file',
+    )
