--- a/chivepond/tests/test_parsers.py
+++ b/chivepond/tests/test_parsers.py
@@ -34,7 +34,7 @@
     _HUGE,
     b'{"service": "p", "query": "q", "caller": "c", "limit": %s}' % _HUGE,
     b'"\xff\xfe"',
-    rb'"\ud800"',
+    json.dumps('\ud800').encode(),
     b'\xef\xbb\xbf{}',
     b'[' * 100000,
     b'{"a":' * 100000,
