Pages for callers, operators, protocols and the design; tables from the code

Cause: nothing told operators what to do or what a field means. Change: the pages, two of them printed by commands (make pages) and checked in a test.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint format load clean
+.PHONY: demo test lint format load pages clean
 
 $(READY): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,5 +25,10 @@
 format: $(READY)
 	$(BIN)/ruff format chivepond
 
+# Writes the pages that are tables of the code.
+pages: $(READY)
+	$(BIN)/chivepond config defaults > docs/SETTINGS.md
+	$(BIN)/chivepond events > docs/EVENTS.md
+
 clean:
 	rm -rf $(VENV) build reports
--- a/chivepond/settings/defaults.py
+++ b/chivepond/settings/defaults.py
@@ -29,6 +29,21 @@
 )
 
 
+_HEAD = """# Settings
+
+Written by `chivepond config defaults`; a test keeps the two in step.
+
+The settings of a node are one YAML file, read by `chivepondd --settings`.
+The sections `search`, `capacity` and `audit` are YAML files as well, put in
+force by `chivepond config apply`; NAME stands for the name of a service. An
+unknown name, a wrong kind or unit, or a value out of range is refused with
+its place. Files may have a million bytes at most.
+
+`secret` must be set, the same on all nodes, unless `unsigned` is on; that is
+logged as event 1005. Where both are set, messages go unsigned.
+"""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Setting:
     """One line of the table."""
@@ -52,8 +67,8 @@
 
 
 def table() -> str:
-    """Return the table in Markdown."""
-    lines = []
+    """Return the table in Markdown, which is the whole of docs/SETTINGS.md."""
+    lines = [_HEAD]
     for place, kind in KIND_BY_PLACE.items():
         lines.extend([f'## {place}', '', _purpose(kind), ''])
         lines.extend(['| setting | default | unit |', '| --- | --- | --- |'])
--- /dev/null
+++ b/chivepond/tests/test_pages.py
@@ -0,0 +1,97 @@
+"""Pages and examples are in step with the code."""
+
+import pathlib
+import re
+
+import msgspec
+import pytest
+
+from chivepond.control import draft_check
+from chivepond.observe import event_table
+from chivepond.settings import defaults, loader, node_settings
+from chivepond.standins import searcher_profile
+from chivepond.wire import codec, draft_document, draft_section
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_EXAMPLES = _ROOT / 'examples'
+_DEPLOYMENTS = ('lift-authority', 'summit-register')
+_LINK = re.compile(r'\]\((?!https?:)([^)#]+)(?:#[^)]*)?\)')
+_PAGES = sorted(
+    [*_ROOT.glob('*.md'), *(_ROOT / 'docs').rglob('*.md')],
+)
+
+
+def _page(name: str) -> str:
+    return (_ROOT / 'docs' / name).read_text('utf-8')
+
+
+def test_settings_page_is_in_step() -> None:
+    """docs/SETTINGS.md is what `chivepond config defaults` prints."""
+    assert _page('SETTINGS.md') == f'{defaults.table()}\n'
+
+
+def test_events_page_is_in_step() -> None:
+    """docs/EVENTS.md is in step, and no number stands for two events."""
+    numbers = [one.number for one in event_table.catalogue()]
+    assert _page('EVENTS.md') == f'{event_table.table()}\n'
+    assert len(numbers) == len(set(numbers))
+
+
+def test_every_error_is_in_the_interface_page() -> None:
+    """docs/INTERFACE.md names every error kind with its status."""
+    page = _page('INTERFACE.md')
+    for path in (_ROOT / 'chivepond' / 'errors').glob('*.py'):
+        found = re.search(
+            r"kind: ClassVar\[str\] = '(\w+)'.*?= (\d+)",
+            path.read_text('utf-8'),
+            re.DOTALL,
+        )
+        if found:
+            assert f'| {found[1]} | {found[2]} |' in page
+
+
+@pytest.mark.parametrize('page', _PAGES, ids=lambda path: path.name)
+def test_links_lead_somewhere(page: pathlib.Path) -> None:
+    """Every link of a page leads to a file of the repository."""
+    links = _LINK.findall(page.read_text('utf-8'))
+    missing = [link for link in links if not (page.parent / link).exists()]
+    assert missing == []
+
+
+@pytest.mark.parametrize('deployment', _DEPLOYMENTS)
+def test_example_document_is_accepted(deployment: str) -> None:
+    """The three sections of an example are right, and fit one another."""
+    sections = {}
+    for name, kind in draft_check.KIND_BY_SECTION.items():
+        path = _EXAMPLES / deployment / f'{name}.yaml'
+        told = loader.load(kind, path).unwrap()
+        sections[name] = draft_section.DraftSection(1, codec.to_raw(told))
+    draft = draft_document.DraftDocument(**sections)
+    document = draft_check.check(draft).unwrap()
+    assert len(document.search.by_service) == 4
+    assert set(document.capacity.by_service) == set(document.search.by_service)
+
+
+@pytest.mark.parametrize('deployment', _DEPLOYMENTS)
+def test_example_nodes_are_right(deployment: str) -> None:
+    """Seven to nine nodes in three data centres, each with its own address."""
+    loaded = [
+        loader.load(node_settings.NodeSettings, path).unwrap()
+        for path in (_EXAMPLES / deployment / 'nodes').glob('*.yaml')
+    ]
+    assert 7 <= len(loaded) <= 9
+    assert len({one.callers for one in loaded}) == len(loaded)
+    assert len({one.data_centre for one in loaded}) == 3
+
+
+def test_quickstart_files_are_right() -> None:
+    """The files that the quickstart names exist and load."""
+    folder = _EXAMPLES / 'quickstart'
+    page = _page('QUICKSTART.md')
+    for name in re.findall(r'examples/quickstart/(\S+\.\w+)', page):
+        assert (folder / name).is_file()
+    for path in folder.glob('node-*.yaml'):
+        assert loader.load(node_settings.NodeSettings, path).is_ok()
+    for path in folder.glob('searcher-*.yaml'):
+        assert loader.load(searcher_profile.SearcherProfile, path).is_ok()
+    assert msgspec.json.decode((folder / 'index.json').read_bytes())
--- /dev/null
+++ b/chivepond/tests/test_programs.py
@@ -0,0 +1,181 @@
+"""The programs: wrong use is told with its remedy and an exit code."""
+
+import json
+import pathlib
+import socket
+import sys
+import types
+from collections.abc import Iterator
+
+import pytest
+
+from chivepond.settings import defaults
+from chivepond.tools import daemon, exit_code, operator_cli, standin
+
+_USAGE = exit_code.ExitCode.USAGE
+_AWAY = exit_code.ExitCode.UNREACHABLE
+_MAIN_BY_NAME = types.MappingProxyType(
+    {
+        'chivepond': operator_cli.main,
+        'chivepondd': daemon.main,
+        'chivepond-standin': standin.main,
+    },
+)
+_NODE = """
+{{node_id: n, data_centre: d, region: r, callers: '{callers}',
+ peers: '127.0.0.1:0', operators: '127.0.0.1:0', platform: '127.0.0.1:1',
+ {more}}}
+"""
+
+
+@pytest.fixture
+def closed() -> Iterator[str]:
+    """Return an address that refuses connections."""
+    with socket.socket() as held:
+        held.bind(('127.0.0.1', 0))
+        yield f'127.0.0.1:{held.getsockname()[1]}'
+
+
+@pytest.mark.parametrize('name', list(_MAIN_BY_NAME))
+def test_help_shows_examples(
+    name: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Each program explains itself, with examples, and exits with 0."""
+    assert _MAIN_BY_NAME[name]([name, '--help']) == exit_code.ExitCode.OK
+    told = capsys.readouterr().out
+    assert 'Examples:' in told
+    assert f'  {name} ' in told
+    assert '--help' in told
+
+
+@pytest.mark.parametrize(
+    ('line', 'words'),
+    [
+        ('chivepond', 'there is no command'),
+        ('chivepond serach', "'serach'"),
+        ('chivepond search --limt 3', 'limt'),
+        ('chivepond search --limit many', 'limit'),
+        ('chivepond search --limit -1', 'limit'),
+        ('chivepond search --callers nowhere', "'nowhere'"),
+        ('chivepond search --callers 127.0.0.1:99999', 'no address'),
+        ('chivepond status --operators localhost:8301', 'IP number'),
+        ('chivepond burn --operators 127.0.0.1:1,x', 'unreachable'),
+        ('chivepond burn --operators ,', 'no address'),
+        ('chivepond status --token_file /nowhere/token', '--token_file'),
+        ('chivepond config get --section serach', "'serach'"),
+        ('chivepond config check --section search', 'no file'),
+        ('chivepond config check --section search --file /no', '/no could'),
+        ('chivepond config apply --section x --file /no', "'x'"),
+        ('chivepondd', 'no file is named'),
+        ('chivepondd --settings /nowhere.yaml', '/nowhere.yaml'),
+        ('chivepondd node.yaml', 'node.yaml'),
+        ('chivepondd --setings x', 'setings'),
+        ('chivepond-standin', 'name what to stand in for'),
+        ('chivepond-standin platform --listen here', 'here'),
+        (
+            'chivepond-standin searcher --versions 1,b --listen 127.0.0.1:0',
+            '1,b',
+        ),
+        ('chivepond-standin searcher', 'no file is named'),
+    ],
+)
+def test_wrong_use_is_told(
+    line: str,
+    words: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Wrong use ends with 2 (or 5), names what is wrong, and the remedy."""
+    name, *rest = line.split()
+    code = _MAIN_BY_NAME[name]([name, *rest])
+    told = capsys.readouterr().err
+    assert code in {_USAGE, _AWAY}
+    assert words in told
+    assert 'remedy: ' in told
+
+
+@pytest.mark.parametrize('command', ['status', 'burn', 'config get'])
+def test_away_node_is_told(
+    command: str,
+    closed: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A node that does not answer is told by its address."""
+    words = [*command.split(), '--operators', closed, '--section', 'search']
+    assert operator_cli.main(['chivepond', *words]) == _AWAY
+    assert closed in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('more', 'words'),
+    [
+        ('secret: x, heartbeat: 5', 'heartbeat'),
+        ('secret: x, heartbeat_ms: soon', 'heartbeat_ms'),
+        ('secret: x, heartbeat_ms: -5', 'heartbeat_ms'),
+        ('secret: x, roles: [king]', 'roles'),
+        ('log_level: INFO', 'at secret'),
+    ],
+)
+def test_wrong_settings_are_told(
+    more: str,
+    words: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A wrong setting is told with the file and the place."""
+    path = tmp_path / 'node.yaml'
+    path.write_text(_NODE.format(callers='127.0.0.1:0', more=more))
+    code = daemon.main(['chivepondd', '--check', '--settings', str(path)])
+    told = capsys.readouterr().err
+    assert code == _USAGE
+    assert str(path) in told
+    assert words in told
+
+
+def test_wrong_address_of_a_node_is_told(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A name in place of an IP number, or an address in use, is told."""
+    path = tmp_path / 'node.yaml'
+    flags = ['chivepondd', '--settings', str(path)]
+    path.write_text(_NODE.format(callers='localhost:1', more='secret: x'))
+    assert daemon.main([*flags, '--check']) == _USAGE
+    assert 'at callers' in capsys.readouterr().err
+    with socket.socket() as held:
+        held.bind(('127.0.0.1', 0))
+        held.listen()
+        used = f'127.0.0.1:{held.getsockname()[1]}'
+        path.write_text(_NODE.format(callers=used, more='secret: x'))
+        assert daemon.main(flags) == _USAGE
+    assert 'could not listen' in capsys.readouterr().err
+
+
+def test_plot_without_matplotlib_is_told(
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Where the optional library is missing, the remedy names it."""
+    monkeypatch.setitem(sys.modules, 'matplotlib.figure', None)
+    drawn = operator_cli.burn_commands.plot([], tmp_path / 'burn.png')
+    assert 'pip install' in drawn.unwrap_err().remedy
+
+
+def test_defaults_are_printed(capsys: pytest.CaptureFixture[str]) -> None:
+    """The table of settings goes to standard output."""
+    assert operator_cli.main(['chivepond', 'config', 'defaults']) == 0
+    assert capsys.readouterr().out.strip() == defaults.table()
+
+
+def test_checked_section_is_told(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A right section passes, a wrong one is told with its place."""
+    path = tmp_path / 'search.yaml'
+    flags = ['config', 'check', '--section', 'search', '--file', str(path)]
+    path.write_text(json.dumps({'services': {'p': {'deadline_ms': 100}}}))
+    assert operator_cli.main(['chivepond', *flags]) == 0
+    path.write_text(json.dumps({'services': {'p': {'deadline_ms': 1}}}))
+    assert operator_cli.main(['chivepond', *flags]) == _USAGE
+    assert 'deadline_ms' in capsys.readouterr().err
--- a/chivepond/tools/operator_cli.py
+++ b/chivepond/tools/operator_cli.py
@@ -29,6 +29,7 @@
   chivepond config apply --operators 127.0.0.1:8301 --section search \\
       --file search.yaml --base_edits 3
   chivepond config defaults
+  chivepond events
   chivepond status --operators 127.0.0.1:8301
   chivepond burn --operators 127.0.0.1:8301,127.0.0.1:8302 --plot burn.png
 
@@ -52,6 +53,7 @@
     ('config', 'check'): config_commands.check,
     ('config', 'apply'): config_commands.apply,
     ('config', 'defaults'): config_commands.defaults_table,
+    ('events',): status_commands.events_table,
     ('burn',): burn_commands.report,
     ('status',): status_commands.status,
 }
--- a/chivepond/tools/status_commands.py
+++ b/chivepond/tools/status_commands.py
@@ -2,6 +2,7 @@
 
 import result
 
+from chivepond.observe import event_table
 from chivepond.tools import console, exit_code, node_client, program_flags
 from chivepond.wire import node_status
 
@@ -25,6 +26,12 @@
     return console.complain(answer.unwrap_err())
 
 
+async def events_table(program: program_flags.ProgramFlags) -> int:
+    """Write the catalogue of log events."""
+    console.say(event_table.table())
+    return exit_code.ExitCode.OK
+
+
 def _show(seen: node_status.NodeStatus) -> None:
     console.say(f'node {seen.node_id} in {seen.data_centre}')
     console.say(f'revision in force: {seen.revision}')
