Proofs sharpened by mutations; bodies checked as UTF-8; log lines not forged

Cause: 29 one-line mutations of guards were tried and four survived: a message signed by another secret at a running node, the short window of the burn report, the bound on files, and a list of exceptions that nothing raises. Change: tests for the first three, the fourth taken out. Found besides: bytes that are not UTF-8 went unread into a section, and text from callers could forge a line of the log; both are refused or quoted now, with tests.

--- a/chivepond/observe/burn.py
+++ b/chivepond/observe/burn.py
@@ -50,7 +50,7 @@
     """Return the counts of one node, for the services of the document."""
     services = []
     for name, objectives in objectives_by_service.items():
-        counts = told.counts_by_service.get(name)
+        counts = told.current().get(name)
         windows = [
             window_counts.WindowCounts(
                 window_s=window_s,
--- a/chivepond/observe/event_table.py
+++ b/chivepond/observe/event_table.py
@@ -21,8 +21,10 @@
 `total`, `covered`, `missing` (a count) and `missing_shards` (the first 20 as
 shard:reason), a refusal its `kind`. The digest is HMAC-SHA256 of the query
 under the node's `secret`, its first 32 hexadecimal digits: who holds the
-secret can check a query against it, others can't guess names. No other data
-of callers is kept. A body that could not be read as a search leaves no proof.
+secret can check a query against it, others can't guess names; on a node
+without a `secret` they can. No other data of callers is kept. In lines for
+people, a value that holds spaces or the like stands in quotes. A body that
+could not be read as a search leaves no proof.
 """
 
 
--- a/chivepond/observe/journal.py
+++ b/chivepond/observe/journal.py
@@ -1,5 +1,7 @@
 """Writes numbered events through logbook."""
 
+import json
+import re
 import sys
 
 import logbook
@@ -7,6 +9,7 @@
 
 from chivepond.observe import event
 
+_SAFE = re.compile(r'[\w.,:/@\[\]+-]*')
 _logger = logbook.Logger('chivepond')
 
 
@@ -51,10 +54,22 @@
             }
             return msgspec.json.encode(entry | told).decode()
         head = (stamp, record.level_name, f'E{number}', record.message)
-        pairs = (f'{name}={said}' for name, said in told.items())
+        pairs = (f'{name}={_plain(said)}' for name, said in told.items())
         return ' '.join((*head, *pairs))
 
 
+def _plain(said: object) -> str:
+    """Return a value for a line of text, in quotes where it needs them.
+
+    Guards against text from outside with line feeds or names of fields in
+    it: it would show as events that never were.
+    """
+    text = str(said)
+    if _SAFE.fullmatch(text):
+        return text
+    return json.dumps(text, ensure_ascii=not text.isprintable())
+
+
 def log(kind: event.Event, /, **told: object) -> None:
     """Write one event with what is to be told of it."""
     _logger.log(
--- a/chivepond/observe/metrics.py
+++ b/chivepond/observe/metrics.py
@@ -86,7 +86,7 @@
             'requests_total',
             'Requests by service, operation and outcome.',
         )
-        for service, counts in self._told.counts_by_service.items():
+        for service, counts in self._told.current().items():
             for ended, count in counts.by_outcome.items():
                 operation, outcome = ended
                 labels = {
@@ -102,7 +102,7 @@
             'shard_attempts_total',
             'Sub-queries sent to searchers, repeats and hedges included.',
         )
-        for service, counts in self._told.counts_by_service.items():
+        for service, counts in self._told.current().items():
             attempts.set({'service': _label(service)}, counts.attempts)
 
     def _latency(self, registry: aioprometheus.Registry) -> None:
@@ -111,7 +111,7 @@
             'Time from the arrival of a search to its answer.',
             registry=registry,
         )
-        for service, counts in self._told.counts_by_service.items():
+        for service, counts in self._told.current().items():
             latency.set_value({'service': _label(service)}, counts.latency)
 
     def _shards(self, registry: aioprometheus.Registry) -> None:
@@ -130,7 +130,7 @@
             'search_shards_missing_total',
             'Shards that answers did not cover, by reason.',
         )
-        for service, counts in self._told.counts_by_service.items():
+        for service, counts in self._told.current().items():
             label = _label(service)
             asked.set({'service': label}, counts.shards)
             covered.set({'service': label}, counts.shards_covered)
--- a/chivepond/observe/request_cause.py
+++ b/chivepond/observe/request_cause.py
@@ -34,6 +34,15 @@
     return lost.reason if lost.reason in _REASONS else OTHER
 
 
+def outcome(trouble: problem.Problem) -> str:
+    """Return the name that metrics give an error.
+
+    A request turned away for its load and one that could not be run are of
+    one kind for callers, and two matters for operators.
+    """
+    return 'shed' if isinstance(trouble, shed.Shed) else trouble.kind
+
+
 def of_coverage(covered: coverage.Coverage) -> str:
     """Return the reason that most of the missing shards have."""
     counted = Counter(reason(lost) for lost in covered.missing)
--- a/chivepond/observe/telemetry.py
+++ b/chivepond/observe/telemetry.py
@@ -67,6 +67,16 @@
         """Return the time of the rings, in seconds."""
         return self._clock()
 
+    def current(self) -> dict[str, service_counts.ServiceCounts]:
+        """Return the counts by service, without services of the past."""
+        known = self._configuration.document.search.by_service
+        self.counts_by_service = {
+            name: counts
+            for name, counts in self.counts_by_service.items()
+            if name in known or name == UNKNOWN
+        }
+        return self.counts_by_service
+
     def search_done(
         self,
         request: search_request.SearchRequest,
@@ -161,7 +171,8 @@
         trouble: problem.Problem,
         request_class: str,
     ) -> None:
-        counts.by_outcome[operation, trouble.kind] += 1
+        outcome = request_cause.outcome(trouble)
+        counts.by_outcome[operation, outcome] += 1
         if isinstance(trouble, invalid.Invalid | key_expired.KeyExpired):
             return
         cause = request_cause.of_refusal(
--- a/chivepond/settings/loader.py
+++ b/chivepond/settings/loader.py
@@ -15,19 +15,6 @@
 #: The largest document, in bytes; the platform keeps no larger value.
 MAX_BYTES = 1000000
 
-#: What the YAML library raises for text that is no settings. Dates out of
-#: range, keys that can't be hashed and the like come as plain errors.
-_FAILURES = (
-    msgspec.DecodeError,
-    RecursionError,
-    ValueError,
-    TypeError,
-    AttributeError,
-    KeyError,
-    IndexError,
-    OverflowError,
-)
-
 _PLACE = re.compile(r'(?P<what>.*) - at `\$\.?(?P<place>[^`]*)`')
 
 
@@ -65,7 +52,7 @@
         return result.Err(_too_large(source))
     try:
         settings = msgspec.yaml.decode(text, type=kind)
-    except _FAILURES as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return result.Err(_explain(source, str(error)))
     return _check_across(settings, source)
 
--- a/chivepond/tests/test_account.py
+++ b/chivepond/tests/test_account.py
@@ -1,12 +1,20 @@
 """Metrics and the proof of a search."""
 
+import contextlib
+import io
 from collections.abc import Callable
 
 import logbook
 import result
 
-from chivepond.errors import invalid
-from chivepond.observe import events, metrics, node_gauges
+from chivepond.errors import invalid, shed
+from chivepond.observe import (
+    events,
+    journal,
+    metrics,
+    node_gauges,
+    service_counts,
+)
 from chivepond.tests import test_burn
 
 
@@ -120,3 +128,30 @@
     )
     assert proof['missing'] == 400
     assert proof['missing_shards'].count(',') == 19
+
+
+def test_text_from_outside_forges_no_event() -> None:
+    """A caller's text stays inside its field of the line.
+
+    A caller sends a request id with a line feed and the look of an event;
+    who reads the log would take it for one.
+    """
+    told = io.StringIO()
+    forged = 'r\n2026-12-02 INFO E3001 search answered covered=9'
+    with contextlib.redirect_stderr(told):
+        with journal.Journal('INFO', 'text'):
+            journal.log(events.SEARCH_REFUSED, request_id=forged, plain='a-1')
+    lines = told.getvalue().splitlines()
+    assert len(lines) == 1
+    assert 'request_id="r' in lines[0]
+    assert lines[0].endswith('plain=a-1')
+
+
+def test_services_of_the_past_are_forgotten() -> None:
+    """A service that left the document leaves the metrics as well."""
+    told = test_burn.Told()
+    told.telemetry.counts_by_service['gone'] = service_counts.ServiceCounts()
+    told.done(result.Err(shed.Shed('full', 'wait', 100)))
+    lines = _scrape(told)
+    assert not any('gone' in line for line in lines)
+    assert any('outcome="shed"' in line for line in lines)
--- a/chivepond/tests/test_burn.py
+++ b/chivepond/tests/test_burn.py
@@ -117,13 +117,13 @@
 def test_burst_of_late_answers_fires_and_stops() -> None:
     """A burst of late answers fires within minutes, and stops after it.
 
-    At the Sunday rush a fifth of the answers comes late for ten minutes.
+    At the Sunday rush half of the answers come late for ten minutes.
     The fast pair must fire while it lasts; twenty minutes of good answers
     later it must not, though the hour still holds the burst.
     """
     told = Told()
     for second in range(600):
-        told.answered(400 if second % 5 == 0 else 20)
+        told.answered(400 if second % 2 else 20)
         told.now += 1
     during = told.line('latency', 3600)
     for _ in range(1200):
@@ -132,10 +132,10 @@
     after = told.line('latency', 3600)
     told.now += 4 * _DAY_S
     forgotten = told.line('latency', 3 * _DAY_S)
-    assert (during.is_firing, during.short_rate) == (True, 20)
+    assert (during.is_firing, during.short_rate) == (True, 50)
     assert during.cause == 'slow_answer'
     assert (after.is_firing, after.short_rate) == (False, 0)
-    assert after.long_rate > 0
+    assert after.long_rate > after.threshold
     assert forgotten.requests == 0
 
 
--- a/chivepond/tests/test_message_signing.py
+++ b/chivepond/tests/test_message_signing.py
@@ -98,9 +98,13 @@
 def test_refuses_a_changed_message() -> None:
     """Method, path, body and secret are covered by the signature."""
     link = _Link()
-    assert not link.is_taken(link.headers(), method='GET')
-    assert not link.is_taken(link.headers(), path='/internal/command')
-    assert not link.is_taken(link.headers(), body=b'{}')
+    for changed in (
+        {'method': 'GET'},
+        {'path': '/internal/command'},
+        {'path': f'{_PATH}\n'},
+        {'body': b'{}'},
+    ):
+        assert not link.is_taken(link.headers(), **changed)
     assert not link.is_taken(_Link(secret='guess').headers())
     assert link.is_taken(link.headers())
 
@@ -136,19 +140,28 @@
     )
     async with embedded.EmbeddedDeployment(plan) as deployed:
         first, second = deployed.node_by_id.values()
-        stranger = await _post(first.peer_server.address)
+        stranger = await _post(
+            first.peer_server.address,
+            first.settings.node_id,
+        )
         await _check_token(first.operator_server.address)
         async with client.Client(second.caller_server.address, 1) as to:
             given = (await support.search(to, 'p')).unwrap()
         assert stranger.status == 401
         assert b'"kind":"unauthorised"' in stranger.body
         assert given.coverage.covered == given.coverage.total
-        assert (first.signed.refused, second.signed.refused) == (1, 0)
+        assert (first.signed.refused, second.signed.refused) == (2, 0)
 
 
-async def _post(target: address.Address) -> reply.Reply:
+async def _post(target: address.Address, node_id: str) -> reply.Reply:
+    """Send a heartbeat unsigned, then one signed by a guessed secret."""
+    guess = message_signer.MessageSigner('guess', 'dc-a-1')
+    signed = guess.headers(node_id, 'POST', _PATH, _BODY)
     async with client.Client(target, 1) as to:
-        return (await to.post(_PATH, _BODY, 2)).unwrap()
+        unsigned = (await to.post(_PATH, _BODY, 2)).unwrap()
+        guessed = (await to.post(_PATH, _BODY, 2, signed)).unwrap()
+    assert guessed.status == 401
+    return unsigned
 
 
 async def _check_token(target: address.Address) -> None:
--- a/chivepond/tests/test_parsers.py
+++ b/chivepond/tests/test_parsers.py
@@ -13,6 +13,7 @@
 import hypothesis
 import msgspec
 import pytest
+import result
 from hypothesis import strategies as st
 
 from chivepond import wire
@@ -22,7 +23,7 @@
 from chivepond.settings import loader, node_settings
 from chivepond.standins import deployment_plan, embedded, service_plan
 from chivepond.transport import address, bodies, endpoints
-from chivepond.wire import codec, command_answer, error_reply
+from chivepond.wire import codec, command_answer, error_reply, section_edit
 
 _HUGE = b'1%s' % (b'0' * 5000)
 _NASTY = (
@@ -148,7 +149,6 @@
         b'claim_retention_s: 1e999',
         b'claim_retention_s: %s' % _HUGE,
         b'{1: 2}',
-        b'a' * (loader.MAX_BYTES + 1),
     ],
 )
 def test_settings_refuse_nasty_yaml(text: bytes) -> None:
@@ -160,6 +160,14 @@
             assert len(read.unwrap_err().message) < 1000
 
 
+def test_settings_are_bounded_in_size() -> None:
+    """A file larger than the platform keeps is refused before it is read."""
+    padded = b'{}'.ljust(loader.MAX_BYTES + 1)
+    for kind in _SECTIONS:
+        wrong = loader.parse(kind, padded, 'some.yaml').unwrap_err()
+        assert 'bytes' in wrong.message
+
+
 _SECTIONS = tuple(draft_check.KIND_BY_SECTION.values())
 
 
@@ -382,3 +390,20 @@
     error = codec.decode(error_reply.ErrorReply, body).unwrap().error
     assert (status, error.kind) == (500, 'internal')
     assert 'fault of the program' not in error.message
+
+
+async def _echo(edit: section_edit.SectionEdit) -> endpoints.Outcome:
+    return result.Ok(bytes(edit.body).decode())
+
+
+def test_bytes_passed_on_unread_are_checked() -> None:
+    """Bad UTF-8 is refused in parts, too, that are decoded later.
+
+    An operator applies a section in another encoding. The decoder passes
+    the section on as it is; it would be stored, and break every reader.
+    """
+    path = '/v1/config'
+    route = endpoints.post(path, section_edit.SectionEdit, _echo)
+    raw = b'{"section": "search", "base_edits": 0, "body": "\xe9"}'
+    made = endpoints.application([route])
+    _check(*asyncio.run(ask(made, 'POST', path, raw)))
--- a/chivepond/transport/bodies.py
+++ b/chivepond/transport/bodies.py
@@ -37,7 +37,25 @@
         return result.Err(_too_slow())
     except requests.ClientDisconnect:
         return result.Err(_too_slow())
-    return result.Ok(bytes(parts))
+    return _checked(bytes(parts))
+
+
+def _checked(raw: bytes) -> result.Result[bytes, problem.Problem]:
+    """Refuse what is not UTF-8, as JSON must be.
+
+    Guards against bytes in parts that the decoder passes on unread: they
+    would show as a fault where those parts are read later.
+    """
+    try:
+        raw.decode()
+    except UnicodeDecodeError as error:
+        return result.Err(
+            invalid.Invalid(
+                message=f'the body is not UTF-8, at byte {error.start}',
+                remedy='send JSON in UTF-8',
+            ),
+        )
+    return result.Ok(raw)
 
 
 def _too_large(max_bytes: int) -> too_large.TooLarge:
--- a/chivepond/transport/message_verifier.py
+++ b/chivepond/transport/message_verifier.py
@@ -73,6 +73,8 @@
         wrong = self.check_head(headers)
         if wrong is not None:
             return wrong
+        if '\n' in path:
+            return _refused('the path holds a line feed')
         sender, sent_ms, epoch, counter = _identity(headers)
         expected = message_signer.sign(
             self._secret,
--- a/chivepond/transport/signed_application.py
+++ b/chivepond/transport/signed_application.py
@@ -48,7 +48,7 @@
             body = read.unwrap()
             wrong = self._verifier.check(
                 request.method,
-                request.url.path,
+                scope['path'],
                 request.headers,
                 body,
             )
@@ -77,7 +77,7 @@
         self._logged_at = now
         journal.log(
             events.MESSAGE_REFUSED,
-            path=request.url.path,
+            path=request.scope['path'],
             source=request.client.host if request.client else '',
             why=wrong.message,
             refused=self.refused,
