Late answers are put down to their late shards; rows of proofs

Cause: an answer that went out late without some shards was put down to a slow answer. Change: the reason that most missing shards have names it.

--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -79,10 +79,8 @@
 
     async def run(self, request: command_request.CommandRequest) -> _Answer:
         """Run a command at most once, or say how its key stands."""
-        started_at = _now()
         answer = await self._run(request)
-        took_ms = (_now() - started_at) * _MS_PER_S
-        self._telemetry.command_done(request, answer, took_ms)
+        self._telemetry.command_done(request, answer)
         match answer:
             case result.Ok(given):
                 journal.log(
--- a/chivepond/observe/telemetry.py
+++ b/chivepond/observe/telemetry.py
@@ -89,7 +89,9 @@
         counts.attempts += trace.attempts
         match answer:
             case result.Ok(given):
-                self._count_answer(counts, SEARCH, request.service, took_ms)
+                self._count_answer(counts, SEARCH)
+                counts.latency.observe(took_ms * _S_PER_MS)
+                self._count_late(counts, request, given.coverage, took_ms)
                 self._count_coverage(counts, given.coverage)
             case result.Err(trouble):
                 name = self._class(request)
@@ -100,13 +102,12 @@
         self,
         request: command_request.CommandRequest,
         answer: CommandOutcome,
-        took_ms: float,
     ) -> None:
         """Count a non-idempotent request that has its outcome."""
         counts = self._counts(request.service)
         match answer:
             case result.Ok(_):
-                self._count_answer(counts, COMMAND, request.service, took_ms)
+                self._count_answer(counts, COMMAND)
             case result.Err(trouble):
                 self._count_refusal(counts, COMMAND, trouble, COMMAND)
 
@@ -135,20 +136,24 @@
         self,
         counts: service_counts.ServiceCounts,
         operation: str,
-        name: str,
-        took_ms: float,
     ) -> None:
-        now = self._clock()
         counts.by_outcome[operation, 'answered'] += 1
-        counts.add(service_counts.REQUESTS, now)
-        if operation != SEARCH:
-            return
-        counts.latency.observe(took_ms * _S_PER_MS)
-        counts.add(service_counts.ANSWERED, now)
-        service = self._configuration.service(name)
+        counts.add(service_counts.REQUESTS, self._clock())
+        if operation == SEARCH:
+            counts.add(service_counts.ANSWERED, self._clock())
+
+    def _count_late(
+        self,
+        counts: service_counts.ServiceCounts,
+        request: search_request.SearchRequest,
+        covered: coverage.Coverage,
+        took_ms: float,
+    ) -> None:
+        service = self._configuration.service(request.service)
         if service is None or took_ms <= service.objectives.latency_ms:
             return
-        counts.add(f'latency {request_cause.SLOW_ANSWER}', now)
+        cause = request_cause.of_coverage(covered)
+        counts.add(f'latency {cause}', self._clock())
 
     def _count_coverage(
         self,
--- a/chivepond/tests/test_burn.py
+++ b/chivepond/tests/test_burn.py
@@ -150,9 +150,13 @@
     for _ in range(2):
         told.done(result.Err(not_run.NotRun('away', 'wait', 100)))
     told.done(result.Err(invalid.Invalid('wrong', 'mend it')))
+    told.answered(400, 'late')
+    told.answered(400, 'late')
+    told.answered(400)
+    assert told.line('latency', 3600).cause == 'late_shard'
     assert told.line('coverage', 3600).cause == 'late_shard'
     assert told.line('availability', 3600).cause == 'platform'
-    assert told.line('availability', 3600).requests == 6
+    assert told.line('availability', 3600).requests == 9
 
 
 def test_report_adds_up_nodes() -> None:
