A search that starts over keeps count of its attempts

Cause: the proof of a search that started over at a newer version told the attempts of the second round alone. Change: the count is carried over. No test of it yet.

--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -169,6 +169,7 @@
                 index=newer,
                 deadline=state.deadline,
                 wanted=state.wanted,
+                attempts=state.attempts,
             )
             await self._collect(again, policy, started_at)
             again.request_id = state.request_id
