Connections serve more than a thousand exchanges

Cause: a profile of exchanges between nodes showed 3501 connects for 4501 exchanges. The pool of aiosonic 1.3.3 counts the requests of a connection object, takes it for used up past 1000, and keeps the count when it opens a new socket: from then on every exchange opens a connection. Ruled out: the guard that closes connections after a time-out (none timed out) and the server's keep-alive (75 s).

--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -49,6 +49,9 @@
                 ':default': pools.PoolConfig(
                     size=connections,
                     max_conn_idle_ms=_IDLE_MS,
+                    # The pool never starts to count anew, so that a bound
+                    # would open a connection for each exchange past it.
+                    max_conn_requests=None,
                 ),
             },
             timeouts=timeout.Timeouts(
