--- a/chivepond/capacity/exchange_probe.py
+++ b/chivepond/capacity/exchange_probe.py
@@ -33,7 +33,7 @@
 
 
 async def _measure_one(hits: int) -> float:
-    query = _query()
+    asked = query()
     async with (
         server.Server(_application(hits), _ANY_PORT, 1) as serving,
         client.Client(serving.address, 1) as to,
@@ -44,7 +44,7 @@
                 owner_answer.OwnerAnswer,
                 to,
                 _PATH,
-                query,
+                asked,
                 _TIMEOUT_S,
             )
             answer.unwrap()
@@ -73,7 +73,7 @@
     )
 
 
-def _query() -> owner_query.OwnerQuery:
+def query() -> owner_query.OwnerQuery:
     return owner_query.OwnerQuery(
         request_id='r' * 16,
         service='pass-lookup',
