--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -105,13 +105,14 @@
             for peer in peers:
                 group.create_task(self._beat(peer.host_id, peer.address))
             if not self._directory.view.node_by_id:
-                for seed in self._settings.seeds:
-                    group.create_task(self._beat('', seed))
+                for node_id, target in self._settings.seeds.items():
+                    group.create_task(self._beat(node_id, target))
 
     async def _beat(self, node_id: str, target: str) -> None:
         sent_at = _now()
         answer = await self._peers.post_to(
             heartbeat.Heartbeat,
+            node_id,
             target,
             '/internal/heartbeat',
             self.own(node_id),
@@ -120,11 +121,16 @@
         match answer:
             case result.Ok(told):
                 self._directory.heard(told, _now(), _now() - sent_at)
-                await self._fetch(target, told)
-            case result.Err() if node_id:
+                await self._fetch(node_id, target, told)
+            case result.Err():
                 self._directory.members.failed(node_id, _now())
 
-    async def _fetch(self, target: str, told: heartbeat.Heartbeat) -> None:
+    async def _fetch(
+        self,
+        node_id: str,
+        target: str,
+        told: heartbeat.Heartbeat,
+    ) -> None:
         known = self._cache.version_by_key()
         newer = [
             key
@@ -135,6 +141,7 @@
             return
         answer = await self._peers.post_to(
             notice_list.NoticeList,
+            node_id,
             target,
             '/internal/objects',
             object_request.ObjectRequest(keys=newer),
--- a/chivepond/tests/conftest.py
+++ b/chivepond/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings of the test run: property tests draw the same examples always."""
+"""Profile of the property-based tests: the same examples on every run."""
 
 import hypothesis
 
--- a/chivepond/tests/test_accepted_in_force.py
+++ b/chivepond/tests/test_accepted_in_force.py
@@ -44,7 +44,7 @@
         down = msgspec.json.encode(platform_faults.PlatformFaults(down=True))
         await deployed.platform.post('/standin/faults', down, 5)
         seed = deployed.listens_by_id['dc-a-0']['peers']
-        await deployed.start_node('dc-a-9', 'dc-a', {'seeds': [seed]})
+        await deployed.start_node('dc-a-9', 'dc-a', {'seeds': {'dc-a-0': seed}})
         for node_id in deployed.node_by_id:
             async with deployed.operator_client(node_id) as operators:
                 await _wait_in_force(operators, revision)
