--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 import result
 
@@ -15,11 +16,17 @@
 _MS_PER_S = 1000
 
 
+def loop_time() -> float:
+    """Return the time of the running loop, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 class Heartbeats:
     """Sends heartbeats, and fetches from peers what they have newer."""
 
     __slots__ = (
         '_cache',
+        '_clock',
         '_configuration',
         '_directory',
         '_peers',
@@ -35,6 +42,7 @@
         hosts: directory.Directory,
         peers: peer_clients.Peers,
         rng: random.Random,
+        clock: Callable[[], float] = loop_time,
     ) -> None:
         """Keep ``cache`` and ``hosts`` in step with other nodes."""
         self._settings = settings
@@ -43,6 +51,7 @@
         self._directory = hosts
         self._peers = peers
         self._random = rng
+        self._clock = clock
 
     def own(self, receiver: str) -> heartbeat.Heartbeat:
         """Return what this node says of itself, and news for the receiver."""
@@ -62,7 +71,7 @@
 
         The versions of all objects go along only if the digests differ.
         """
-        self._directory.heard(beat, _now())
+        self._directory.heard(beat, self._clock())
         own = self.own(beat.node_id)
         if beat.digest == own.digest:
             return own
@@ -88,12 +97,12 @@
 
     async def beat(self) -> None:
         """Exchange heartbeats with a few peers, with all after a pause."""
-        if self._directory.members.tick(_now()):
+        if self._directory.members.tick(self._clock()):
             journal.log(events.NODE_WOKE)
             await self._beat_all(self._directory.peers())
         else:
             await self._beat_all(self._directory.sample(self._random))
-        self._directory.refresh(_now())
+        self._directory.refresh(self._clock())
 
     async def leave(self) -> None:
         """Tell all peers that this node leaves."""
@@ -109,7 +118,7 @@
                     group.create_task(self._beat(node_id, target))
 
     async def _beat(self, node_id: str, target: str) -> None:
-        sent_at = _now()
+        sent_at = self._clock()
         answer = await self._peers.post_to(
             heartbeat.Heartbeat,
             node_id,
@@ -120,10 +129,12 @@
         )
         match answer:
             case result.Ok(told):
-                self._directory.heard(told, _now(), _now() - sent_at)
+                self._directory.heard(
+                    told, self._clock(), self._clock() - sent_at
+                )
                 await self._fetch(node_id, target, told)
             case result.Err():
-                self._directory.members.failed(node_id, _now())
+                self._directory.members.failed(node_id, self._clock())
 
     async def _fetch(
         self,
@@ -151,7 +162,3 @@
             case result.Ok(copies):
                 for one in copies.notices:
                     self._cache.offer(one)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/chivepond/control/member_table.py
+++ b/chivepond/control/member_table.py
@@ -148,6 +148,8 @@
             known.state,
         ):
             known.incarnation = one.incarnation
+            if one.state == known.state:
+                return
             _set(known, one.state, now)
 
     def _known(self, node_id: str, now: float) -> member.Member:
--- a/chivepond/tests/test_member_table.py
+++ b/chivepond/tests/test_member_table.py
@@ -116,3 +116,40 @@
     table.tick(62)
     table.tick(63)
     assert table.state_of('n1') == member.DEAD
+
+
+def test_member_falsely_suspected_clears_itself() -> None:
+    """A live node that missed one heartbeat keeps its work.
+
+    Shards of a healthy owner go missing. One heartbeat to it was lost, and
+    it never hears that it is suspected, or nobody hears its denial.
+    """
+    one, other = _Peer('n0'), _Peer('n1')
+    one.table.failed('n1', 0)
+    assert one.table.state_of('n1') == member.SUSPECT
+    _tell(one, other, 1)
+    _tell(other, one, 1)
+    assert one.table.state_of('n1') == member.ALIVE
+
+
+def test_member_news_stay_bounded_when_a_rack_fails() -> None:
+    """A heartbeat stays small when many nodes fail at once.
+
+    All nodes stall after a rack went: each heartbeat carried news of all.
+    """
+    table = member_table.MemberTable('n0', 1, _SUSPECT_S)
+    for number in range(50):
+        table.failed(f'r{number}', 0)
+    assert len(table.news_for('n1')) == member_table.NEWS_LIMIT
+
+
+def test_member_leaving_is_known_to_the_third() -> None:
+    """A node that leaves gets no work from those it told by way of others.
+
+    Callers are cut when a host is replaced. It told one peer only.
+    """
+    leaver, middle, third = _Peer('n0'), _Peer('n1'), _Peer('n2')
+    leaver.table.is_leaving = True
+    _tell(leaver, middle, 0)
+    _tell(middle, third, 0)
+    assert third.table.state_of('n0') == member.LEAVING
