--- a/chivepond/tests/test_member_table.py
+++ b/chivepond/tests/test_member_table.py
@@ -125,6 +125,7 @@
     it never hears that it is suspected, or nobody hears its denial.
     """
     one, other = _Peer('n0'), _Peer('n1')
+    _tell(other, one, 0)
     one.table.failed('n1', 0)
     assert one.table.state_of('n1') == member.SUSPECT
     _tell(one, other, 1)
