chivepond-load: open-loop load, faults on a timetable, variants side by side

Stand-ins gain links that take time, a cold searcher, and a node that is cut off at once (Server.abort). exchange names sheds and bodies that are too large by their own kind, which the client showed as internal.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 format: $(READY)
 	$(BIN)/ruff format chivepond
 
+load: $(READY)
+	$(BIN)/chivepond-load --short --out reports experiments/*.yaml
+
 clean:
 	rm -rf $(VENV) build reports
--- /dev/null
+++ b/chivepond/load/callers.py
@@ -0,0 +1,107 @@
+"""Callers of the entry hosts, behind the platform's balancer."""
+
+import contextlib
+import secrets
+import time
+import types
+from typing import Self
+
+import result
+
+from chivepond.errors import problem
+from chivepond.load import arrival
+from chivepond.transport import address, client, exchange
+from chivepond.wire import (
+    command_answer,
+    command_request,
+    search_answer,
+    search_request,
+)
+
+_CONNECTIONS = 256
+_MS_PER_S = 1000
+_KEY_BYTES = 9
+
+SearchOutcome = result.Result[search_answer.SearchAnswer, problem.Problem]
+CommandOutcome = result.Result[command_answer.CommandAnswer, problem.Problem]
+
+
+class Callers:
+    """One client for each entry host; lost hosts leave the balancer."""
+
+    __slots__ = ('_clients', '_stack', '_timeout_s')
+
+    def __init__(
+        self,
+        targets: list[address.Address],
+        timeout_s: float,
+    ) -> None:
+        """Call ``targets``; a caller gives up after ``timeout_s`` seconds."""
+        self._stack = contextlib.AsyncExitStack()
+        self._clients = [client.Client(one, _CONNECTIONS) for one in targets]
+        self._timeout_s = timeout_s
+
+    async def __aenter__(self) -> Self:
+        """Return the callers."""
+        for to in self._clients:
+            await self._stack.enter_async_context(to)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Close all connections."""
+        await self._stack.aclose()
+
+    def leave(self, target: address.Address) -> None:
+        """Send no more requests to an entry host."""
+        self._clients = [one for one in self._clients if one.target != target]
+
+    def fresh_key(self) -> str:
+        """Return the key of a new command."""
+        issued_ms = int(time.time() * _MS_PER_S)
+        return f'{issued_ms}-{secrets.token_urlsafe(_KEY_BYTES)}'
+
+    async def search(self, due: arrival.Arrival) -> SearchOutcome:
+        """Search through one entry host."""
+        return await exchange.post(
+            search_answer.SearchAnswer,
+            self._client(due),
+            '/v1/search',
+            request_of(due),
+            self._timeout_s,
+        )
+
+    async def command(self, due: arrival.Arrival, key: str) -> CommandOutcome:
+        """Send a command through one entry host."""
+        return await exchange.post(
+            command_answer.CommandAnswer,
+            self._client(due),
+            '/v1/commands',
+            command_request.CommandRequest(
+                service=due.stream.service,
+                key=key,
+                shard_key=key,
+                body=due.stream.query,
+                caller=due.caller,
+            ),
+            self._timeout_s,
+        )
+
+    def _client(self, due: arrival.Arrival) -> client.Client:
+        return self._clients[due.entry % len(self._clients)]
+
+
+def request_of(due: arrival.Arrival) -> search_request.SearchRequest:
+    """Return the search that is due."""
+    one = due.stream
+    return search_request.SearchRequest(
+        service=one.service,
+        query=one.query,
+        caller=due.caller,
+        limit=one.limit,
+        request_class=one.request_class,
+    )
--- /dev/null
+++ b/chivepond/load/stream.py
@@ -0,0 +1,37 @@
+"""One stream of searches, as an experiment file describes it."""
+
+import typing
+
+import msgspec
+
+#: The longest that a trial may take, in seconds.
+MAX_S = 600
+_MAX_PER_S = 2000
+
+_Rate = typing.Annotated[float, msgspec.Meta(gt=0, le=_MAX_PER_S)]
+_Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_S)]
+
+
+class Stream(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Searches of one service that arrive whether or not others ended.
+
+    ``per_s`` is the mean rate. Poisson arrivals are independent; with
+    ``burst`` they come ``burst_size`` at a time. The stream runs from
+    ``from_s`` until ``until_s``, zero being the end of the trial.
+    ``delay_ms`` is the one-way delay between a caller and its entry host.
+    Commands are non-idempotent requests, each under a key of its own.
+    """
+
+    name: str
+    service: str
+    per_s: _Rate
+    sends: typing.Literal['searches', 'commands'] = 'searches'
+    arrivals: typing.Literal['poisson', 'burst'] = 'poisson'
+    burst_size: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 10
+    from_s: _Seconds = 0
+    until_s: _Seconds = 0
+    callers: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    query: str = 'Gurung'
+    limit: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 3
+    request_class: str = 'interactive'
+    delay_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -54,7 +54,7 @@
             settings.platform_timeout_ms / _MS_PER_S,
         )
         claims = claim_store.ClaimStore(self.platform)
-        self.peers = peers.Peers(self.directory)
+        self.peers = self._make_peers()
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
         self.searches = searches.Searches(
@@ -195,6 +195,9 @@
             refused_because=refused.message,
         )
 
+    def _make_peers(self) -> peers.Peers:
+        return peers.Peers(self.directory)
+
     def _refused(self) -> refused_document.RefusedDocument:
         none = refused_document.RefusedDocument(0, '', '')
         told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
--- /dev/null
+++ b/chivepond/standins/delayed_peers.py
@@ -0,0 +1,57 @@
+"""Exchanges between nodes over links that take time."""
+
+import asyncio
+import random
+from typing import Any, TypeVar
+
+import result
+
+from chivepond.control import directory
+from chivepond.entry import peers
+from chivepond.errors import problem
+
+Kind = TypeVar('Kind')
+
+_MS_PER_S = 1000
+
+
+class DelayedPeers(peers.Peers):
+    """Waits on the way to a node of another data centre, and back."""
+
+    __slots__ = ('_data_centre', '_jitter_ms', '_link_ms')
+
+    def __init__(
+        self,
+        hosts: directory.Directory,
+        data_centre: str,
+        link_ms: float,
+        jitter_ms: float,
+    ) -> None:
+        """Take ``link_ms`` and up to ``jitter_ms`` more, one way."""
+        super().__init__(hosts)
+        self._data_centre = data_centre
+        self._link_ms = link_ms
+        self._jitter_ms = jitter_ms
+
+    async def post(
+        self,
+        kind: type[Kind],
+        node_id: str,
+        path: str,
+        message: Any,
+        timeout_s: float,
+    ) -> result.Result[Kind, problem.Problem]:
+        """Send a message to a node and return its typed answer."""
+        if node_id.rpartition('-')[0] == self._data_centre:
+            return await super().post(kind, node_id, path, message, timeout_s)
+        there_s = self._one_way_s()
+        back_s = self._one_way_s()
+        await asyncio.sleep(there_s)
+        left_s = max(0, timeout_s - there_s - back_s)
+        answer = await super().post(kind, node_id, path, message, left_s)
+        await asyncio.sleep(back_s)
+        return answer
+
+    def _one_way_s(self) -> float:
+        jitter_ms = random.uniform(0, self._jitter_ms)
+        return (self._link_ms + jitter_ms) / _MS_PER_S
--- a/chivepond/standins/embedded.py
+++ b/chivepond/standins/embedded.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from chivepond import node
 from chivepond.settings import node_settings
 from chivepond.standins import (
     deployment_plan,
+    embedded_node,
     placement,
     platform,
     searcher,
@@ -39,7 +39,7 @@
     def __init__(self, plan: deployment_plan.DeploymentPlan) -> None:
         """Follow ``plan``; sockets are bound when entered."""
         self.plan = plan
-        self.node_by_id: dict[str, node.Node] = {}
+        self.node_by_id: dict[str, embedded_node.EmbeddedNode] = {}
         self.searcher_by_id: dict[str, searcher.SearcherStandin] = {}
         self.platform = platform.PlatformStandin(_ANY_PORT)
         self._stack = contextlib.AsyncExitStack()
@@ -149,7 +149,10 @@
             told | self.plan.node,
             node_settings.NodeSettings,
         )
-        self.node_by_id[node_id] = node.Node(settings)
+        self.node_by_id[node_id] = embedded_node.EmbeddedNode(
+            settings,
+            self.plan,
+        )
 
 
 def document_of(
--- a/chivepond/standins/searcher.py
+++ b/chivepond/standins/searcher.py
@@ -360,6 +360,8 @@
     def _state(self) -> str:
         if self.faults.draining:
             return 'draining'
+        if self.faults.cold:
+            return 'cold'
         age_ms = (_now() - self._started_at) * _MS_PER_S
         return 'cold' if age_ms < self.profile.cold_start_ms else 'ready'
 
--- /dev/null
+++ b/chivepond/tools/load.py
@@ -0,0 +1,116 @@
+"""chivepond-load: measures variants of the query tier under load."""
+
+import contextlib
+import cProfile
+import pathlib
+import sys
+
+import result
+
+from chivepond.errors import invalid
+from chivepond.load import checked_experiment, profile, runner
+from chivepond.observe import journal
+from chivepond.tools import console, exit_code, program_flags
+
+_USAGE = """chivepond-load: measures variants of the query tier under load.
+
+Examples:
+  chivepond-load --short experiments/stragglers.yaml
+  chivepond-load --check experiments/*.yaml
+  chivepond-load --profile --short experiments/plain.yaml
+  chivepond-load --callers 127.0.0.1:8001,127.0.0.1:8002 --pids 71,72 FILE
+
+Each file names an experiment; its variants run in turn, several times, on
+a deployment in this process or, with --callers, on nodes that already run.
+Load goes to loopback addresses only. Reports are written as Markdown, JSON
+and a plot.
+"""
+
+_Experiments = list[checked_experiment.CheckedExperiment]
+
+
+def run() -> None:
+    """Run the program, and exit with its code."""
+    sys.exit(main(sys.argv))
+
+
+def main(arguments: list[str]) -> int:
+    """Return the exit code."""
+    program = program_flags.ProgramFlags(_USAGE)
+    program.switch('short', 'run the short form')
+    program.switch('check', 'check the experiment files and exit')
+    program.switch('profile', 'write where processor time went')
+    program.text('callers', '', 'ip:port of entry hosts, with commas')
+    program.text('pids', '', 'processes to count besides, with commas')
+    program.text('out', 'reports', 'the folder for reports')
+    parsed = program.parse(arguments)
+    if parsed.is_err():
+        return console.complain(parsed.unwrap_err())
+    if program.flags.help:
+        program.show_help()
+        return exit_code.ExitCode.OK
+    loaded = _load(program)
+    if loaded.is_err():
+        return console.complain(loaded.unwrap_err())
+    if program.flags.check:
+        console.say('the experiment files are right')
+        return exit_code.ExitCode.OK
+    with journal.Journal('CRITICAL', 'text'):
+        return _measure(program, loaded.unwrap())
+
+
+def _load(
+    program: program_flags.ProgramFlags,
+) -> result.Result[_Experiments, invalid.Invalid]:
+    told = program.flags
+    has_pids = all(pid.isdecimal() for pid in _listed(told.pids))
+    if not program.words or not has_pids:
+        return result.Err(
+            invalid.Invalid(
+                message='no experiment file, or a pid that is no number',
+                remedy='name at least one file, such as experiments/plain.yaml',
+            ),
+        )
+    checked = []
+    for word in program.words:
+        loaded = checked_experiment.CheckedExperiment.load(
+            pathlib.Path(word),
+            _listed(told.callers),
+            is_short=told.short,
+        )
+        if loaded.is_err():
+            return loaded
+        checked.append(loaded.unwrap())
+    return result.Ok(checked)
+
+
+def _measure(
+    program: program_flags.ProgramFlags,
+    experiments: _Experiments,
+) -> int:
+    form = '--short ' if program.flags.short else ''
+    for word, checked in zip(program.words, experiments, strict=True):
+        _measure_one(program, checked, f'chivepond-load {form}{word}')
+    console.say(f'reports are in {program.flags.out}')
+    return exit_code.ExitCode.OK
+
+
+def _measure_one(
+    program: program_flags.ProgramFlags,
+    checked: checked_experiment.CheckedExperiment,
+    command: str,
+) -> None:
+    told = program.flags
+    folder = pathlib.Path(told.out)
+    pids = [int(pid) for pid in _listed(told.pids)]
+    console.say(f'{checked.told.name}: {checked.told.question}')
+    taken = cProfile.Profile()
+    with taken if told.profile else contextlib.nullcontext():
+        seen = runner.Runner(command, pids, console.say).run(checked)
+    runner.write(seen, folder)
+    if told.profile:
+        profile.write(taken, folder / f'{checked.told.name}-profile.txt')
+
+
+def _listed(text: str) -> list[str]:
+    return [word for word in text.split(',') if word]
--- a/chivepond/transport/exchange.py
+++ b/chivepond/transport/exchange.py
@@ -12,6 +12,8 @@
     not_run,
     outcome_unknown,
     problem,
+    shed,
+    too_large,
     unauthorised,
     unreachable,
 )
@@ -31,6 +33,8 @@
         not_found.NotFound,
         not_run.NotRun,
         outcome_unknown.OutcomeUnknown,
+        shed.Shed,
+        too_large.TooLarge,
         unauthorised.Unauthorised,
         unreachable.Unreachable,
     )
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -96,3 +96,12 @@
         if self._task is not None:
             await self._task
         self._socket.close()
+
+    def abort(self) -> None:
+        """Cut every connection and listen no more, as a crash would."""
+        self._server.force_exit = True
+        self._server.should_exit = True
+        for listener in self._server.servers:
+            listener.close()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
