--- a/chivepond/load/markdown.py
+++ b/chivepond/load/markdown.py
@@ -5,7 +5,6 @@
 #: A generator later than this, in ms, measures the bench.
 LATE_MS = 10
 _SMALL = 10
-_RULE = ' --- '
 _READING = 'Median (least to most), × the ratio to the variant compared with.'
 
 
@@ -22,28 +21,32 @@
         f'Command: `{told.command}`, begun {told.started}; {told.runs} runs of'
         f' each variant, interleaved. {_READING}',
         '',
-        f'| figure | {" | ".join(variants)} |',
-        f'|{"|".join(_RULE for _ in range(len(variants) + 1))}|',
+        _row(['figure', *variants]),
+        _row(['---', *('---' for _ in variants)]),
     ]
     for name, by_variant in told.spreads.items():
-        cells = ' | '.join(_cell(by_variant[one]) for one in variants)
-        lines.append(f'| {name} | {cells} |')
+        cells = [_cell(by_variant[one]) for one in variants]
+        lines.append(_row([name, *cells]))
     lines.extend(['', *warnings(told)])
-    return '\n'.join(lines).rstrip() + '\n'
+    return '\n'.join(lines)
 
 
 def warnings(told: report.Report) -> list[str]:
     """Return where the bench itself was too slow for its figures to hold."""
     lags = told.spreads.get('lag_p99_ms', {})
     return [
-        f'**The generator was late in {name}: 99 in 100 requests were sent'
+        f'- The generator was late in {name}: 99 in 100 requests were sent'
         f' within {seen.median:.0f} ms of when they were due. The bench was'
-        " saturated; these figures are not the system's alone.**"
+        ' saturated, and these are not figures of the system alone.'
         for name, seen in lags.items()
         if seen.median > LATE_MS
     ]
 
 
+def _row(cells: list[str]) -> str:
+    return f'| {" | ".join(cells)} |'
+
+
 def _cell(seen: spread.Spread) -> str:
     ratio = '' if seen.ratio is None else f' ×{seen.ratio:.2f}'
     if seen.low == seen.high:
--- a/chivepond/load/recorder.py
+++ b/chivepond/load/recorder.py
@@ -106,9 +106,9 @@
 
 
 def _coverage(answered: list[outcome.Outcome]) -> float:
-    total = sum(one.total for one in answered)
-    covered = sum(one.covered for one in answered)
-    return covered / max(1, total)
+    totals = [one.total for one in answered]
+    covered = [one.covered for one in answered]
+    return sum(covered) / max(1, sum(totals))
 
 
 def _last_unwhole_s(seen: list[outcome.Outcome]) -> float:
@@ -120,4 +120,5 @@
 
 
 def _record(filled: histogram.HdrHistogram, seconds: float) -> None:
-    filled.record_value(min(_HIGHEST_US, max(1, int(seconds * _US_PER_S))))
+    taken_us = int(seconds * _US_PER_S)
+    filled.record_value(min(_HIGHEST_US, max(_LOWEST_US, taken_us)))
--- a/chivepond/standins/embedded.py
+++ b/chivepond/standins/embedded.py
@@ -24,6 +24,8 @@
 _READY_POLL_S = 0.02
 _FIRST_VERSION = 1
 
+_Part = searcher.SearcherStandin | embedded_node.EmbeddedNode
+
 
 class EmbeddedDeployment:
     """Platform, searchers and nodes on one loop, ready once entered."""
@@ -48,7 +50,7 @@
         """Start everything, and wait until every node is ready."""
         await self._stack.enter_async_context(self.platform)
         for service in self.plan.services:
-            await self._start_searchers(service)
+            self._make_searchers(service)
             record = placement.index_of(self.plan, service, _FIRST_VERSION)
             self.platform.objects.publish(
                 'index',
@@ -64,8 +66,8 @@
             for number in range(self.plan.nodes_per_data_centre):
                 self._make_node(f'{where}-{number}', where)
         await self.publish_hosts()
-        for made in self.node_by_id.values():
-            await self._stack.enter_async_context(made)
+        await self._start_all(list(self.searcher_by_id.values()))
+        await self._start_all(list(self.node_by_id.values()))
         await self.wait_ready()
         return self
 
@@ -120,7 +122,12 @@
             for placed in placement.of_service(self.plan, service)
         ]
 
-    async def _start_searchers(
+    async def _start_all(self, parts: list[_Part]) -> None:
+        """Start and stop parts at once; each takes some tenths of a second."""
+        self._stack.push_async_callback(_stop_all, parts)
+        await asyncio.gather(*(one.__aenter__() for one in parts))
+
+    def _make_searchers(
         self,
         service: service_plan.ServicePlan,
     ) -> None:
@@ -132,7 +139,6 @@
                 [_FIRST_VERSION],
             )
             self.searcher_by_id[placed.searcher_id] = started
-            await self._stack.enter_async_context(started)
 
     def _make_node(self, node_id: str, data_centre: str) -> None:
         told = {
@@ -155,6 +161,13 @@
         )
 
 
+async def _stop_all(parts: list[_Part]) -> None:
+    await asyncio.gather(
+        *(one.__aexit__(None, None, None) for one in parts),
+        return_exceptions=True,
+    )
+
+
 def document_of(
     plan: deployment_plan.DeploymentPlan,
 ) -> draft_document.DraftDocument:
--- a/chivepond/standins/records.py
+++ b/chivepond/standins/records.py
@@ -1,5 +1,6 @@
 """The records of the stand-in shards, made from their names."""
 
+import functools
 import zlib
 
 from chivepond.wire import hit
@@ -7,18 +8,21 @@
 _FIRST_NAMES = ('Asha', 'Bishnu', 'Carol', 'Dawa', 'Elena', 'Fraser')
 _LAST_NAMES = ('Gurung', 'Hughes', 'Iyer', 'Lepcha', 'Moreau', 'Rai')
 _SCORES = 1000
+_KEPT = 4096
 
 
+@functools.lru_cache(maxsize=_KEPT)
 def search(
     shard: str,
     version: int,
     query: str,
     limit: int,
     records: int,
-) -> list[hit.Hit]:
+) -> tuple[hit.Hit, ...]:
     """Return the best hits of one shard at one version.
 
     The body of each tells its version, so that a mix would show.
+    Answers are kept, so that a bench measures the system and not this.
     """
     found = [
         _record(shard, version, number)
@@ -26,7 +30,7 @@
         if query.lower() in _name(shard, number).lower()
     ]
     found.sort(key=lambda one: (-one.score, one.record_id))
-    return found[:limit]
+    return tuple(found[:limit])
 
 
 def _record(shard: str, version: int, number: int) -> hit.Hit:
--- a/chivepond/standins/searcher.py
+++ b/chivepond/standins/searcher.py
@@ -289,12 +289,14 @@
             shard=entry.shard,
             index_version=version,
             outcome=shard_outcome.OK,
-            hits=records.search(
-                entry.shard,
-                version,
-                entry.query,
-                entry.limit,
-                self.profile.records_per_shard,
+            hits=list(
+                records.search(
+                    entry.shard,
+                    version,
+                    entry.query,
+                    entry.limit,
+                    self.profile.records_per_shard,
+                )
             ),
         )
 
