--- a/chivepond/standins/delayed_peers.py
+++ b/chivepond/standins/delayed_peers.py
@@ -9,6 +9,8 @@
 from chivepond.control import directory
 from chivepond.entry import peers
 from chivepond.errors import problem
+from chivepond.standins import deployment_plan
+from chivepond.transport import message_signer
 
 Kind = TypeVar('Kind')
 
@@ -23,15 +25,15 @@
     def __init__(
         self,
         hosts: directory.Directory,
+        signer: message_signer.MessageSigner | None,
         data_centre: str,
-        link_ms: float,
-        jitter_ms: float,
+        plan: deployment_plan.DeploymentPlan,
     ) -> None:
-        """Take ``link_ms`` and up to ``jitter_ms`` more, one way."""
-        super().__init__(hosts)
+        """Stand in one data centre of a plan, which tells the delays."""
+        super().__init__(hosts, signer)
         self._data_centre = data_centre
-        self._link_ms = link_ms
-        self._jitter_ms = jitter_ms
+        self._link_ms = plan.link_ms
+        self._jitter_ms = plan.link_jitter_ms
 
     async def post(
         self,
--- a/chivepond/standins/embedded_node.py
+++ b/chivepond/standins/embedded_node.py
@@ -4,6 +4,7 @@
 from chivepond.entry import peers
 from chivepond.settings import node_settings
 from chivepond.standins import delayed_peers, deployment_plan
+from chivepond.transport import message_signer
 
 
 class EmbeddedNode(node.Node):
@@ -36,7 +37,7 @@
     def _make_peers(self) -> peers.Peers:
         return delayed_peers.DelayedPeers(
             self.directory,
+            message_signer.of_settings(self.settings),
             self.settings.data_centre,
-            self._plan.link_ms,
-            self._plan.link_jitter_ms,
+            self._plan,
         )
