--- a/chivepond/load/trial.py
+++ b/chivepond/load/trial.py
@@ -25,7 +25,7 @@
 
 _MS_PER_S = 1000
 _NOT_RUN_KINDS = frozenset(('not_run', 'shed', 'key_expired'))
-_OWN = 'all in one process'
+_OWN = 'this process'
 
 
 class Trial:
