Admission, standing queues, ejection and slow start

Cause: work was let in without bound, waited until its deadline, went to searchers that failed, and was still sent to searchers that drain. Change: pure modules in decisions/, wired into the owner and, through one gate, into the entry. Searchers have a lifecycle; queues follow a new address or size in place and give idle connections back. Not done yet: tests of the patterns, design records.

--- /dev/null
+++ b/chivepond/decisions/admission.py
@@ -0,0 +1,83 @@
+"""Which searches are let in.
+
+Load pattern: one caller, or one class, sends several times what the node
+can carry. Without admission by caller its searches fill every place, and
+those of all others are turned away or wait behind them: the hot caller
+hurts everybody.
+
+The rule is the dynamic threshold that switches use for shared buffers: a
+caller may have at most ``ALPHA`` times as many searches in flight as there
+are free places. A lone hot caller then stops at 4/5 of the limit and leaves
+1/5 free; two stop at 4/9 each. A caller with nothing in flight gets in as
+long as one place is free, so it need not be known beforehand: only callers
+with a search in flight are tracked, and they are fewer than the limit.
+
+A class below the heaviest gets that threshold times its share of the
+heaviest weight, for each caller and for the class as a whole; many callers
+of a light class therefore can not crowd out the heavy one together.
+
+``ALPHA`` is 4: ``python -m chivepond.tools.decision_trials`` plays 1, 4 and
+16 against a hot caller; docs/design/admission.md has its figures.
+"""
+
+from chivepond.decisions import admission_limit
+
+ALPHA = 4
+
+
+class Admission:
+    """Counts searches in flight by caller and class, and lets in or not."""
+
+    __slots__ = (
+        '_alpha',
+        '_in_flight',
+        '_in_flight_by_caller',
+        '_in_flight_by_class',
+        '_limit',
+    )
+
+    def __init__(
+        self,
+        limit: admission_limit.AdmissionLimit,
+        alpha: float = ALPHA,
+    ) -> None:
+        """Keep the searches in flight within ``limit``."""
+        self._limit = limit
+        self._alpha = alpha
+        self._in_flight = 0
+        self._in_flight_by_caller: dict[str, int] = {}
+        self._in_flight_by_class: dict[str, int] = {}
+
+    @property
+    def tracked_callers(self) -> int:
+        """How many callers take memory."""
+        return len(self._in_flight_by_caller)
+
+    def admit(self, caller: str, request_class: str, share: float) -> bool:
+        """Take a place for a search; tell whether there was one for it.
+
+        ``share`` is the weight of its class over the heaviest weight.
+        """
+        free = self._limit.current - self._in_flight
+        threshold = self._alpha * share * free
+        of_caller = self._in_flight_by_caller.get(caller, 0)
+        of_class = self._in_flight_by_class.get(request_class, 0)
+        is_class_full = share < 1 and of_class >= threshold
+        if free < 1 or of_caller >= threshold or is_class_full:
+            return False
+        self._in_flight += 1
+        self._in_flight_by_caller[caller] = of_caller + 1
+        self._in_flight_by_class[request_class] = of_class + 1
+        return True
+
+    def release(self, caller: str, request_class: str) -> None:
+        """Give the place of an admitted search back."""
+        self._in_flight -= 1
+        _count_down(self._in_flight_by_caller, caller)
+        _count_down(self._in_flight_by_class, request_class)
+
+
+def _count_down(in_flight_by_name: dict[str, int], name: str) -> None:
+    in_flight = in_flight_by_name.pop(name) - 1
+    if in_flight:
+        in_flight_by_name[name] = in_flight
--- a/chivepond/decisions/concurrency_limit.py
+++ b/chivepond/decisions/concurrency_limit.py
@@ -32,3 +32,9 @@
         """Take a batch that the searcher shed."""
         self.current = max(1, self.current // 2)
         self._good = 0
+
+    def resize(self, slots: int) -> None:
+        """Take a new number of slots; a learned lower limit is kept."""
+        is_full = self.current == self.slots
+        self.slots = slots
+        self.current = slots if is_full else min(self.current, slots)
--- /dev/null
+++ b/chivepond/decisions/slow_start.py
@@ -0,0 +1,23 @@
+"""How much work a searcher gets while it warms up.
+
+Load pattern: a searcher comes back, cold or after an ejection, with an
+empty queue and no latency measured. Without slow start it looks like the
+best replica by far, gets the work of all, and falls over again. Its weight
+grows evenly from a tenth to one within five seconds: a tenth is enough to
+measure it by, and five seconds are many rounds of a cache that is filled by
+the work itself.
+"""
+
+_FIRST_WEIGHT = 0.1
+_DURATION_S = 5.0
+
+
+def weight(warm_since: float, now: float) -> float:
+    """Return the weight, 0.1 to 1; times are seconds of one clock."""
+    share = min(1, max(0, now - warm_since) / _DURATION_S)
+    return _FIRST_WEIGHT + (1 - _FIRST_WEIGHT) * share
+
+
+def is_warm(warm_since: float, now: float) -> bool:
+    """Tell whether the weight is one again."""
+    return now - warm_since >= _DURATION_S
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -1,6 +1,7 @@
 """Searches: pin a snapshot, ask the owners, merge, say what is covered."""
 
 import asyncio
+import random
 import secrets
 
 import result
@@ -12,7 +13,13 @@
     shard_index,
 )
 from chivepond.decisions import answer_time
-from chivepond.entry import cursor, place, planner, search_state
+from chivepond.entry import (
+    admission_gate,
+    cursor,
+    place,
+    planner,
+    search_state,
+)
 from chivepond.entry import peers as peer_clients
 from chivepond.errors import invalid, not_run, problem, quoting
 from chivepond.observe import events, journal
@@ -48,6 +55,7 @@
         '_catalog',
         '_configuration',
         '_directory',
+        '_gate',
         '_owner',
         '_peers',
         '_planner',
@@ -73,6 +81,7 @@
         self._owner = owned
         self._planner = planner.Planner(settings.data_centre, settings.region)
         self._tasks: set[_OwnerTask] = set()
+        self._gate = admission_gate.AdmissionGate(random.Random())
 
     async def search(
         self,
@@ -104,9 +113,32 @@
         state = self._pin(request, service, page, started_at)
         if state is None:
             return result.Err(_no_snapshot(request.service, page.version))
-        policy = service.answer
-        state = await self._run(state, policy, started_at, bool(page.version))
-        return result.Ok(_merge(state, page))
+        return await self._run_admitted(state, service, page, started_at)
+
+    async def _run_admitted(
+        self,
+        state: search_state.SearchState,
+        service: search_service.SearchService,
+        page: cursor.Cursor,
+        started_at: float,
+    ) -> result.Result[search_answer.SearchAnswer, problem.Problem]:
+        refusal = self._gate.enter(state.request, service)
+        if refusal is not None:
+            return result.Err(refusal)
+        answer = None
+        try:
+            answer = _merge(
+                await self._run(
+                    state,
+                    service.answer,
+                    started_at,
+                    bool(page.version),
+                ),
+                page,
+            )
+        finally:
+            self._gate.leave(state.request, answer)
+        return result.Ok(answer)
 
     def _pin(
         self,
--- /dev/null
+++ b/chivepond/owner/given_up.py
@@ -0,0 +1,13 @@
+"""Work that was given up while it waited."""
+
+import dataclasses
+
+from chivepond.owner import attempt
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GivenUp:
+    """An attempt that was not sent; ``outcome`` names why."""
+
+    attempt: attempt.Attempt
+    outcome: str
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -14,8 +14,11 @@
     attempt,
     owner_call,
     searcher_queue,
+    searcher_state,
+    searcher_watch,
     shard_progress,
 )
+from chivepond.settings import capacity_service
 from chivepond.transport import address
 from chivepond.wire import (
     attempt_ref,
@@ -30,6 +33,7 @@
 _MS_PER_S = 1000
 _FIRST_HEDGE_DELAY_S = 0.03
 _BUDGET_CAP = 20
+_LOOK_S = 0.5
 
 
 class Owner:
@@ -41,9 +45,10 @@
         '_hedge_budget',
         '_hedge_delay',
         '_queue_by_searcher',
-        '_queues',
+        '_looks',
         '_random',
         '_retry_budget',
+        '_watch',
     )
 
     def __init__(
@@ -57,13 +62,15 @@
         self._directory = hosts
         self._random = rng
         self._queue_by_searcher: dict[str, searcher_queue.SearcherQueue] = {}
-        self._queues = contextlib.AsyncExitStack()
+        self._looks: asyncio.Task[None] | None = None
+        self._watch = searcher_watch.SearcherWatch(hosts, rng)
         self._hedge_delay = hedge_delay.HedgeDelay(_FIRST_HEDGE_DELAY_S)
         self._hedge_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
         self._retry_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
 
     async def __aenter__(self) -> Self:
         """Return the owner; queues open when they are needed."""
+        self._looks = asyncio.create_task(self._look_always())
         return self
 
     async def __aexit__(
@@ -73,7 +80,12 @@
         trace: types.TracebackType | None,
     ) -> None:
         """End the work in flight and close all connections."""
-        await self._queues.aclose()
+        if self._looks is not None:
+            self._looks.cancel()
+            await asyncio.gather(self._looks, return_exceptions=True)
+        async with contextlib.AsyncExitStack() as queues:
+            for found in self._queue_by_searcher.values():
+                queues.push_async_exit(found)
 
     async def answer(
         self,
@@ -105,12 +117,36 @@
     def queue(self, searcher_id: str) -> searcher_queue.SearcherQueue | None:
         """Return the queue of a searcher of this data centre, if known."""
         found = self._queue_by_searcher.get(searcher_id)
-        if found is not None:
-            return found
         searcher = self._directory.view.searcher_by_id.get(searcher_id)
         if searcher is None:
             return None
-        return self._open(searcher)
+        if found is None:
+            return self._open(searcher)
+        capacity = self._configuration.capacity(searcher.service)
+        if not found.is_current(searcher, capacity):
+            self._update(found, searcher, capacity)
+        return found
+
+    async def look(self, now: float) -> None:
+        """Bring the queues up to date with what is known at ``now``."""
+        for searcher_id in list(self._queue_by_searcher):
+            self.queue(searcher_id)
+        await self._watch.look(list(self._queue_by_searcher.values()), now)
+
+    def _update(
+        self,
+        found: searcher_queue.SearcherQueue,
+        searcher: host.Host,
+        capacity: capacity_service.CapacityService,
+    ) -> None:
+        match address.parse(searcher.address):
+            case result.Ok(target):
+                found.adopt(searcher, target, capacity)
+
+    async def _look_always(self) -> None:
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            await self.look(asyncio.get_running_loop().time())
 
     def _open(
         self,
@@ -124,7 +160,6 @@
                     self._configuration.capacity(searcher.service),
                     self._on_reply,
                 )
-                self._queues.push_async_exit(opened)
                 self._queue_by_searcher[searcher.host_id] = opened
                 return opened
         return None
@@ -178,12 +213,15 @@
                 queue_by_id[searcher_id] = found
         if not queue_by_id:
             return None
+        queue_by_id = _without_ejected(queue_by_id)
+        now = asyncio.get_running_loop().time()
         chosen = replica_choice.choose(
             [
                 replica_choice.Candidate(
                     searcher_id=searcher_id,
                     outstanding=found.outstanding,
                     latency_s=found.latency_s,
+                    weight=found.state.weight(now),
                 )
                 for searcher_id, found in queue_by_id.items()
             ],
@@ -203,6 +241,7 @@
         one: attempt.Attempt,
         reply: sub_reply.SubReply,
     ) -> None:
+        self._observe(one, reply)
         call = one.call
         progress = call.pending.get(reply.shard)
         if progress is None:
@@ -216,6 +255,19 @@
             return
         self._failed(one, reply, progress)
 
+    def _observe(
+        self,
+        one: attempt.Attempt,
+        reply: sub_reply.SubReply,
+    ) -> None:
+        has_failed = reply.outcome == shard_outcome.UNREACHABLE
+        if has_failed or reply.outcome == shard_outcome.OK:
+            self._watch.observe(
+                one.sub_query.service,
+                one.searcher_id,
+                has_failed,
+            )
+
     def _failed(
         self,
         one: attempt.Attempt,
@@ -223,8 +275,7 @@
         progress: shard_progress.ShardProgress,
     ) -> None:
         progress.reason = reply.outcome
-        if reply.outcome == shard_outcome.DRAINING:
-            self._queue_by_searcher[one.searcher_id].is_leaving = True
+        self._follow_state(one, reply)
         if progress.in_flight:
             return
         if (
@@ -235,6 +286,18 @@
         else:
             one.call.miss(reply.shard, reply.outcome)
 
+    def _follow_state(
+        self,
+        one: attempt.Attempt,
+        reply: sub_reply.SubReply,
+    ) -> None:
+        state = self._queue_by_searcher[one.searcher_id].state
+        match reply.outcome:
+            case shard_outcome.DRAINING if state.is_serving:
+                state.drain()
+            case shard_outcome.COLD if state.state == searcher_state.READY:
+                state.restart(asyncio.get_running_loop().time())
+
     def _cancel_others(
         self,
         call: owner_call.OwnerCall,
@@ -252,3 +315,15 @@
                         shard=reply.shard,
                     ),
                 )
+
+
+def _without_ejected(
+    queue_by_id: dict[str, searcher_queue.SearcherQueue],
+) -> dict[str, searcher_queue.SearcherQueue]:
+    """Leave the ejected out, unless nobody else has the shard."""
+    well = {
+        searcher_id: found
+        for searcher_id, found in queue_by_id.items()
+        if found.state.state != searcher_state.EJECTED
+    }
+    return well or queue_by_id
--- /dev/null
+++ b/chivepond/owner/searcher_watch.py
@@ -0,0 +1,116 @@
+"""Moves the searchers of one owner between their states."""
+
+import random
+
+from chivepond.control import directory
+from chivepond.decisions import ejection, slow_start
+from chivepond.owner import searcher_queue, searcher_state
+from chivepond.transport import exchange
+from chivepond.wire import searcher_health
+
+_PROBE_EVERY_S = 5
+_PROBE_TIMEOUT_S = 0.2
+_TRUST_AFTER_S = 30
+
+
+class SearcherWatch:
+    """Weighs what became of the work, by service; looks now and then."""
+
+    __slots__ = ('_directory', '_ejection_by_service', '_random')
+
+    def __init__(
+        self,
+        hosts: directory.Directory,
+        rng: random.Random,
+    ) -> None:
+        """Follow the view of this node."""
+        self._directory = hosts
+        self._random = rng
+        self._ejection_by_service: dict[str, ejection.Ejection] = {}
+
+    def observe(
+        self,
+        service: str,
+        searcher_id: str,
+        has_failed: bool,
+    ) -> None:
+        """Take what became of one sub-query."""
+        watched = self._ejection_by_service.get(service)
+        if watched is None:
+            watched = ejection.Ejection(self._random)
+            self._ejection_by_service[service] = watched
+        watched.observe(searcher_id, has_failed)
+
+    async def look(
+        self,
+        queues: list[searcher_queue.SearcherQueue],
+        now: float,
+    ) -> None:
+        """Fire the triggers that are due, and give idle connections back."""
+        known = self._directory.view.searcher_by_id
+        out: set[str] = set()
+        for watched in self._ejection_by_service.values():
+            out |= watched.look(now)
+        for queue in queues:
+            searcher_id = queue.host.host_id
+            if searcher_id in known:
+                _move(queue.state, searcher_id in out, now)
+            else:
+                self._leave(queue)
+            await _probe(queue, now)
+            await queue.give_back_idle(now)
+
+    def _leave(self, queue: searcher_queue.SearcherQueue) -> None:
+        if queue.state.state != searcher_state.GONE:
+            queue.state.leave()
+            watched = self._ejection_by_service.get(queue.host.service)
+            if watched is not None:
+                watched.forget(queue.host.host_id)
+
+
+def _move(
+    state: searcher_state.SearcherState,
+    is_out: bool,
+    now: float,
+) -> None:
+    """Fire a trigger where the state changes, and none elsewhere."""
+    match state.state:
+        case searcher_state.COLD | searcher_state.READY if is_out:
+            state.eject()
+        case searcher_state.EJECTED if not is_out:
+            state.restart(now)
+        case searcher_state.GONE:
+            state.restart(now)
+        case searcher_state.COLD if slow_start.is_warm(state.warm_since, now):
+            state.warmed()
+
+
+async def _probe(queue: searcher_queue.SearcherQueue, now: float) -> None:
+    """Ask a searcher that said it drains whether it serves again.
+
+    Guards against a replica lost for good: one that took its drain back
+    gets no work, so no reply tells of it. Its health endpoint lags, and is
+    believed only after it spoke of service for half a minute while the
+    platform lists the searcher as live; one that leaves is gone by then.
+    """
+    state = queue.state
+    is_draining = state.state == searcher_state.DRAINING
+    if not is_draining or queue.host.state != 'live':
+        return
+    if now - state.probed_at < _PROBE_EVERY_S:
+        return
+    state.probed_at = now
+    health = await exchange.get(
+        searcher_health.SearcherHealth,
+        queue.command_client,
+        '/v1/health',
+        _PROBE_TIMEOUT_S,
+    )
+    if not _serves(health.unwrap_or(None)):
+        state.serves_since = now
+    elif now - state.serves_since >= _TRUST_AFTER_S:
+        state.restart(now)
+
+
+def _serves(health: searcher_health.SearcherHealth | None) -> bool:
+    return health is not None and health.state != 'draining'
