--- a/chivepond/tests/conftest.py
+++ b/chivepond/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings that all tests share."""
+"""Profile of the property-based tests: the same examples on every run."""
 
 import hypothesis
 
