--- a/chivepond/standins/searcher.py
+++ b/chivepond/standins/searcher.py
@@ -289,12 +289,14 @@
             shard=entry.shard,
             index_version=version,
             outcome=shard_outcome.OK,
-            hits=records.search(
-                entry.shard,
-                version,
-                entry.query,
-                entry.limit,
-                self.profile.records_per_shard,
+            hits=list(
+                records.search(
+                    entry.shard,
+                    version,
+                    entry.query,
+                    entry.limit,
+                    self.profile.records_per_shard,
+                )
             ),
         )
 
@@ -360,6 +362,8 @@
     def _state(self) -> str:
         if self.faults.draining:
             return 'draining'
+        if self.faults.cold:
+            return 'cold'
         age_ms = (_now() - self._started_at) * _MS_PER_S
         return 'cold' if age_ms < self.profile.cold_start_ms else 'ready'
 
