--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -1,27 +1,37 @@
 """Tells other nodes that this one lives, and hears what they know."""
 
 import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
 
 import result
 
 from chivepond.control import configuration, directory, object_cache
 from chivepond.entry import peers as peer_clients
+from chivepond.observe import events, journal
 from chivepond.settings import node_settings
 from chivepond.wire import heartbeat, host, notice_list, object_request
 
 _MS_PER_S = 1000
 
 
+def loop_time() -> float:
+    """Return the time of the running loop, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 class Heartbeats:
     """Sends heartbeats, and fetches from peers what they have newer."""
 
     __slots__ = (
         '_cache',
+        '_clock',
         '_configuration',
         '_directory',
         '_peers',
+        '_random',
         '_settings',
-        'is_leaving',
     )
 
     def __init__(
@@ -31,6 +41,8 @@
         configured: configuration.Configuration,
         hosts: directory.Directory,
         peers: peer_clients.Peers,
+        rng: random.Random,
+        clock: Callable[[], float] = loop_time,
     ) -> None:
         """Keep ``cache`` and ``hosts`` in step with other nodes."""
         self._settings = settings
@@ -38,22 +50,35 @@
         self._configuration = configured
         self._directory = hosts
         self._peers = peers
-        self.is_leaving = False
+        self._random = rng
+        self._clock = clock
 
-    def own(self) -> heartbeat.Heartbeat:
-        """Return what this node says of itself."""
+    def own(self, receiver: str) -> heartbeat.Heartbeat:
+        """Return what this node says of itself, and news for the receiver."""
+        members = self._directory.members
         return heartbeat.Heartbeat(
             node_id=self._settings.node_id,
-            incarnation=0,
-            is_leaving=self.is_leaving,
+            incarnation=members.incarnation,
+            is_leaving=members.is_leaving,
             revision=self._configuration.revision,
-            version_by_key=self._cache.version_by_key(),
+            version_by_key={},
+            digest=self._cache.digest,
+            news=members.news_for(receiver),
         )
 
     def answer(self, beat: heartbeat.Heartbeat) -> heartbeat.Heartbeat:
-        """Take a heartbeat of a peer, and return this node's own."""
-        self._directory.heard(beat, _now())
-        return self.own()
+        """Take a heartbeat of a peer, and return this node's own.
+
+        The versions of all objects go along only if the digests differ.
+        """
+        self._directory.heard(beat, self._clock())
+        own = self.own(beat.node_id)
+        if beat.digest == own.digest:
+            return own
+        return dataclasses.replace(
+            own,
+            version_by_key=self._cache.version_by_key(),
+        )
 
     def copies(
         self, wanted: object_request.ObjectRequest
@@ -71,27 +96,52 @@
             await asyncio.sleep(self._settings.heartbeat_ms / _MS_PER_S)
 
     async def beat(self) -> None:
-        """Exchange one heartbeat with each peer."""
+        """Exchange heartbeats with a few peers, with all after a pause."""
+        if self._directory.members.tick(self._clock()):
+            journal.log(events.NODE_WOKE)
+            await self._beat_all(self._directory.peers())
+        else:
+            await self._beat_all(self._directory.sample(self._random))
+        self._directory.refresh(self._clock())
+
+    async def leave(self) -> None:
+        """Tell all peers that this node leaves."""
+        self._directory.members.is_leaving = True
+        await self._beat_all(self._directory.peers())
+
+    async def _beat_all(self, peers: list[host.Host]) -> None:
         async with asyncio.TaskGroup() as group:
-            for peer in self._directory.peers():
-                group.create_task(self._beat(peer))
-        self._directory.refresh(_now())
-
-    async def _beat(self, peer: host.Host) -> None:
-        sent_at = _now()
-        answer = await self._peers.post(
+            for peer in peers:
+                group.create_task(self._beat(peer.host_id, peer.address))
+            if not self._directory.view.node_by_id:
+                for node_id, target in self._settings.seeds.items():
+                    group.create_task(self._beat(node_id, target))
+
+    async def _beat(self, node_id: str, target: str) -> None:
+        sent_at = self._clock()
+        answer = await self._peers.post_to(
             heartbeat.Heartbeat,
-            peer.host_id,
+            node_id,
+            target,
             '/internal/heartbeat',
-            self.own(),
+            self.own(node_id),
             self._settings.heartbeat_timeout_ms / _MS_PER_S,
         )
         match answer:
             case result.Ok(told):
-                self._directory.heard(told, _now(), _now() - sent_at)
-                await self._fetch(peer, told)
-
-    async def _fetch(self, peer: host.Host, told: heartbeat.Heartbeat) -> None:
+                self._directory.heard(
+                    told, self._clock(), self._clock() - sent_at
+                )
+                await self._fetch(node_id, target, told)
+            case result.Err():
+                self._directory.members.failed(node_id, self._clock())
+
+    async def _fetch(
+        self,
+        node_id: str,
+        target: str,
+        told: heartbeat.Heartbeat,
+    ) -> None:
         known = self._cache.version_by_key()
         newer = [
             key
@@ -100,9 +150,10 @@
         ]
         if not newer:
             return
-        answer = await self._peers.post(
+        answer = await self._peers.post_to(
             notice_list.NoticeList,
-            peer.host_id,
+            node_id,
+            target,
             '/internal/objects',
             object_request.ObjectRequest(keys=newer),
             self._settings.platform_timeout_ms / _MS_PER_S,
@@ -111,7 +162,3 @@
             case result.Ok(copies):
                 for one in copies.notices:
                     self._cache.offer(one)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/chivepond/entry/peers.py
+++ b/chivepond/entry/peers.py
@@ -57,7 +57,26 @@
         node = self._directory.view.node_by_id.get(node_id)
         if node is None:
             return result.Err(_unknown(node_id))
-        to = self._client(node.address)
+        return await self.post_to(
+            kind,
+            node_id,
+            node.address,
+            path,
+            message,
+            timeout_s,
+        )
+
+    async def post_to(
+        self,
+        kind: type[Kind],
+        node_id: str,
+        target: str,
+        path: str,
+        message: Any,
+        timeout_s: float,
+    ) -> result.Result[Kind, problem.Problem]:
+        """Send to a node at a known address; return its typed answer."""
+        to = self._client(target)
         if to is None:
             return result.Err(_unknown(node_id))
         body = codec.encode(message)
