Commands: not run only where the claim proves it, outcomes kept, claims swept

Cause: an entry said "not run" whenever the platform could not be reached, though an earlier send of the key through another node may have run; one failed write lost an outcome; claims were never removed; a command could go out on a kept connection that the server had just closed.

--- a/chivepond/control/claim_store.py
+++ b/chivepond/control/claim_store.py
@@ -1,5 +1,6 @@
 """Claims of non-idempotent requests, kept by the platform."""
 
+import asyncio
 import dataclasses
 from collections.abc import Awaitable
 
@@ -8,13 +9,17 @@
 from chivepond.errors import problem
 from chivepond.platform import client as platform_client
 from chivepond.platform import kinds
-from chivepond.wire import claim, codec, stored_object
+from chivepond.wire import claim, claim_floor, codec, stored_object
 
 CLAIMED = 'claimed'
 DISPATCHED = 'dispatched'
 DONE = 'done'
 CANCELLED = 'cancelled'
 
+_FLOOR = 'all'
+_RETRY_S = 0.1
+_LOWEST = claim_floor.ClaimFloor(issued_ms=0)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeldClaim:
@@ -71,6 +76,107 @@
             ),
         )
 
+    async def settle(
+        self,
+        held: HeldClaim,
+        state: str,
+        outcome: str,
+        until: float,
+    ) -> result.Result[HeldClaim, problem.Problem]:
+        """Move a claim on, trying until it is seen to have moved.
+
+        Guards against an outcome that is lost with one failed write: it
+        shows as a repeat that is told "unknown" for ever. An earlier try
+        that lands late meets the next one as a conflict, so the claim is
+        read back; any other version than ``held`` is final for this caller.
+        Gives up at the loop's time ``until``.
+        """
+        while True:
+            moved = await self.advance(held, state, outcome)
+            if moved.is_ok():
+                return moved
+            match await self.read(held.claim.key):
+                case result.Ok(found) if found.version != held.version:
+                    return result.Ok(found)
+                case result.Err(problem.Problem(kind='not_found')):
+                    return moved
+            if asyncio.get_running_loop().time() > until:
+                return moved
+            await asyncio.sleep(_RETRY_S)
+
+    async def oldest(
+        self,
+        limit: int,
+    ) -> result.Result[list[HeldClaim], problem.Problem]:
+        """Return the first claims by time of issue, at most ``limit``."""
+        listed = await self._platform.list_kind(kinds.CLAIM, limit)
+        return listed.map(
+            lambda told: [
+                _decoded(stored).unwrap()
+                for stored in told.entries
+                if _decoded(stored).is_ok()
+            ],
+        )
+
+    async def delete(self, held: HeldClaim) -> None:
+        """Remove a claim, unless somebody moved it since it was seen."""
+        await self._platform.delete(
+            kinds.CLAIM,
+            held.claim.key,
+            held.version,
+        )
+
+    async def floor(self) -> result.Result[int, problem.Problem]:
+        """Return up to which time of issue claims may have been swept.
+
+        Milliseconds since the epoch, zero while nothing was swept.
+        """
+        match await self._floor():
+            case result.Ok(floor):
+                return result.Ok(floor[1].issued_ms)
+            case failed:
+                return failed
+
+    async def raise_floor(
+        self,
+        issued_ms: int,
+    ) -> result.Result[int, problem.Problem]:
+        """Make the floor at least ``issued_ms``, and return it."""
+        seen = await self._floor()
+        if seen.is_err():
+            return seen
+        version, floor = seen.unwrap()
+        if floor.issued_ms >= issued_ms:
+            return result.Ok(floor.issued_ms)
+        written = await self._platform.write(
+            kinds.CLAIM_FLOOR,
+            _FLOOR,
+            claim_floor.ClaimFloor(issued_ms=issued_ms),
+            version,
+        )
+        return written.map(lambda _: issued_ms)
+
+    async def _floor(
+        self,
+    ) -> result.Result[tuple[int, claim_floor.ClaimFloor], problem.Problem]:
+        match await self._platform.read(kinds.CLAIM_FLOOR, _FLOOR):
+            case result.Ok(stored):
+                return codec.decode(claim_floor.ClaimFloor, stored.body).map(
+                    lambda told: (stored.version, told),
+                )
+            case result.Err(problem.Problem(kind='not_found')):
+                return result.Ok((0, _LOWEST))
+            case failed:
+                return failed
+
+
+def _decoded(
+    stored: stored_object.StoredObject,
+) -> result.Result[HeldClaim, problem.Problem]:
+    return codec.decode(claim.Claim, stored.body).map(
+        lambda told: HeldClaim(version=stored.version, claim=told),
+    )
+
 
 async def _held(
     answer: Awaitable[
@@ -79,8 +185,6 @@
 ) -> result.Result[HeldClaim, problem.Problem]:
     match await answer:
         case result.Ok(stored):
-            return codec.decode(claim.Claim, stored.body).map(
-                lambda told: HeldClaim(version=stored.version, claim=told),
-            )
+            return _decoded(stored)
         case failed:
             return failed
--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -16,7 +16,14 @@
 from chivepond.decisions import rendezvous
 from chivepond.entry import peers as peer_clients
 from chivepond.entry import place, planner
-from chivepond.errors import invalid, key_expired, not_run, problem, quoting
+from chivepond.errors import (
+    invalid,
+    key_expired,
+    not_run,
+    outcome_unknown,
+    problem,
+    quoting,
+)
 from chivepond.observe import events, journal
 from chivepond.owner import command_runner
 from chivepond.settings import node_settings
@@ -30,6 +37,7 @@
 _MS_PER_S = 1000
 _MARGIN_S = 0.05
 _POLL_S = 0.05
+_SETTLE_S = 0.25
 _RETRY_MS = 500
 _MAX_AHEAD_MS = 60000
 
@@ -98,7 +106,9 @@
         if request_key.issued_ms(key).is_err():
             return request_key.issued_ms(key)
         held = await self._claims.read(key)
-        return held.and_then(lambda found: _standing(found.claim))
+        if held.is_err():
+            return held
+        return await self._standing(held.unwrap().claim)
 
     async def _run(self, request: command_request.CommandRequest) -> _Answer:
         service = self._configuration.service(request.service)
@@ -114,6 +124,22 @@
             return result.Err(wrong)
         deadline_ms = request.deadline_ms or service.deadline_ms
         deadline = _now() + deadline_ms / _MS_PER_S
+        try:
+            async with asyncio.timeout_at(deadline + _SETTLE_S):
+                return await self._claim(request, deadline)
+        except TimeoutError:
+            return result.Err(command_runner.unknown(request.key))
+
+    async def _claim(
+        self,
+        request: command_request.CommandRequest,
+        deadline: float,
+    ) -> _Answer:
+        """Claim the key; follow whoever claimed it before.
+
+        While the platform is away nothing is sent. That is no "not run":
+        an earlier send of this key, through another node, may have run.
+        """
         fresh = claim.Claim(
             key=request.key,
             service=request.service,
@@ -121,13 +147,27 @@
             digest=_digest(request),
             holder=self._settings.node_id,
         )
-        held = await self._claims.create(fresh)
-        match held:
+        match await self._claims.create(fresh):
             case result.Ok(mine):
-                return await self._hand_over(request, mine, deadline)
+                return await self._start(request, mine, deadline)
             case result.Err(problem.Problem(kind='conflict')):
                 return await self._follow(fresh, deadline)
-        return result.Err(_not_run('the platform can not be reached'))
+        return result.Err(_unseen(request.key))
+
+    async def _start(
+        self,
+        request: command_request.CommandRequest,
+        mine: claim_store.HeldClaim,
+        deadline: float,
+    ) -> _Answer:
+        """Hand the key over, unless an old claim of it may have been swept.
+
+        The floor is read after the claim was made: see ClaimSweeper.sweep.
+        """
+        match await self._claims.floor():
+            case result.Ok(floor_ms) if not _is_swept(request.key, floor_ms):
+                return await self._hand_over(request, mine, deadline)
+        return await self._withdraw(mine, deadline)
 
     def _check_key(self, key: str) -> problem.Problem | None:
         issued = request_key.issued_ms(key)
@@ -155,9 +195,7 @@
     ) -> _Answer:
         found = self._place(request)
         if found is None:
-            return await self._withdraw(
-                mine, 'no searcher of its shard is live'
-            )
+            return await self._withdraw(mine, deadline)
         where, shard, searcher_id = found
         left_s = max(0, deadline - _now() - _MARGIN_S)
         command = owner_command.OwnerCommand(
@@ -171,9 +209,11 @@
         )
         answer = await self._exchange(where, command, deadline - _now())
         match answer:
-            case result.Err(problem.Problem(kind='not_run' | 'unreachable')):
-                return await self._withdraw(mine, answer.unwrap_err().message)
-        return answer
+            case result.Ok(_) | result.Err(
+                problem.Problem(kind='outcome_unknown'),
+            ):
+                return answer
+        return await self._withdraw(mine, deadline)
 
     async def _exchange(
         self,
@@ -194,20 +234,24 @@
     async def _withdraw(
         self,
         held: claim_store.HeldClaim,
-        why: str,
+        deadline: float,
     ) -> _Answer:
         """Say "not run" once the claim is cancelled, so that it stays true.
 
         Guards against an owner that is slow or paused and would send after
         the caller was told: its step to `dispatched` fails from here on.
         """
-        moved = await self._claims.advance(held, claim_store.CANCELLED)
-        if moved.is_ok():
-            return result.Err(_not_run(why))
-        found = await self._claims.read(held.claim.key)
+        found = await self._claims.settle(
+            held,
+            claim_store.CANCELLED,
+            '',
+            deadline,
+        )
         match found:
+            case result.Ok(seen) if seen.claim.state in _OPEN_STATES:
+                return await self._follow(seen.claim, deadline)
             case result.Ok(seen):
-                return _standing(seen.claim)
+                return await self._standing(seen.claim)
         return result.Err(command_runner.unknown(held.claim.key))
 
     async def _follow(self, wanted: claim.Claim, deadline: float) -> _Answer:
@@ -220,15 +264,35 @@
             if seen.claim.digest != wanted.digest:
                 return result.Err(_other_body(wanted.key))
             if seen.claim.state not in _OPEN_STATES:
-                return _standing(seen.claim)
+                return await self._standing(seen.claim)
             if _now() > deadline - _MARGIN_S:
-                return await self._give_up(seen)
+                return await self._give_up(seen, deadline)
             await asyncio.sleep(_POLL_S)
 
-    async def _give_up(self, seen: claim_store.HeldClaim) -> _Answer:
+    async def _give_up(
+        self,
+        seen: claim_store.HeldClaim,
+        deadline: float,
+    ) -> _Answer:
         if seen.claim.state == claim_store.CLAIMED:
-            return await self._withdraw(seen, 'its claim was not used')
-        return _standing(seen.claim)
+            return await self._withdraw(seen, deadline)
+        return await self._standing(seen.claim)
+
+    async def _standing(self, seen: claim.Claim) -> _Answer:
+        """Say how a claim stands, and "not run" only where that is proved.
+
+        Guards against a claim that was made anew after the one of its key
+        was swept, by a node that slept meanwhile: it shows as "not run" for
+        a command that ran. The floor tells of those.
+        """
+        if seen.state != claim_store.CANCELLED:
+            return _told(seen)
+        match await self._claims.floor():
+            case result.Ok(floor_ms) if _is_swept(seen.key, floor_ms):
+                return result.Err(_expired(seen.key))
+            case result.Ok(_):
+                return _told(seen)
+        return result.Err(command_runner.unknown(seen.key))
 
     def _place(
         self,
@@ -249,7 +313,7 @@
         return where, shard, replicas[0]
 
 
-def _standing(seen: claim.Claim) -> _Answer:
+def _told(seen: claim.Claim) -> _Answer:
     if seen.state == claim_store.DONE:
         return result.Ok(
             command_answer.CommandAnswer(
@@ -260,7 +324,7 @@
             ),
         )
     if seen.state == claim_store.CANCELLED:
-        return result.Err(_not_run('it was cancelled before it was sent'))
+        return result.Err(_not_run())
     if seen.state == claim_store.CLAIMED:
         return result.Ok(
             command_answer.CommandAnswer(key=seen.key, outcome='pending'),
@@ -268,6 +332,10 @@
     return result.Err(command_runner.unknown(seen.key))
 
 
+def _is_swept(key: str, floor_ms: int) -> bool:
+    return request_key.issued_ms(key).unwrap() <= floor_ms
+
+
 def _digest(request: command_request.CommandRequest) -> str:
     text = f'{request.service}\0{request.shard_key}\0{request.body}'
     return hashlib.sha256(text.encode()).hexdigest()
@@ -280,13 +348,29 @@
     )
 
 
-def _not_run(why: str) -> not_run.NotRun:
+def _expired(key: str) -> key_expired.KeyExpired:
+    return key_expired.KeyExpired(
+        message=f'{key} was issued too long ago to know whether it ran',
+        remedy='see whether it ran, then issue a new key',
+    )
+
+
+def _not_run() -> not_run.NotRun:
     return not_run.NotRun(
-        message=f'not run: {why}',
+        message='not run: it was cancelled before it was sent',
         remedy='send it again later, under a new key',
         retry_after_ms=_RETRY_MS,
     )
 
 
+def _unseen(key: str) -> outcome_unknown.OutcomeUnknown:
+    return outcome_unknown.OutcomeUnknown(
+        message=f'{key} was not sent now, as the platform is away; an '
+        'earlier send of it may have run',
+        remedy='send it again later, under the same key',
+        retry_after_ms=_RETRY_MS,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -22,7 +22,7 @@
 )
 from chivepond.control import application as operator_application
 from chivepond.entry import application as entry_application
-from chivepond.entry import commands, peers, searches
+from chivepond.entry import claim_sweeper, commands, peers, searches
 from chivepond.observe import events, journal
 from chivepond.owner import application as peer_application
 from chivepond.owner import command_runner, owner
@@ -57,6 +57,13 @@
         self.peers = peers.Peers(self.directory)
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
+        self.runner = runner
+        self.sweeper = claim_sweeper.ClaimSweeper(
+            settings,
+            self.configuration,
+            self.directory,
+            claims,
+        )
         self.searches = searches.Searches(
             settings,
             self.configuration,
@@ -126,7 +133,7 @@
 
     async def __aenter__(self) -> Self:
         """Start to serve and to follow the platform and the peers."""
-        for part in (self.platform, self.peers, self.owner):
+        for part in (self.platform, self.peers, self.owner, self.runner):
             await self._stack.enter_async_context(part)
         await self._stack.enter_async_context(self.peer_server)
         await self._stack.enter_async_context(self.operator_server)
@@ -135,6 +142,7 @@
             asyncio.create_task(self.relay.run()),
             asyncio.create_task(self.heartbeats.run()),
             asyncio.create_task(self.acceptor.run()),
+            asyncio.create_task(self.sweeper.run()),
         ]
         journal.log(
             events.NODE_STARTED,
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -86,6 +86,19 @@
     'command refused',
     'A non-idempotent request was not run, or its outcome is unknown.',
 )
+CLAIMS_SWEPT = event.Event(
+    3010,
+    'INFO',
+    'claims swept',
+    'Claims of keys older than the retention were removed.',
+)
+OUTCOME_NOT_KEPT = event.Event(
+    3011,
+    'ERROR',
+    'outcome not kept',
+    'The platform could not be told how a command ended; its repeat is '
+    'told that the outcome is unknown.',
+)
 SEARCHER_STATE = event.Event(
     4001,
     'INFO',
--- a/chivepond/owner/command_runner.py
+++ b/chivepond/owner/command_runner.py
@@ -1,11 +1,14 @@
 """Runs a claimed non-idempotent request, at most once."""
 
 import asyncio
+import types
+from typing import Self
 
 import result
 
 from chivepond.control import claim_store
 from chivepond.errors import not_run, outcome_unknown, problem
+from chivepond.observe import events, journal
 from chivepond.owner import owner, searcher_queue
 from chivepond.transport import exchange
 from chivepond.wire import (
@@ -18,13 +21,16 @@
 _MS_PER_S = 1000
 _RETRY_MS = 500
 
+#: How long the platform is tried with an outcome, in seconds.
+_KEEP_S = 30
+
 _Answer = result.Result[command_answer.CommandAnswer, problem.Problem]
 
 
 class CommandRunner:
     """Takes a slot, marks the claim dispatched, sends once, keeps the end."""
 
-    __slots__ = ('_claims', '_owner')
+    __slots__ = ('_claims', '_keepers', '_owner')
 
     def __init__(
         self,
@@ -34,6 +40,21 @@
         """Send through the queues of ``owned``."""
         self._owner = owned
         self._claims = claims
+        self._keepers: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Return the runner."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Wait until the outcomes in hand are kept, within their time."""
+        if self._keepers:
+            await asyncio.wait(self._keepers)
 
     async def run(self, command: owner_command.OwnerCommand) -> _Answer:
         """Run a command whose claim its entry holds."""
@@ -58,16 +79,32 @@
         it moved the claim to `cancelled`, so this conditional step fails and
         nothing is sent. If its reply is lost for good nothing is sent either.
         """
+        moved = await self._mark(command, deadline)
+        if moved.is_err():
+            return moved
+        if _now() >= deadline:
+            await self._keep(moved.unwrap(), claim_store.CANCELLED, deadline)
+            return result.Err(_refused('its time ran out'))
+        return await self._send(command, queue, moved.unwrap(), deadline)
+
+    async def _mark(
+        self,
+        command: owner_command.OwnerCommand,
+        deadline: float,
+    ) -> result.Result[claim_store.HeldClaim, problem.Problem]:
+        """Move the claim that the entry holds to `dispatched`."""
         seen = await self._claims.read(command.key)
         if seen.is_err():
             return result.Err(_refused('the platform can not be reached'))
         held = seen.unwrap()
         if held.version != command.claim_version:
             return result.Err(_refused('its claim was taken away'))
+        if _now() >= deadline:
+            return result.Err(_refused('its time ran out'))
         moved = await self._claims.advance(held, claim_store.DISPATCHED)
         if moved.is_err():
             return result.Err(_refused('its claim could not be dispatched'))
-        return await self._send(command, queue, moved.unwrap(), deadline)
+        return moved
 
     async def _send(
         self,
@@ -77,7 +114,7 @@
         deadline: float,
     ) -> _Answer:
         left_s = max(0, deadline - _now())
-        told = await exchange.post(
+        told = await exchange.post_fresh(
             searcher_result.SearcherResult,
             queue.command_client,
             '/v1/command',
@@ -91,24 +128,59 @@
             left_s,
         )
         match told:
+            case result.Ok(ended) if ended.key != command.key:
+                return result.Err(unknown(command.key))
             case result.Ok(searcher_result.SearcherResult(outcome='refused')):
-                await self._claims.advance(held, claim_store.CANCELLED)
+                await self._keep(held, claim_store.CANCELLED, deadline)
                 return result.Err(_refused('its searcher refused it'))
-            case result.Ok(ended):
-                await self._claims.advance(
-                    held,
-                    claim_store.DONE,
-                    ended.result,
-                )
+            case result.Ok(searcher_result.SearcherResult(outcome='done')):
+                outcome = told.unwrap().result
+                await self._keep(held, claim_store.DONE, deadline, outcome)
                 return result.Ok(
                     command_answer.CommandAnswer(
                         key=command.key,
                         outcome='done',
-                        result=ended.result,
+                        result=outcome,
                     ),
                 )
         return result.Err(unknown(command.key))
 
+    async def _keep(
+        self,
+        held: claim_store.HeldClaim,
+        state: str,
+        deadline: float,
+        outcome: str = '',
+    ) -> None:
+        """Keep how a command ended, going on past the deadline.
+
+        Guards against an answer that was given and then forgotten: it shows
+        when the platform fails just then, and the repeat is told "unknown".
+        The writer is a task of its own, so neither the deadline nor a
+        caller that goes away ends it.
+        """
+        keeper = asyncio.create_task(self._write(held, state, outcome))
+        self._keepers.add(keeper)
+        keeper.add_done_callback(self._keepers.discard)
+        left_s = max(0, deadline - _now())
+        await asyncio.wait((keeper,), timeout=left_s)
+
+    async def _write(
+        self,
+        held: claim_store.HeldClaim,
+        state: str,
+        outcome: str,
+    ) -> None:
+        until = _now() + _KEEP_S
+        kept = await self._claims.settle(held, state, outcome, until)
+        if kept.is_err():
+            journal.log(
+                events.OUTCOME_NOT_KEPT,
+                key=held.claim.key,
+                state=state,
+                cause=str(kept.unwrap_err()),
+            )
+
 
 def unknown(key: str) -> outcome_unknown.OutcomeUnknown:
     """Return the error for a command that may have run."""
--- a/chivepond/platform/client.py
+++ b/chivepond/platform/client.py
@@ -56,12 +56,13 @@
     async def list_kind(
         self,
         kind: str,
+        limit: int,
     ) -> result.Result[object_list.ObjectList, problem.Problem]:
-        """Return all objects of one kind."""
+        """Return the first ``limit`` objects of one kind, by name."""
         return await exchange.get(
             object_list.ObjectList,
             self._client,
-            f'/v1/objects/{kind}',
+            f'/v1/objects/{kind}?limit={limit}',
             self._timeout_s,
         )
 
--- a/chivepond/platform/kinds.py
+++ b/chivepond/platform/kinds.py
@@ -16,5 +16,8 @@
 KEPT = ('deployment', 'hosts', 'index')
 
 CLAIM = 'claim'
+
+#: Up to which time of issue claims may have been swept.
+CLAIM_FLOOR = 'claim-floor'
 INDEX = 'index'
 STATUS = 'status'
--- a/chivepond/standins/object_table.py
+++ b/chivepond/standins/object_table.py
@@ -79,6 +79,18 @@
         write = object_write.ObjectWrite(expect=expect, token='', body=body)
         self.write(kind, name, write)
 
+    def listed(
+        self,
+        kind: str,
+        limit: int,
+    ) -> list[stored_object.StoredObject]:
+        """Return the first objects of a kind by name; all for limit zero."""
+        found = [
+            stored for stored in self._by_key.values() if stored.kind == kind
+        ]
+        found.sort(key=lambda stored: stored.name)
+        return found[: limit or None]
+
     def newer(
         self,
         kinds: frozenset[str],
--- a/chivepond/standins/platform.py
+++ b/chivepond/standins/platform.py
@@ -110,10 +110,9 @@
         )
 
     async def _list(self, request: requests.Request) -> responses.Response:
-        kinds = frozenset((request.path_params['kind'],))
-        return replies.of_message(
-            object_list.ObjectList(entries=self.objects.newer(kinds, 0)),
-        )
+        limit = int(request.query_params.get('limit', 0))
+        found = self.objects.listed(request.path_params['kind'], limit)
+        return replies.of_message(object_list.ObjectList(entries=found))
 
     async def _read(self, request: requests.Request) -> responses.Response:
         params = request.path_params
--- a/chivepond/transport/checked_connection.py
+++ b/chivepond/transport/checked_connection.py
@@ -1,9 +1,13 @@
 """A connection that goes back to its pool only after a whole reply."""
 
+import contextvars
 from urllib import parse as url_parse
 
 from aiosonic import connection
 
+#: Set where an exchange must not go on a kept connection.
+needs_fresh = contextvars.ContextVar('needs_fresh', default=False)
+
 
 class CheckedConnection(connection.Connection):
     """Closes itself unless the reply in progress was read to its end.
@@ -18,4 +22,6 @@
     def reuse(self, urlparsed: url_parse.ParseResult, verify: bool) -> bool:
         """Tell whether the open connection serves, and distrust it."""
         self.keep = False
+        if needs_fresh.get():
+            return False
         return super().reuse(urlparsed, verify)
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -85,6 +85,25 @@
         """Send one POST, once, and return the whole reply."""
         return await self._exchange('POST', path, body, timeout_s, headers)
 
+    async def post_fresh(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> result.Result[reply.Reply, unreachable.Unreachable]:
+        """Send one POST, once, on a connection opened for it.
+
+        Guards against a kept connection that the other end has just closed
+        or lost: it shows as a failure after which nobody knows whether the
+        request was taken. The connection replaces a kept one of the pool,
+        so the cap stays exact.
+        """
+        token = checked_connection.needs_fresh.set(True)
+        try:
+            return await self.post(path, body, timeout_s)
+        finally:
+            checked_connection.needs_fresh.reset(token)
+
     async def get(
         self,
         path: str,
--- a/chivepond/transport/exchange.py
+++ b/chivepond/transport/exchange.py
@@ -49,6 +49,18 @@
     return answer.and_then(lambda got: read(kind, got))
 
 
+async def post_fresh(
+    kind: type[Kind],
+    to: client.Client,
+    path: str,
+    message: Any,
+    timeout_s: float,
+) -> result.Result[Kind, problem.Problem]:
+    """Send a message on a connection of its own; return the typed answer."""
+    answer = await to.post_fresh(path, codec.encode(message), timeout_s)
+    return answer.and_then(lambda got: read(kind, got))
+
+
 async def get(
     kind: type[Kind],
     to: client.Client,
