--- a/chivepond/entry/search_state.py
+++ b/chivepond/entry/search_state.py
@@ -1,6 +1,7 @@
 """One search at its entry, until it is answered."""
 
 import dataclasses
+import types
 
 from chivepond.control import shard_index
 from chivepond.entry import place
@@ -13,6 +14,15 @@
     shard_outcome,
 )
 
+#: What a searcher says of itself, as what callers are told of the shard.
+_TOLD_AS = types.MappingProxyType(
+    {
+        shard_outcome.DRAINING: shard_outcome.NO_REPLICA,
+        shard_outcome.COLD: shard_outcome.NO_REPLICA,
+        shard_outcome.CANCELLED: shard_outcome.LATE,
+    },
+)
+
 
 @dataclasses.dataclass(slots=True)
 class SearchState:
@@ -34,17 +44,24 @@
     hits: list[hit.Hit] = dataclasses.field(default_factory=list)
     attempts: int = 0
 
-    def absorb(self, answer: owner_answer.OwnerAnswer) -> None:
-        """Take an owner's answer, unless it is for another version.
+    def absorb(
+        self,
+        answer: owner_answer.OwnerAnswer,
+        shards: list[str],
+    ) -> None:
+        """Take an owner's answer for ``shards``, if it is for this search.
 
         Guards against a mix of versions, which shows as hits that disagree;
-        and against a shard counted twice when both its owner and its
-        standby answered.
+        against the answer to another request; and against a shard counted
+        twice when both its owner and its standby answered, or counted
+        though nobody asked for it.
         """
         self.attempts += answer.attempts
+        if answer.request_id != self.request_id:
+            return
         if answer.index_version != self.index.version:
             return
-        fresh = set(answer.covered) - self.covered
+        fresh = set(shards).intersection(answer.covered) - self.covered
         self.covered |= fresh
         self.hits.extend(one for one in answer.hits if one.shard in fresh)
         for lost in answer.missing:
@@ -54,10 +71,7 @@
         """Return what is covered of the version's shard map."""
         shards = self.index.searchers_by_shard
         missing = [
-            missing_shard.MissingShard(
-                shard=shard,
-                reason=self.reason_by_shard.get(shard, shard_outcome.LATE),
-            )
+            missing_shard.MissingShard(shard=shard, reason=self._reason(shard))
             for shard in shards
             if shard not in self.covered
         ]
@@ -75,3 +89,7 @@
             for shard, reason in self.reason_by_shard.items()
             if shard not in self.covered
         )
+
+    def _reason(self, shard: str) -> str:
+        reason = self.reason_by_shard.get(shard, shard_outcome.LATE)
+        return _TOLD_AS.get(reason, reason)
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -103,7 +103,10 @@
             return result.Err(checked)
         state = self._pin(request, service, page, started_at)
         if state is None:
-            return result.Err(_no_snapshot(request.service, page.version))
+            newest = self._catalog.current(request.service)
+            return result.Err(
+                _no_snapshot(request.service, page.version, newest),
+            )
         policy = service.answer
         state = await self._run(state, policy, started_at, bool(page.version))
         return result.Ok(_merge(state, page))
@@ -142,7 +145,8 @@
 
         Guards against an index version that goes away under a search: it
         shows as shards that no searcher has any more. The newer version is
-        searched whole, never merged with the older one.
+        searched whole, never merged with the older one; where too little
+        time was left for it, the older answer stands.
         """
         await self._collect(state, policy, started_at)
         newer = self._catalog.current(state.request.service)
@@ -158,7 +162,7 @@
             )
             await self._collect(again, policy, started_at)
             again.request_id = state.request_id
-            return again
+            return max(again, state, key=_covered)
         return state
 
     async def _collect(
@@ -188,12 +192,11 @@
     ) -> set[_OwnerTask]:
         """Take one owner's answer; ask elsewhere for what it lacks."""
         shards = task.get_name().split('\n')
+        for shard in shards:
+            state.reason_by_shard[shard] = shard_outcome.UNREACHABLE
         match task.result():
             case result.Ok(answer):
-                state.absorb(answer)
-            case _:
-                for shard in shards:
-                    state.reason_by_shard[shard] = shard_outcome.UNREACHABLE
+                state.absorb(answer, shards)
         lost = [shard for shard in shards if shard not in state.covered]
         if not lost or state.deadline - _now() < _MIN_LEFT_S:
             return set()
@@ -337,6 +340,10 @@
     return state.deadline
 
 
+def _covered(state: search_state.SearchState) -> int:
+    return len(state.covered)
+
+
 def _is_newer(
     newer: shard_index.ShardIndex | None,
     index: shard_index.ShardIndex,
@@ -391,7 +398,18 @@
     )
 
 
-def _no_snapshot(service: str, version: int) -> problem.Problem:
+def _no_snapshot(
+    service: str,
+    version: int,
+    newest: shard_index.ShardIndex | None,
+) -> problem.Problem:
+    """Say why there is no snapshot; a version not heard of yet may come."""
+    if version and newest is not None and version > newest.version:
+        return not_run.NotRun(
+            message=f'version {version} of {service} is not known here yet',
+            remedy='send the same cursor again',
+            retry_after_ms=_RETRY_MS,
+        )
     if version:
         return invalid.Invalid(
             message=f'version {version} of {service} was withdrawn',
--- /dev/null
+++ b/chivepond/tests/test_snapshots.py
@@ -0,0 +1,302 @@
+"""One snapshot an answer, and coverage that is true."""
+
+import asyncio
+import dataclasses
+import types
+from typing import Any
+
+import hypothesis
+import pytest
+import result
+from hypothesis import strategies
+
+from chivepond.control import catalog, object_cache, shard_index, view
+from chivepond.entry import cursor, search_state, searches
+from chivepond.errors import unreachable
+from chivepond.settings import search_service
+from chivepond.wire import (
+    hit,
+    host,
+    missing_shard,
+    notice,
+    owner_answer,
+    owner_query,
+    search_answer,
+    search_request,
+)
+from chivepond.tests import support
+from chivepond.wire import codec, index_record, shard_entry, shard_map
+
+_NODES = ('n1', 'n2')
+_SEARCHERS = ('s1', 's2', 's3')
+_SERVICE = 'logbooks'
+_BEHAVIOURS = (
+    'whole',
+    'half',
+    'shed',
+    'withdrawn',
+    'draining',
+    'foreign',
+    'old',
+    'other',
+    'lost',
+    'silent',
+    'publish',
+)
+_REASONS = frozenset(('late', 'shed', 'no_replica', 'withdrawn', 'unreachable'))
+
+
+def _record(version: int, shards: int, kept: int) -> index_record.IndexRecord:
+    """Return the versions ``kept`` to ``version``, each repartitioned."""
+    maps = [
+        shard_map.ShardMap(
+            version=one,
+            shards=[
+                shard_entry.ShardEntry(
+                    shard=f'{one}-of-{shards + one}-{number}',
+                    searchers=[
+                        _SEARCHERS[number % 3],
+                        _SEARCHERS[(number + 1) % 3],
+                    ],
+                )
+                for number in range(shards + one)
+            ],
+        )
+        for one in range(kept, version + 1)
+    ]
+    return index_record.IndexRecord(_SERVICE, 'i', version, maps)
+
+
+class _Fleet:
+    """Owners that answer by a script, and remember what is true."""
+
+    def __init__(self, shards: int, script: list[str]) -> None:
+        """Publish version 1 with some shards."""
+        self.version = 0
+        self.script = list(script)
+        self.served: set[tuple[int, str]] = set()
+        self.reasons: set[tuple[int, str, str]] = set()
+        self.shards_by_version: dict[int, set[str]] = {}
+        self._shards = shards
+        self._cache = object_cache.ObjectCache()
+        self.catalog = catalog.Catalog(self._cache)
+        self.publish()
+        hosts = [
+            host.Host(one, 'searcher', 'dc', 'r', '') for one in _SEARCHERS
+        ]
+        self.searches = searches.Searches(
+            types.SimpleNamespace(node_id='n0', data_centre='dc', region='r'),
+            types.SimpleNamespace(
+                service=lambda _: search_service.SearchService(deadline_ms=40),
+            ),
+            self.catalog,
+            types.SimpleNamespace(
+                view=view.View(
+                    {},
+                    {one.host_id: one for one in hosts},
+                    {'dc': list(_NODES)},
+                ),
+            ),
+            types.SimpleNamespace(post=self.post),
+            None,
+        )
+
+    def publish(self) -> None:
+        """Publish the next version, and withdraw the one before."""
+        self.version += 1
+        told = _record(self.version, self._shards, self.version)
+        for one in told.published:
+            names = {entry.shard for entry in one.shards}
+            self.shards_by_version[one.version] = names
+        self._cache.offer(
+            notice.Notice(
+                f'index/{_SERVICE}', self.version, codec.to_raw(told)
+            ),
+        )
+
+    async def post(
+        self,
+        kind: object,
+        node_id: str,
+        path: str,
+        query: owner_query.OwnerQuery,
+        timeout_s: float,
+    ) -> result.Result[Any, Any]:
+        """Answer as the script says; whole once it has ended."""
+        behaviour = self.script.pop(0) if self.script else 'whole'
+        await asyncio.sleep(0)
+        if behaviour == 'publish':
+            self.publish()
+            behaviour = 'withdrawn'
+        if behaviour == 'silent':
+            await asyncio.sleep(timeout_s)
+        return self._behave(behaviour, query)
+
+    def check(self, given: search_answer.SearchAnswer) -> None:
+        """Check an answer against what happened."""
+        version = given.snapshot.version
+        everything = self.shards_by_version[version]
+        missing = {one.shard for one in given.coverage.missing}
+        covered = everything - missing
+        told = given.coverage
+        assert (told.total, told.covered) == (len(everything), len(covered))
+        assert missing <= everything
+        assert {(version, shard) for shard in covered} <= self.served
+        assert sorted(one.record_id for one in given.hits) == [
+            f'{shard}-0 v{version}' for shard in sorted(covered)
+        ]
+        self._check_reasons(version, told.missing)
+
+    def _check_reasons(
+        self,
+        version: int,
+        missing: list[missing_shard.MissingShard],
+    ) -> None:
+        for one in missing:
+            is_told = (version, one.shard, one.reason) in self.reasons
+            assert one.reason in _REASONS
+            assert is_told or one.reason == 'late'
+
+    def _behave(
+        self,
+        behaviour: str,
+        query: owner_query.OwnerQuery,
+    ) -> result.Result[Any, Any]:
+        shards = [entry.shard for entry in query.shards]
+        version = query.index_version
+        given = _LOST
+        reason = 'unreachable'
+        match behaviour:
+            case 'silent' | 'whole':
+                given = self._answer(query, shards, shards)
+                reason = 'late'
+            case 'foreign':
+                foreign = [*shards, '9-of-9-9', *shards]
+                given = self._answer(query, shards, foreign)
+            case 'half':
+                given = self._answer(query, shards[::2], shards[::2])
+            case 'old':
+                given = _changed(query, shards, index_version=version - 1)
+            case 'other':
+                given = _changed(query, shards, request_id='another')
+            case 'shed' | 'withdrawn' | 'draining':
+                reason = behaviour
+                given = _refused(query, shards, behaviour)
+        self._missed(version, shards, reason)
+        return given
+
+    def _answer(
+        self,
+        query: owner_query.OwnerQuery,
+        served: list[str],
+        told: list[str],
+    ) -> result.Result[Any, Any]:
+        self.served |= {(query.index_version, shard) for shard in served}
+        return result.Ok(_given(query, told))
+
+    def _missed(self, version: int, shards: list[str], reason: str) -> None:
+        told = 'no_replica' if reason == 'draining' else reason
+        self.reasons |= {(version, shard, told) for shard in shards}
+
+
+def _given(
+    query: owner_query.OwnerQuery,
+    covered: list[str],
+) -> owner_answer.OwnerAnswer:
+    hits = [
+        hit.Hit(f'{shard}-0 v{query.index_version}', 1, shard)
+        for shard in dict.fromkeys(covered)
+    ]
+    return owner_answer.OwnerAnswer(
+        query.request_id,
+        query.index_version,
+        covered,
+        [],
+        hits,
+    )
+
+
+def _changed(
+    query: owner_query.OwnerQuery,
+    shards: list[str],
+    **changes: Any,
+) -> result.Result[Any, Any]:
+    return result.Ok(
+        _given(dataclasses.replace(query, **changes), shards),
+    )
+
+
+def _refused(
+    query: owner_query.OwnerQuery,
+    shards: list[str],
+    reason: str,
+) -> result.Result[Any, Any]:
+    given = _given(query, [])
+    given.missing = [missing_shard.MissingShard(one, reason) for one in shards]
+    return result.Ok(given)
+
+
+_LOST = result.Err(unreachable.Unreachable(message='lost', remedy='none'))
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(
+    shards=strategies.integers(0, 6),
+    script=strategies.lists(strategies.sampled_from(_BEHAVIOURS), max_size=8),
+)
+def test_snapshot_and_coverage_are_true(shards: int, script: list[str]) -> None:
+    """A coordinator searches while the index is repartitioned.
+
+    Owners answer in part, late, twice, for another version or request, or
+    not at all, and versions are withdrawn under the search. The answer
+    must be of one version, name every shard that it lacks, and claim none
+    that no owner served for it.
+    """
+    support.run(_search(_Fleet(shards, script)))
+
+
+async def _search(fleet: _Fleet) -> None:
+    for _ in range(2):
+        told = await fleet.searches.search(
+            search_request.SearchRequest(_SERVICE, 'q', 'c', limit=100),
+        )
+        fleet.check(told.unwrap())
+
+
+@pytest.mark.parametrize(
+    ('version', 'kind'),
+    [(1, 'invalid'), (3, 'not_run')],
+)
+def test_snapshot_of_a_cursor(version: int, kind: str) -> None:
+    """A member asks for the next page of a version that is not here.
+
+    A withdrawn one is said to be gone; one that another node has heard of
+    first will come, and must not be called gone.
+    """
+    fleet = _Fleet(1, [])
+    fleet.publish()
+    page = cursor.to_text(cursor.Cursor(version=version, offset=1))
+
+    support.run(_ask(fleet, page, kind))
+
+
+async def _ask(fleet: _Fleet, page: str, kind: str) -> None:
+    told = await fleet.searches.search(
+        search_request.SearchRequest(_SERVICE, 'q', 'c', cursor=page),
+    )
+    assert told.unwrap_err().kind == kind
+
+
+def test_snapshot_takes_no_answer_of_another_request() -> None:
+    """An answer to another caller arrives on this search's connection."""
+    index = shard_index.ShardIndex('i', 1, {'a': ['s1']})
+    state = search_state.SearchState(
+        search_request.SearchRequest(_SERVICE, 'q', 'c'),
+        'mine',
+        index,
+        0,
+        10,
+    )
+    other = owner_answer.OwnerAnswer('other', 1, ['a'], [], [])
+    state.absorb(other, ['a'])
+    assert not state.covered
