Planned stops wait for the longest deadline in flight

Cause: a grace shorter than a command's deadline cut it, and nobody knew whether it had run. Change: at the stop each server is allowed the longest deadline in flight.

--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -60,6 +60,7 @@
         '_planner',
         '_runner',
         '_settings',
+        'latest_deadline',
     )
 
     def __init__(
@@ -80,6 +81,8 @@
         self._peers = peers
         self._claims = claims
         self._runner = runner
+        #: When the last of the commands so far is over, in the loop's time.
+        self.latest_deadline = float(0)
         self._planner = planner.Planner(settings.data_centre, settings.region)
 
     async def run(self, request: command_request.CommandRequest) -> _Answer:
@@ -124,6 +127,7 @@
             return result.Err(wrong)
         deadline_ms = request.deadline_ms or service.deadline_ms
         deadline = _now() + deadline_ms / _MS_PER_S
+        self.latest_deadline = max(self.latest_deadline, deadline)
         try:
             async with asyncio.timeout_at(deadline + _SETTLE_S):
                 return await self._claim(request, deadline)
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -33,6 +33,7 @@
 from chivepond.wire import codec, node_status
 
 _MS_PER_S = 1000
+_GRACE_MARGIN_S = 1
 
 
 class Node:
@@ -174,6 +175,7 @@
         for loop in self._loops:
             loop.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
+        self._allow_work_in_flight()
         await self._stack.aclose()
         journal.log(events.NODE_STOPPED, node=self.settings.node_id)
 
@@ -203,6 +205,30 @@
             refused_because=refused.message,
         )
 
+    def _allow_work_in_flight(self) -> None:
+        """Let the servers wait for the longest deadline in flight.
+
+        Guards against a grace that is shorter than the work: it shows as a
+        command cut by a planned stop, of which nobody knows whether it ran.
+        """
+        latest = max(
+            self.commands.latest_deadline,
+            self.runner.latest_deadline,
+        )
+        document = self.configuration.document
+        services = document.search.by_service.values()
+        longest_ms = max((one.deadline_ms for one in services), default=0)
+        left_s = max(
+            latest - asyncio.get_running_loop().time(),
+            longest_ms / _MS_PER_S,
+        )
+        for server_in_use in (
+            self.caller_server,
+            self.peer_server,
+            self.operator_server,
+        ):
+            server_in_use.allow(left_s + _GRACE_MARGIN_S)
+
     def _refused(self) -> refused_document.RefusedDocument:
         none = refused_document.RefusedDocument(0, '', '')
         told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
--- a/chivepond/owner/command_runner.py
+++ b/chivepond/owner/command_runner.py
@@ -30,7 +30,7 @@
 class CommandRunner:
     """Takes a slot, marks the claim dispatched, sends once, keeps the end."""
 
-    __slots__ = ('_claims', '_keepers', '_owner')
+    __slots__ = ('_claims', '_keepers', '_owner', 'latest_deadline')
 
     def __init__(
         self,
@@ -40,6 +40,8 @@
         """Send through the queues of ``owned``."""
         self._owner = owned
         self._claims = claims
+        #: When the last of the commands so far is over, in the loop's time.
+        self.latest_deadline = float(0)
         self._keepers: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -59,6 +61,7 @@
     async def run(self, command: owner_command.OwnerCommand) -> _Answer:
         """Run a command whose claim its entry holds."""
         deadline = _now() + command.remaining_ms / _MS_PER_S
+        self.latest_deadline = max(self.latest_deadline, deadline)
         queue = self._owner.queue(command.searcher_id)
         if queue is None or queue.is_leaving:
             return result.Err(_refused('its searcher takes no new work'))
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import types
 from collections.abc import Iterator
@@ -76,6 +77,14 @@
         ip, port = self._socket.getsockname()[:2]
         return address.Address(ip=ip, port=port)
 
+    def allow(self, grace_s: float) -> None:
+        """Let requests in flight take at least this long when it stops."""
+        config = self._server.config
+        config.timeout_graceful_shutdown = max(
+            config.timeout_graceful_shutdown or 1,
+            math.ceil(grace_s),
+        )
+
     async def __aenter__(self) -> Self:
         """Start to answer."""
         self._task = asyncio.create_task(
