--- a/chivepond/tests/test_planned_stops.py
+++ b/chivepond/tests/test_planned_stops.py
@@ -112,10 +112,10 @@
         await _search_often(to)
         await asyncio.sleep(_LEAVING_S)
         leaving = [deployed.searcher_by_id[one] for one in (first, last)]
-        before = [one.counts.sub_queries for one in leaving]
+        before = [one.counts.batches for one in leaving]
         assert all(before)
         await _search_often(to)
-        assert [one.counts.sub_queries for one in leaving] == before
+        assert [one.counts.batches for one in leaving] == before
 
 
 async def _search_often(to: client.Client) -> None:
