--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -24,7 +24,7 @@
     problem,
     quoting,
 )
-from chivepond.observe import events, journal
+from chivepond.observe import events, journal, telemetry
 from chivepond.owner import command_runner
 from chivepond.settings import node_settings
 from chivepond.wire import (
@@ -60,6 +60,7 @@
         '_planner',
         '_runner',
         '_settings',
+        '_telemetry',
         'latest_deadline',
     )
 
@@ -72,6 +73,7 @@
         peers: peer_clients.Peers,
         claims: claim_store.ClaimStore,
         runner: command_runner.CommandRunner,
+        told: telemetry.Telemetry,
     ) -> None:
         """Run through ``runner`` where this node is the owner."""
         self._settings = settings
@@ -83,11 +85,13 @@
         self._runner = runner
         #: When the last of the commands so far is over, in the loop's time.
         self.latest_deadline = float(0)
+        self._telemetry = told
         self._planner = planner.Planner(settings.data_centre, settings.region)
 
     async def run(self, request: command_request.CommandRequest) -> _Answer:
         """Run a command at most once, or say how its key stands."""
         answer = await self._run(request)
+        self._telemetry.command_done(request, answer)
         match answer:
             case result.Ok(given):
                 journal.log(
--- a/chivepond/tests/command_bench.py
+++ b/chivepond/tests/command_bench.py
@@ -110,8 +110,8 @@
         self.tasks: list[asyncio.Task[object]] = []
         line = Line(bench, 'platform', bench.serve_platform)
         with mock.patch.object(
-            platform_client.client,
-            'Client',
+            platform_client.counted_client,
+            'CountedClient',
             lambda *_: line,
         ):
             platform = platform_client.PlatformClient(None, 1)
@@ -138,6 +138,7 @@
             types.SimpleNamespace(post=bench.post_peer),
             claims,
             self.runner,
+            types.SimpleNamespace(command_done=lambda *_: None),
         )
         self.sweeper = claim_sweeper.ClaimSweeper(
             settings,
--- a/chivepond/tests/conftest.py
+++ b/chivepond/tests/conftest.py
@@ -1,4 +1,4 @@
-"""The profile of hypothesis: the same examples on every run."""
+"""Profile of the property-based tests: the same examples on every run."""
 
 import hypothesis
 
@@ -6,7 +6,5 @@
     'chivepond',
     derandomize=True,
     deadline=None,
-    print_blob=True,
-    suppress_health_check=[hypothesis.HealthCheck.too_slow],
 )
 hypothesis.settings.load_profile('chivepond')
--- a/chivepond/tests/test_snapshots.py
+++ b/chivepond/tests/test_snapshots.py
@@ -99,6 +99,7 @@
             ),
             types.SimpleNamespace(post=self.post),
             None,
+            types.SimpleNamespace(search_done=lambda *_: None),
         )
 
     def publish(self) -> None:
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -49,6 +49,9 @@
                 ':default': pools.PoolConfig(
                     size=connections,
                     max_conn_idle_ms=_IDLE_MS,
+                    # The pool never starts to count anew, so that a bound
+                    # would open a connection for each exchange past it.
+                    max_conn_requests=None,
                 ),
             },
             timeouts=timeout.Timeouts(
@@ -108,9 +111,10 @@
         self,
         path: str,
         timeout_s: float,
+        headers: dict[str, str] | None = None,
     ) -> result.Result[reply.Reply, unreachable.Unreachable]:
         """Send one GET, which the library may repeat, and return the reply."""
-        return await self._exchange('GET', path, b'', timeout_s, None)
+        return await self._exchange('GET', path, b'', timeout_s, headers)
 
     async def lines(
         self,
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -77,6 +77,11 @@
         ip, port = self._socket.getsockname()[:2]
         return address.Address(ip=ip, port=port)
 
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._server.server_state.connections)
+
     def allow(self, grace_s: float) -> None:
         """Let requests in flight take at least this long when it stops."""
         config = self._server.config
