--- a/chivepond/tests/test_planned_stops.py
+++ b/chivepond/tests/test_planned_stops.py
@@ -85,17 +85,23 @@
 def test_drain_by_answer_or_mark_ends_new_work() -> None:
     """A searcher leaves; what it gets afterwards is cut when it goes.
 
-    One says so in its answers, another is marked by the platform. Seconds
-    later neither may count any new work, while searches stay whole.
+    One says so in its answers, another is marked by the platform: of each
+    group the replica that got the most work, which would go on getting it.
+    Seconds later neither may count any, while searches stay whole.
     """
     support.run(_drain())
 
 
 async def _drain() -> None:
     async with embedded.EmbeddedDeployment(_plan()) as deployed:
-        first, *_, last = deployed.searcher_by_id
         to = client.Client(deployed.caller_address('dc-a-0'), 2)
         await _search_often(to)
+        by_work = sorted(
+            deployed.searcher_by_id,
+            key=lambda one: deployed.searcher_by_id[one].counts.batches,
+        )
+        first = [one for one in by_work if f'{_SERVICE}-0' in one][-1]
+        last = [one for one in by_work if f'{_SERVICE}-1' in one][-1]
         deployed.searcher_by_id[first].apply_faults(
             searcher_faults.SearcherFaults(draining=True),
         )
