--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -75,10 +75,7 @@
             lambda: self.platform.is_away,
         )
         self.metrics = metrics.Metrics(self.telemetry, self.gauges)
-        self.peers = peers.Peers(
-            self.directory,
-            message_signer.of_settings(settings),
-        )
+        self.peers = self._make_peers()
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
         self._runner = runner
@@ -291,6 +288,12 @@
         ):
             server_in_use.allow(left_s + _GRACE_MARGIN_S)
 
+    def _make_peers(self) -> peers.Peers:
+        return peers.Peers(
+            self.directory,
+            message_signer.of_settings(self.settings),
+        )
+
     def _refused(self) -> refused_document.RefusedDocument:
         none = refused_document.RefusedDocument(0, '', '')
         told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
