A bad section no longer holds back other teams' edits

Cause: the draft was judged whole, so that one team's wrong section kept every other edit out of force until it was mended. Ruled out: judging each section as an object of its own, since the check across sections would then have no one version to hold for; a second object with the refusals of a document that was accepted in part, since a crash between the two writes would leave edits neither in force nor refused. Change: the accepted document takes the sections that are right and fit, and keeps the last good body of the others, read in the very version that the write is conditional on; refusals are kept by section, in the same object. Of sections that clash the one edited first goes in; a section notes the version that its edit is based on. The refused object stays for drafts of which nothing could be put in force, and for software of before. The state machine's search sections were all wrong ('index' is no setting), so that it never accepted one; they are right now, some clash, and the number of the body in force may only rise, for each section.

--- a/chivepond/control/acceptor.py
+++ b/chivepond/control/acceptor.py
@@ -18,7 +18,13 @@
 from chivepond.platform import client as platform_client
 from chivepond.platform import kinds
 from chivepond.settings import deployment
-from chivepond.wire import codec, draft_document, notice, stored_object
+from chivepond.wire import (
+    codec,
+    draft_document,
+    notice,
+    section_refusal,
+    stored_object,
+)
 
 _KIND = 'deployment'
 _ACCEPTED = 'accepted'
@@ -82,28 +88,20 @@
         Whether that worked shows in ``pending``: a write whose reply was
         lost counts for nothing until the object itself has been read.
         """
-        match check(draft):
-            case result.Ok(document):
-                message = accepted_document.AcceptedDocument(
-                    revision=draft.version,
-                    document=document,
-                )
-                await self._raise_to(draft.version, _ACCEPTED, message)
-            case result.Err(wrong):
-                journal.log(
-                    events.CONFIGURATION_REFUSED,
-                    revision=draft.version,
-                    why=wrong.message,
-                )
-                await self._raise_to(
-                    draft.version,
-                    _REFUSED,
-                    refused_document.RefusedDocument(
-                        revision=draft.version,
-                        message=wrong.message,
-                        remedy=wrong.remedy,
-                    ),
-                )
+        found = await self._read(_ACCEPTED)
+        if found.is_err():
+            return
+        there = found.unwrap()
+        self._keep(there)
+        if not _is_lower(there, draft.version):
+            return
+        match judge(draft, there):
+            case accepted_document.AcceptedDocument() as accepted:
+                _tell(accepted.refusals)
+                await self._replace(there, accepted)
+            case refused_document.RefusedDocument() as refused:
+                _tell(refused.refusals)
+                await self._refuse(refused)
 
     async def settle(self) -> None:
         """Try until the newest draft is judged, by whomever.
@@ -121,30 +119,24 @@
             if draft is not None:
                 await self._pause(_RETRY_S)
 
-    async def _raise_to(
-        self,
-        revision: int,
-        name: str,
-        message: object,
-    ) -> None:
-        """Replace an object if the one there is of a lower revision.
-
-        Guards against a revert: an acceptor that was paused, or whose
-        software can't read the document in force, would put an older one
-        over it. The revision is compared with the very version that the
-        write is conditional on, so that no other can slip in between.
-        """
-        found = await self._read(name)
+    async def _refuse(self, refused: refused_document.RefusedDocument) -> None:
+        """Tell what is wrong, unless a later draft was refused already."""
+        found = await self._read(_REFUSED)
         if found.is_err():
             return
         there = found.unwrap()
         self._keep(there)
-        mark = codec.decode(revision_mark.RevisionMark, there.body)
-        if mark.is_err() or mark.unwrap().revision >= revision:
-            return
+        if _is_lower(there, refused.revision):
+            await self._replace(there, refused)
+
+    async def _replace(
+        self,
+        there: stored_object.StoredObject,
+        message: object,
+    ) -> None:
         written = await self._platform.write(
             _KIND,
-            name,
+            there.name,
             message,
             there.version,
         )
@@ -200,14 +192,90 @@
             self._news.set()
 
 
-def check(
+def judge(
     draft: notice.Notice,
+    there: stored_object.StoredObject,
+) -> accepted_document.AcceptedDocument | refused_document.RefusedDocument:
+    """Return what to write for a draft, ``there`` being in force.
+
+    Where software can't read the document in force it knows no last good
+    body either: it accepts a draft that is right as a whole, or nothing.
+    """
+    base = _base(there)
+    read = codec.decode(draft_document.DraftDocument, draft.body)
+    if read.is_err():
+        return _refused([_unreadable(draft.version, read.unwrap_err())])
+    judged = draft_check.judge(
+        read.unwrap(),
+        base.unwrap_or(deployment.Deployment()),
+        draft.version,
+    )
+    is_same = judged.document == base.unwrap_or(judged.document)
+    if judged.refusals and is_same:
+        return _refused(judged.refusals)
+    return judged
+
+
+def _base(
+    there: stored_object.StoredObject,
 ) -> result.Result[deployment.Deployment, invalid.Invalid]:
-    """Return the document in a draft, or what is wrong and where."""
-    return codec.decode(
-        draft_document.DraftDocument,
-        draft.body,
-    ).and_then(draft_check.check)
+    if not there.version:
+        return result.Ok(deployment.Deployment())
+    read = codec.decode(accepted_document.AcceptedDocument, there.body)
+    return read.map(_document)
+
+
+def _document(
+    accepted: accepted_document.AcceptedDocument,
+) -> deployment.Deployment:
+    return accepted.document
+
+
+def _is_lower(there: stored_object.StoredObject, revision: int) -> bool:
+    """Tell whether an object is of a lower revision, as far as is known.
+
+    Guards against a revert: an acceptor that was paused, or whose software
+    can't read the document in force, would put an older one over it. The
+    revision is compared in the very version that the write is conditional
+    on, so that no other can slip in between.
+    """
+    mark = codec.decode(revision_mark.RevisionMark, there.body)
+    return mark.is_ok() and mark.unwrap().revision < revision
+
+
+def _unreadable(
+    revision: int,
+    wrong: invalid.Invalid,
+) -> section_refusal.SectionRefusal:
+    return section_refusal.SectionRefusal(
+        section='',
+        edits=0,
+        revision=revision,
+        message=wrong.message,
+        remedy=wrong.remedy,
+    )
+
+
+def _refused(
+    refusals: list[section_refusal.SectionRefusal],
+) -> refused_document.RefusedDocument:
+    first = refusals[0]
+    return refused_document.RefusedDocument(
+        revision=first.revision,
+        message=first.message,
+        remedy=first.remedy,
+        refusals=refusals,
+    )
+
+
+def _tell(refusals: list[section_refusal.SectionRefusal]) -> None:
+    for one in refusals:
+        journal.log(
+            events.CONFIGURATION_REFUSED,
+            revision=one.revision,
+            section=one.section,
+            why=one.message,
+        )
 
 
 def _revision(mark: revision_mark.RevisionMark) -> int:
--- a/chivepond/control/configuration.py
+++ b/chivepond/control/configuration.py
@@ -2,11 +2,15 @@
 
 import result
 
-from chivepond.control import accepted_document, object_cache
+from chivepond.control import (
+    accepted_document,
+    object_cache,
+    refused_document,
+)
 from chivepond.observe import events, journal
 from chivepond.platform import kinds
 from chivepond.settings import capacity_service, deployment, search_service
-from chivepond.wire import codec, notice
+from chivepond.wire import codec, notice, section_refusal
 
 _DEFAULT_CAPACITY = capacity_service.CapacityService()
 
@@ -14,11 +18,16 @@
 class Configuration:
     """The highest accepted revision that this node has seen."""
 
-    __slots__ = ('document', 'revision')
+    __slots__ = ('_judged', 'document', 'refusals', 'revision')
 
     def __init__(self, cache: object_cache.ObjectCache) -> None:
-        """Follow the accepted document in ``cache``."""
+        """Follow what acceptors write into ``cache``.
+
+        ``refusals`` are those of the newest draft that was judged.
+        """
+        self._judged = 0
         self.revision = 0
+        self.refusals: list[section_refusal.SectionRefusal] = []
         self.document = deployment.Deployment()
         cache.listen(self._on_notice)
 
@@ -32,12 +41,18 @@
         return by_service.get(name, _DEFAULT_CAPACITY)
 
     def _on_notice(self, told: notice.Notice) -> None:
-        if told.key != kinds.DEPLOYMENT_ACCEPTED:
-            return
+        match told.key:
+            case kinds.DEPLOYMENT_ACCEPTED:
+                self._on_accepted(told)
+            case kinds.DEPLOYMENT_REFUSED:
+                self._on_refused(told)
+
+    def _on_accepted(self, told: notice.Notice) -> None:
         match codec.decode(accepted_document.AcceptedDocument, told.body):
             case result.Ok(accepted) if accepted.revision > self.revision:
                 self.revision = accepted.revision
                 self.document = accepted.document
+                self._note(accepted.revision, accepted.refusals)
                 journal.log(
                     events.CONFIGURATION_IN_FORCE,
                     revision=accepted.revision,
@@ -48,3 +63,17 @@
                     version=told.version,
                     why=wrong.message,
                 )
+
+    def _on_refused(self, told: notice.Notice) -> None:
+        match codec.decode(refused_document.RefusedDocument, told.body):
+            case result.Ok(refused):
+                self._note(refused.revision, refused.refusals)
+
+    def _note(
+        self,
+        revision: int,
+        refusals: list[section_refusal.SectionRefusal],
+    ) -> None:
+        if revision > self._judged:
+            self._judged = revision
+            self.refusals = refusals
--- a/chivepond/control/editor.py
+++ b/chivepond/control/editor.py
@@ -133,6 +133,7 @@
             edits=edit.base_edits + 1,
             body=edit.body,
             token=token,
+            based_on=expect,
         )
         draft = sections | {edit.section: fresh}
         written = await self._platform.write(_KIND, _NAME, draft, expect)
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -6,8 +6,6 @@
 import types
 from typing import Self
 
-import result
-
 from chivepond.control import (
     acceptor,
     catalog,
@@ -17,7 +15,6 @@
     editor,
     heartbeats,
     object_cache,
-    refused_document,
     relay,
 )
 from chivepond.control import application as operator_application
@@ -34,7 +31,6 @@
 from chivepond.owner import application as peer_application
 from chivepond.owner import command_runner, owner
 from chivepond.platform import client as platform_client
-from chivepond.platform import kinds
 from chivepond.settings import node_settings
 from chivepond.transport import (
     address,
@@ -44,7 +40,7 @@
     signed_application,
     token_application,
 )
-from chivepond.wire import codec, node_burn, node_status
+from chivepond.wire import node_burn, node_status
 
 _MS_PER_S = 1000
 _GRACE_MARGIN_S = 1
@@ -225,7 +221,6 @@
     def status(self) -> node_status.NodeStatus:
         """Return what operators see of this node."""
         view = self.directory.view
-        refused = self._refused()
         live = view.live_by_data_centre.get(self.settings.data_centre, [])
         return node_status.NodeStatus(
             node_id=self.settings.node_id,
@@ -234,8 +229,7 @@
             waits_for=self.waits_for(),
             live_nodes=live,
             searchers=len(view.searcher_by_id),
-            refused_revision=refused.revision,
-            refused_because=refused.message,
+            refusals=self.configuration.refusals,
         )
 
     def burn(self) -> node_burn.NodeBurn:
@@ -294,15 +288,3 @@
             self.directory,
             message_signer.of_settings(self.settings),
         )
-
-    def _refused(self) -> refused_document.RefusedDocument:
-        none = refused_document.RefusedDocument(0, '', '')
-        told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
-        if told is None:
-            return none
-        match codec.decode(refused_document.RefusedDocument, told.body):
-            case result.Ok(found) if (
-                found.revision > self.configuration.revision
-            ):
-                return found
-        return none
--- a/chivepond/tests/test_accepted_configuration.py
+++ b/chivepond/tests/test_accepted_configuration.py
@@ -1,6 +1,7 @@
 """An accepted configuration never reverts, and no edit is lost silently."""
 
 import random
+from typing import Any
 
 import msgspec
 import pytest
@@ -12,13 +13,14 @@
     acceptor,
     configuration,
     directory,
+    draft_check,
     editor,
     object_cache,
     relay,
 )
 from chivepond.errors import outcome_unknown
 from chivepond.platform import kinds
-from chivepond.settings import node_settings
+from chivepond.settings import loader, node_settings
 from chivepond.tests import stepped
 from chivepond.wire import (
     codec,
@@ -27,9 +29,10 @@
     section_edit,
 )
 
-_SECTIONS = ('search', 'audit')
+_SECTIONS = ('search', 'audit', 'capacity')
 _BAD = b'{"nonsense":%d}'
 _NODES = 3
+_UNEDITED_S = 86400
 _FATES = st.sampled_from(stepped.Fate)
 _AT = st.integers(0, _NODES)
 _PICK = st.integers(0, 69)
@@ -55,6 +58,7 @@
 
     def __init__(self, platform: stepped.SteppedPlatform) -> None:
         """Start with nothing known."""
+        self.platform = platform
         self.cache = object_cache.ObjectCache()
         self.configuration = configuration.Configuration(self.cache)
         self.acceptor = acceptor.Acceptor(
@@ -68,12 +72,41 @@
         self.version = 0
 
 
+def _raw(message: object) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(message))
+
+
 def _body(section: str, number: int, *, is_bad: bool) -> msgspec.Raw:
+    """Return a body that tells its number; every third clashes.
+
+    Searches that drop the service `base` clash with capacity for it, and so
+    does capacity for a service that no search section has.
+    """
     if is_bad:
         return msgspec.Raw(_BAD % number)
+    is_clash = number % 3 == 0
+    match section:
+        case 'audit':
+            return msgspec.Raw(b'{"claim_retention_s":%d}' % (60 + number))
+        case 'search':
+            names = [f's{number}'] if is_clash else [f's{number}', 'base']
+            return _raw({'services': {name: {} for name in names}})
+    name = 'gone' if is_clash else 'base'
+    return _raw({'services': {name: {'slots': number}}})
+
+
+def _number(document: dict[str, Any], section: str) -> int:
+    """Return the number of the body in force, zero for none."""
+    body = document[section]
     if section == 'audit':
-        return msgspec.Raw(b'{"claim_retention_s":%d}' % (60 + number))
-    return msgspec.Raw(b'{"services":{"s%d":{"index":"i"}}}' % number)
+        retention_s = int(body['claim_retention_s'])
+        return 0 if retention_s == _UNEDITED_S else retention_s - 60
+    services = body['services']
+    if section == 'search':
+        told = [int(name[1:]) for name in services if name != 'base']
+    else:
+        told = [one['slots'] for one in services.values()]
+    return sum(told)
 
 
 class AcceptedConfiguration(stateful.RuleBasedStateMachine):
@@ -88,6 +121,7 @@
         self.edits: list[tuple[section_edit.SectionEdit, stepped.Stepped]] = []
         self.seen_bodies: set[bytes] = set()
         self.accepted = 0
+        self.in_force = dict.fromkeys(_SECTIONS, 0)
         self.number = 0
 
     @stateful.rule(what=_ACTIONS, at=_AT, to=_AT, pick=_PICK, fate=_FATES)
@@ -102,7 +136,7 @@
         node = at % _NODES
         match what:
             case 'edit':
-                section = _SECTIONS[pick % 2]
+                section = _SECTIONS[pick % 3]
                 behind = int(pick % 7 == 6)
                 self.edit(section, behind, at, is_bad=pick % 17 == 16)
             case 'judge':
@@ -195,9 +229,13 @@
         """Neither the accepted object nor any node goes back."""
         found = self.platform.table.read('deployment', 'accepted')
         if found.is_ok():
-            revision = msgspec.json.decode(found.unwrap().body)['revision']
-            assert revision >= self.accepted
-            self.accepted = revision
+            seen = msgspec.json.decode(found.unwrap().body)
+            assert seen['revision'] >= self.accepted
+            self.accepted = seen['revision']
+            for section in _SECTIONS:
+                number = _number(seen['document'], section)
+                assert number >= self.in_force[section]
+                self.in_force[section] = number
         accepted = kinds.DEPLOYMENT_ACCEPTED
         for node in self.nodes:
             assert node.configuration.revision >= node.highest
@@ -248,6 +286,26 @@
             stepped.Stepped(self.platform, judging.attempt(draft)).finish()
         assert judging.pending() is None
         self.accepted_only_rises()
+        for section in _SECTIONS:
+            self._is_in_force_or_refused(section)
+
+    def _is_in_force_or_refused(self, section: str) -> None:
+        """No section that is right waits for another one to be mended."""
+        settled = self.nodes[0].configuration
+        edit = getattr(self._draft(), section)
+        kind = draft_check.KIND_BY_SECTION[section]
+        read = loader.parse(kind, bytes(edit.body), section)
+        told = {one.section: one.edits for one in settled.refusals}
+        if read.is_ok() and read.unwrap() == getattr(settled.document, section):
+            assert section not in told
+            return
+        assert told[section] == edit.edits
+        if read.is_ok():
+            tried = msgspec.structs.replace(
+                settled.document, **{section: read.unwrap()}
+            )
+            searched = tried.search.by_service
+            assert any(one not in searched for one in tried.capacity.by_service)
 
     def _draft(self) -> draft_document.DraftDocument:
         found = self.platform.table.read('deployment', 'draft')
@@ -267,10 +325,6 @@
 )
 
 
-def _raw(message: object) -> msgspec.Raw:
-    return msgspec.Raw(msgspec.json.encode(message))
-
-
 @pytest.mark.parametrize(
     'newer',
     [
@@ -331,6 +385,76 @@
     assert node.configuration.revision == 8
 
 
+def _judged(node: _Node, draft: dict[str, object], revision: int) -> None:
+    told = notice.Notice(kinds.DEPLOYMENT_DRAFT, revision, _raw(draft))
+    node.cache.offer(told)
+    stepped.Stepped(node.platform, node.acceptor.attempt(told)).finish()
+
+
+def _section(body: object, edits: int = 1, based_on: int = 0) -> object:
+    return {'edits': edits, 'based_on': based_on, 'body': body}
+
+
+def test_accepted_sections_do_not_wait_for_a_bad_one() -> None:
+    """A team's good edit comes into force beside another team's bad one.
+
+    Capacity owners wait all day for their edit. Search owners had written
+    a section that can't be read before they went home.
+    """
+    node = _Node(stepped.SteppedPlatform())
+    good = _section({'services': {'a': {}}})
+    _judged(node, {'search': good}, 1)
+    bad = _section({'services': {'a': 1}}, edits=2, based_on=1)
+    audit = _section({'claim_retention_s': 77}, based_on=2)
+    _judged(node, {'search': bad}, 2)
+    assert node.configuration.revision == 1
+    _judged(node, {'search': bad, 'audit': audit}, 3)
+    settled = node.configuration
+    assert settled.revision == 3
+    assert list(settled.document.search.by_service) == ['a']
+    assert settled.document.audit.claim_retention_s == 77
+    (refusal,) = settled.refusals
+    assert (refusal.section, refusal.edits) == ('search', 2)
+    assert 'services' in refusal.message
+    assert refusal.remedy
+
+
+def test_accepted_clash_refuses_the_section_that_was_edited() -> None:
+    """An edit that clashes is refused, and the other section stays.
+
+    Capacity owners find their section refused though they changed nothing.
+    Search owners dropped a service that capacity still names. Once capacity
+    drops it too, both come into force.
+    """
+    node = _Node(stepped.SteppedPlatform())
+    search = _section({'services': {'a': {}}})
+    capacity = _section({'services': {'a': {}}}, based_on=1)
+    _judged(node, {'search': search, 'capacity': capacity}, 2)
+    dropped = _section({'services': {}}, edits=2, based_on=2)
+    _judged(node, {'search': dropped, 'capacity': capacity}, 3)
+    assert [one.section for one in node.configuration.refusals] == ['search']
+    fitting = _section({'services': {}}, edits=2, based_on=3)
+    _judged(node, {'search': dropped, 'capacity': fitting}, 4)
+    assert node.configuration.refusals == []
+    assert not node.configuration.document.search.by_service
+
+
+def test_accepted_clash_of_two_edits_favours_the_first() -> None:
+    """Of two new edits that clash, the later one is refused.
+
+    Who applied first is told that the edit is wrong, after all was well.
+    Both edits came before any node had judged the first.
+    """
+    node = _Node(stepped.SteppedPlatform())
+    search = _section({'services': {'a': {}}})
+    _judged(node, {'search': search}, 1)
+    capacity = _section({'services': {'a': {}}}, based_on=1)
+    dropped = _section({'services': {}}, edits=2, based_on=2)
+    _judged(node, {'search': dropped, 'capacity': capacity}, 3)
+    assert [one.section for one in node.configuration.refusals] == ['search']
+    assert list(node.configuration.document.capacity.by_service) == ['a']
+
+
 def test_accepted_edit_whose_reply_is_lost_is_told_as_written() -> None:
     """An operator whose edit took effect is not told of a conflict.
 
--- a/chivepond/tests/test_pages.py
+++ b/chivepond/tests/test_pages.py
@@ -8,7 +8,7 @@
 
 from chivepond.control import draft_check
 from chivepond.observe import event_table
-from chivepond.settings import defaults, loader, node_settings
+from chivepond.settings import defaults, deployment, loader, node_settings
 from chivepond.standins import searcher_profile
 from chivepond.wire import codec, draft_document, draft_section
 
@@ -58,16 +58,18 @@
     assert missing == []
 
 
-@pytest.mark.parametrize('deployment', _DEPLOYMENTS)
-def test_example_document_is_accepted(deployment: str) -> None:
+@pytest.mark.parametrize('example', _DEPLOYMENTS)
+def test_example_document_is_accepted(example: str) -> None:
     """The three sections of an example are right, and fit one another."""
     sections = {}
     for name, kind in draft_check.KIND_BY_SECTION.items():
-        path = _EXAMPLES / deployment / f'{name}.yaml'
+        path = _EXAMPLES / example / f'{name}.yaml'
         told = loader.load(kind, path).unwrap()
         sections[name] = draft_section.DraftSection(1, codec.to_raw(told))
     draft = draft_document.DraftDocument(**sections)
-    document = draft_check.check(draft).unwrap()
+    judged = draft_check.judge(draft, deployment.Deployment(), 1)
+    assert judged.refusals == []
+    document = judged.document
     assert len(document.search.by_service) == 4
     assert set(document.capacity.by_service) == set(document.search.by_service)
 
--- a/chivepond/tools/config_commands.py
+++ b/chivepond/tools/config_commands.py
@@ -15,6 +15,7 @@
     edit_result,
     node_status,
     section_edit,
+    section_refusal,
     section_view,
 )
 
@@ -112,19 +113,46 @@
             node_client.token_headers(program),
         )
         match status:
-            case result.Ok(seen) if seen.revision >= edited.revision:
-                console.say(f'revision {edited.revision} is in force')
-                return exit_code.ExitCode.OK
-            case result.Ok(seen) if seen.refused_revision == edited.revision:
-                return console.complain(_refused(seen))
+            case result.Ok(seen):
+                code = _settled(seen, program.flags.section, edited)
+                if code is not None:
+                    return code
         await asyncio.sleep(_POLL_S)
     return console.complain(_slow(edited))
 
 
-def _refused(seen: node_status.NodeStatus) -> problem.Problem:
+def _settled(
+    seen: node_status.NodeStatus,
+    section: str,
+    edited: edit_result.EditResult,
+) -> exit_code.ExitCode | None:
+    """Say what became of an edit, and return the code, once it is judged."""
+    refusal = _refusal(seen, section, edited)
+    if refusal is not None:
+        return console.complain(_refused(refusal))
+    if seen.revision < edited.revision:
+        return None
+    console.say(f'revision {edited.revision} is in force')
+    return exit_code.ExitCode.OK
+
+
+def _refusal(
+    seen: node_status.NodeStatus,
+    section: str,
+    edited: edit_result.EditResult,
+) -> section_refusal.SectionRefusal | None:
+    """Return the refusal of this very edit, if it was refused."""
+    for one in seen.refusals:
+        is_this = one.section == section and one.edits == edited.edits
+        if is_this or (not one.section and one.revision >= edited.revision):
+            return one
+    return None
+
+
+def _refused(refusal: section_refusal.SectionRefusal) -> problem.Problem:
     return invalid.Invalid(
-        message=f'revision {seen.refused_revision}: {seen.refused_because}',
-        remedy='mend the section; the revision before stays in force',
+        message=f'revision {refusal.revision}: {refusal.message}',
+        remedy=f'{refusal.remedy}; the section before stays in force',
     )
 
 
--- a/chivepond/wire/node_status.py
+++ b/chivepond/wire/node_status.py
@@ -2,10 +2,15 @@
 
 import dataclasses
 
+from chivepond.wire import section_refusal
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeStatus:
-    """State of a node; ``waits_for`` is empty when it is ready."""
+    """State of a node; ``waits_for`` is empty when it is ready.
+
+    ``refusals`` are those of the newest draft that was judged.
+    """
 
     node_id: str
     data_centre: str
@@ -13,5 +18,6 @@
     waits_for: str
     live_nodes: list[str]
     searchers: int
-    refused_revision: int = 0
-    refused_because: str = ''
+    refusals: list[section_refusal.SectionRefusal] = dataclasses.field(
+        default_factory=list,
+    )
