Status of each data centre, and views that cost and move little

Cause: nothing told operators of more than the node asked; each heartbeat went through all peers and members; a node that came and went moved its searchers each time; a node that the lagging list lacked got no work. Ruled out: a status of all nodes written by each (writes grow with the fleet); the writer asking all nodes (a burst at takeover); reports to all peers by gossip (5 s on average between two reports at 66 nodes, a tail of 20 s). Change: the first live node in hash order writes one object a data centre, at most every 2 s, by conditional update; nodes report to it every eighth period and when a revision comes into force. Peers are sorted, suspects and news listed when they change. A node removed twice within five minutes stays out for 10 s, then twice as long, of at most half of a data centre. A node that misses itself in the list tells its address, and peers hand it on.

--- a/chivepond/control/heartbeats.py
+++ b/chivepond/control/heartbeats.py
@@ -7,13 +7,15 @@
 
 import result
 
-from chivepond.control import configuration, directory, object_cache
+from chivepond.control import directory, object_cache, status_board
 from chivepond.entry import peers as peer_clients
 from chivepond.observe import events, journal
 from chivepond.settings import node_settings
 from chivepond.wire import heartbeat, host, notice_list, object_request
 
 _MS_PER_S = 1000
+#: Every so many periods a node reports to the writer of the status.
+_REPORT_EVERY = 8
 
 
 def loop_time() -> float:
@@ -25,20 +27,22 @@
     """Sends heartbeats, and fetches from peers what they have newer."""
 
     __slots__ = (
+        '_board',
         '_cache',
         '_clock',
-        '_configuration',
         '_directory',
         '_peers',
         '_random',
+        '_reported',
         '_settings',
+        '_until_report',
     )
 
     def __init__(
         self,
         settings: node_settings.NodeSettings,
         cache: object_cache.ObjectCache,
-        configured: configuration.Configuration,
+        board: status_board.StatusBoard,
         hosts: directory.Directory,
         peers: peer_clients.Peers,
         rng: random.Random,
@@ -47,23 +51,30 @@
         """Keep ``cache`` and ``hosts`` in step with other nodes."""
         self._settings = settings
         self._cache = cache
-        self._configuration = configured
+        self._board = board
         self._directory = hosts
         self._peers = peers
         self._random = rng
         self._clock = clock
+        self._reported = 0
+        self._until_report = rng.randrange(_REPORT_EVERY)
 
     def own(self, receiver: str) -> heartbeat.Heartbeat:
         """Return what this node says of itself, and news for the receiver."""
         members = self._directory.members
+        is_report = receiver == self._directory.status_writer()
         return heartbeat.Heartbeat(
             node_id=self._settings.node_id,
             incarnation=members.incarnation,
             is_leaving=members.is_leaving,
-            revision=self._configuration.revision,
+            revision=self._board.revision,
             version_by_key={},
             digest=self._cache.digest,
             news=members.news_for(receiver),
+            unlisted=self._directory.unlisted(),
+            searchers_by_state=(
+                self._board.own(self._clock()) if is_report else None
+            ),
         )
 
     def answer(self, beat: heartbeat.Heartbeat) -> heartbeat.Heartbeat:
@@ -71,7 +82,7 @@
 
         The versions of all objects go along only if the digests differ.
         """
-        self._directory.heard(beat, self._clock())
+        self._hear(beat)
         own = self.own(beat.node_id)
         if beat.digest == own.digest:
             return own
@@ -101,7 +112,7 @@
             journal.log(events.NODE_WOKE)
             await self._beat_all(self._directory.peers())
         else:
-            await self._beat_all(self._directory.sample(self._random))
+            await self._beat_all(self._chosen())
         self._directory.refresh(self._clock())
 
     async def leave(self) -> None:
@@ -109,6 +120,33 @@
         self._directory.members.is_leaving = True
         await self._beat_all(self._directory.peers())
 
+    def _hear(
+        self,
+        told: heartbeat.Heartbeat,
+        round_trip_s: float = 0,
+    ) -> None:
+        now = self._clock()
+        self._directory.heard(told, now, round_trip_s)
+        self._board.heard(told, now)
+
+    def _chosen(self) -> list[host.Host]:
+        """Return the peers of this period.
+
+        The writer of the status takes the place of one of them now and
+        then, and at once when a revision has come into force.
+        """
+        peers = self._directory.sample(self._random)
+        self._until_report -= 1
+        if self._until_report > 0 and self._reported == self._board.revision:
+            return peers
+        self._until_report = _REPORT_EVERY
+        self._reported = self._board.revision
+        writer_id = self._directory.status_writer()
+        writer = self._directory.view.node_by_id.get(writer_id)
+        if writer is None or writer_id == self._settings.node_id:
+            return peers
+        return [writer, *(one for one in peers[1:] if one != writer)]
+
     async def _beat_all(self, peers: list[host.Host]) -> None:
         async with asyncio.TaskGroup() as group:
             for peer in peers:
@@ -129,9 +167,7 @@
         )
         match answer:
             case result.Ok(told):
-                self._directory.heard(
-                    told, self._clock(), self._clock() - sent_at
-                )
+                self._hear(told, self._clock() - sent_at)
                 await self._fetch(node_id, target, told)
             case result.Err():
                 self._directory.members.failed(node_id, self._clock())
--- a/chivepond/control/member_table.py
+++ b/chivepond/control/member_table.py
@@ -21,8 +21,11 @@
     """
 
     __slots__ = (
+        '_changed',
+        '_fresh_by_id',
         '_member_by_id',
         '_own_id',
+        '_suspect_by_id',
         '_suspect_s',
         '_ticked_at',
         'incarnation',
@@ -34,6 +37,9 @@
         self._own_id = own_id
         self._suspect_s = suspect_s
         self._member_by_id: dict[str, member.Member] = {}
+        self._suspect_by_id: dict[str, member.Member] = {}
+        self._fresh_by_id: dict[str, member.Member] = {}
+        self._changed: set[str] = set()
         self._ticked_at: float | None = None
         self.incarnation = incarnation
         self.is_leaving = False
@@ -43,6 +49,12 @@
         known = self._member_by_id.get(node_id)
         return member.ALIVE if known is None else known.state
 
+    def take_changed(self) -> set[str]:
+        """Return the nodes whose state changed since the last call."""
+        changed = self._changed
+        self._changed = set()
+        return changed
+
     def round_trip_s(self, node_id: str) -> float:
         """Return the smoothed round trip to a node, zero if unknown."""
         known = self._member_by_id.get(node_id)
@@ -74,7 +86,7 @@
         """Suspect a node that did not answer."""
         known = self._known(node_id, now)
         if known.state == member.ALIVE:
-            _set(known, member.SUSPECT, now)
+            self._set(known, member.SUSPECT, now)
 
     def tick(self, now: float) -> bool:
         """Remove those suspected for too long; tell if this node stood still.
@@ -86,13 +98,11 @@
         last = now if self._ticked_at is None else self._ticked_at
         self._ticked_at = now
         stood_still = now - last > self._suspect_s
-        for known in self._member_by_id.values():
-            if known.state != member.SUSPECT:
-                continue
+        for known in list(self._suspect_by_id.values()):
             if stood_still:
                 known.since = now
             elif now - known.since >= self._suspect_s:
-                _set(known, member.DEAD, now)
+                self._set(known, member.DEAD, now)
         return stood_still
 
     def news_for(self, receiver: str) -> list[member_news.MemberNews]:
@@ -104,14 +114,14 @@
         about = self._member_by_id.get(receiver)
         chosen = [] if about is None or _is_fine(about) else [about]
         fresh = [
-            known
-            for known in self._member_by_id.values()
-            if known is not about and known.told < _TELL_TIMES
+            known for known in self._fresh_by_id.values() if known is not about
         ]
         fresh.sort(key=_told)
         chosen.extend(fresh[: NEWS_LIMIT - len(chosen)])
         for known in chosen:
             known.told += 1
+            if known.told >= _TELL_TIMES:
+                self._fresh_by_id.pop(known.node_id, None)
         return [_news(known) for known in chosen]
 
     def prune(self, listed: Iterable[str], now: float) -> None:
@@ -124,6 +134,8 @@
         ]
         for node_id in gone:
             self._member_by_id.pop(node_id)
+            self._suspect_by_id.pop(node_id, None)
+            self._fresh_by_id.pop(node_id, None)
 
     def _clear_itself(self, one: member_news.MemberNews) -> None:
         """Rise above what is said of this node, unless it is true.
@@ -150,7 +162,23 @@
             known.incarnation = one.incarnation
             if one.state == known.state:
                 return
-            _set(known, one.state, now)
+            self._set(known, one.state, now)
+
+    def _set(self, known: member.Member, state: str, now: float) -> None:
+        """Give a node a state, and keep the short lists in step.
+
+        Suspects and news to pass on are few; going through all members for
+        them would cost each heartbeat more in a larger fleet.
+        """
+        known.state = state
+        known.since = now
+        known.told = 0
+        self._fresh_by_id[known.node_id] = known
+        self._changed.add(known.node_id)
+        if state == member.SUSPECT:
+            self._suspect_by_id[known.node_id] = known
+        else:
+            self._suspect_by_id.pop(known.node_id, None)
 
     def _known(self, node_id: str, now: float) -> member.Member:
         known = self._member_by_id.get(node_id)
@@ -160,12 +188,6 @@
         return known
 
 
-def _set(known: member.Member, state: str, now: float) -> None:
-    known.state = state
-    known.since = now
-    known.told = 0
-
-
 def _rank(incarnation: int, state: str) -> tuple[int, int]:
     return incarnation, member.ORDER.index(state)
 
--- /dev/null
+++ b/chivepond/control/return_hold.py
@@ -0,0 +1,52 @@
+"""Keeps nodes that come and go out of the view for a while."""
+
+_FIRST_S = 10
+_LONGEST_S = 300
+_FORGET_S = 300
+
+
+class ReturnHold:
+    """How long a node stays out after it was removed; pure.
+
+    Load pattern: nodes, or the links to them, that fail and recover again
+    and again. Without it each return moves the ownership of searchers, with
+    their queues and connections, to and fro. A removal is never delayed,
+    and the first return within five minutes is not either, since restarts
+    are that. After each further removal the node stays out twice as long, 10
+    s at first: long against the few seconds in which an owner's queue warms
+    up, short against the day that a lost owner would otherwise be out.
+    """
+
+    __slots__ = ('_count_by_id', '_removed_at_by_id')
+
+    def __init__(self) -> None:
+        """Start with no removals known."""
+        self._count_by_id: dict[str, int] = {}
+        self._removed_at_by_id: dict[str, float] = {}
+
+    def removed(self, node_id: str, now: float) -> None:
+        """Note that a node was found dead or leaving."""
+        last = self._removed_at_by_id.get(node_id)
+        if last is None or now - last > _FORGET_S:
+            self._count_by_id[node_id] = 0
+        self._count_by_id[node_id] += 1
+        self._removed_at_by_id[node_id] = now
+
+    def until(self, node_id: str) -> float:
+        """Return until when a node stays out; zero for one not held."""
+        count = self._count_by_id.get(node_id, 0)
+        if count < 2:
+            return 0
+        hold_s = min(_FIRST_S * 2 ** (count - 2), _LONGEST_S)
+        return self._removed_at_by_id[node_id] + hold_s
+
+    def prune(self, now: float) -> None:
+        """Forget removals of long ago."""
+        old = [
+            node_id
+            for node_id, removed_at in self._removed_at_by_id.items()
+            if now - removed_at > _FORGET_S
+        ]
+        for node_id in old:
+            self._removed_at_by_id.pop(node_id)
+            self._count_by_id.pop(node_id)
--- /dev/null
+++ b/chivepond/control/status_board.py
@@ -0,0 +1,122 @@
+"""What the nodes of this data centre say of themselves."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from chivepond.control import configuration, directory, node_report
+from chivepond.settings import node_settings
+from chivepond.wire import data_centre_status, heartbeat
+
+#: A node reports to the writer every few seconds; thrice that is silence.
+FRESH_S = 15
+_COUNT_EVERY_S = 2
+#: Owned, and not asked for anything so far.
+_UNUSED = 'unused'
+
+_States = Callable[[], dict[str, str]]
+
+
+class StatusBoard:
+    """Counts this node's searchers, and keeps the reports of the others."""
+
+    __slots__ = (
+        '_configuration',
+        '_counted',
+        '_counted_at',
+        '_directory',
+        '_report_by_node',
+        '_settings',
+        '_states',
+    )
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        configured: configuration.Configuration,
+        hosts: directory.Directory,
+        states: _States,
+    ) -> None:
+        """Take the states of this node's searchers from ``states``."""
+        self._settings = settings
+        self._configuration = configured
+        self._directory = hosts
+        self._states = states
+        self._report_by_node: dict[str, node_report.NodeReport] = {}
+        self._counted: dict[str, int] = {}
+        self._counted_at = float('-inf')
+
+    @property
+    def revision(self) -> int:
+        """The revision in force on this node."""
+        return self._configuration.revision
+
+    def own(self, now: float) -> dict[str, int]:
+        """Return this node's searchers by state, counted lately."""
+        if now - self._counted_at >= _COUNT_EVERY_S:
+            self._counted = self._count()
+            self._counted_at = now
+        return self._counted
+
+    def heard(self, beat: heartbeat.Heartbeat, now: float) -> None:
+        """Keep what a node of this data centre says of itself."""
+        if beat.searchers_by_state is None:
+            return
+        sender = self._directory.view.node_by_id.get(beat.node_id)
+        if sender and sender.data_centre == self._settings.data_centre:
+            self._report_by_node[beat.node_id] = node_report.NodeReport(
+                beat.revision,
+                beat.searchers_by_state,
+                now,
+            )
+
+    def summary(
+        self,
+        now: float,
+        written_at: float,
+    ) -> data_centre_status.DataCentreStatus:
+        """Return the status to write at ``written_at`` seconds since 1970.
+
+        What was heard too long ago counts as silence, so that a node that
+        was paused does not tell old reports as new ones.
+        """
+        mine = self._settings.node_id
+        where = self._settings.data_centre
+        live = self._directory.view.live_by_data_centre.get(where, [])
+        self._report_by_node = {
+            node_id: report
+            for node_id, report in self._report_by_node.items()
+            if node_id in live and now - report.heard_at <= FRESH_S
+        }
+        reports = self._report_by_node | {
+            mine: node_report.NodeReport(
+                self._configuration.revision,
+                self.own(now),
+                now,
+            ),
+        }
+        searchers: Counter[str] = Counter()
+        for report in reports.values():
+            searchers.update(report.searchers_by_state)
+        revisions = Counter(one.revision for one in reports.values())
+        return data_centre_status.DataCentreStatus(
+            data_centre=where,
+            written_by=mine,
+            written_at=written_at,
+            nodes=len(live),
+            silent=len(live) - len(reports),
+            nodes_by_revision=dict(sorted(revisions.items())),
+            searchers_by_state=dict(sorted(searchers.items())),
+            refusals=self._configuration.refusals,
+        )
+
+    def _count(self) -> dict[str, int]:
+        view = self._directory.view
+        state_by_searcher = self._states()
+        return dict(
+            Counter(
+                state_by_searcher.get(one.host_id, _UNUSED)
+                for one in view.searcher_by_id.values()
+                if one.data_centre == self._settings.data_centre
+                and view.owners(one)[0] == self._settings.node_id
+            ),
+        )
--- a/chivepond/control/view.py
+++ b/chivepond/control/view.py
@@ -13,17 +13,24 @@
     node_by_id: dict[str, host.Host]
     searcher_by_id: dict[str, host.Host]
     live_by_data_centre: dict[str, list[str]]
-    _owners_by_group: dict[str, list[str]] = dataclasses.field(
+    _ranked_by_key: dict[tuple[str, str], list[str]] = dataclasses.field(
         default_factory=dict,
     )
 
     def owners(self, searcher: host.Host) -> list[str]:
         """Return the owner of a searcher, its standby, and the rest."""
         group = searcher.replica_group or searcher.host_id
-        key = f'{searcher.data_centre} {group}'
-        found = self._owners_by_group.get(key)
+        return self.ranked(group, searcher.data_centre)
+
+    def ranked(self, matter: str, data_centre: str) -> list[str]:
+        """Return the live nodes of a data centre, first for ``matter`` first.
+
+        Worked out once a view: a data centre has hundreds of searchers.
+        """
+        key = (data_centre, matter)
+        found = self._ranked_by_key.get(key)
         if found is None:
-            live = self.live_by_data_centre.get(searcher.data_centre, [])
-            found = rendezvous.ranked(group, live)
-            self._owners_by_group[key] = found
+            live = self.live_by_data_centre.get(data_centre, [])
+            found = rendezvous.ranked(matter, live)
+            self._ranked_by_key[key] = found
         return found
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -16,6 +16,8 @@
     heartbeats,
     object_cache,
     relay,
+    status_board,
+    status_writer,
 )
 from chivepond.control import application as operator_application
 from chivepond.entry import application as entry_application
@@ -40,7 +42,7 @@
     signed_application,
     token_application,
 )
-from chivepond.wire import node_burn, node_status
+from chivepond.wire import host, node_burn, node_status
 
 _MS_PER_S = 1000
 _GRACE_MARGIN_S = 1
@@ -100,10 +102,22 @@
             runner,
             self.telemetry,
         )
+        board = status_board.StatusBoard(
+            settings,
+            self.configuration,
+            self.directory,
+            self.owner.state_by_searcher,
+        )
+        self.status_writer = status_writer.StatusWriter(
+            settings,
+            self.platform,
+            self.directory,
+            board,
+        )
         self.heartbeats = heartbeats.Heartbeats(
             settings,
             self.cache,
-            self.configuration,
+            board,
             self.directory,
             self.peers,
             rng,
@@ -135,6 +149,7 @@
         operating = operator_application.OperatorApplication(
             editor.Editor(self.platform),
             self.status,
+            lambda: self.status_writer.show(self.status()),
             self.burn,
             self.metrics,
         )
@@ -167,6 +182,7 @@
         for part in (self.platform, self.peers, self.owner, self._runner):
             await self._stack.enter_async_context(part)
         await self._stack.enter_async_context(self.peer_server)
+        self.directory.own_host = self._own_host()
         await self._stack.enter_async_context(self.operator_server)
         await self._stack.enter_async_context(self.caller_server)
         self._loops = [
@@ -174,6 +190,7 @@
             asyncio.create_task(self.heartbeats.run()),
             asyncio.create_task(self.acceptor.run()),
             asyncio.create_task(self._sweeper.run()),
+            asyncio.create_task(self.status_writer.run()),
         ]
         journal.log(
             events.NODE_STARTED,
@@ -283,6 +300,15 @@
         ):
             server_in_use.allow(left_s + _GRACE_MARGIN_S)
 
+    def _own_host(self) -> host.Host:
+        return host.Host(
+            host_id=self.settings.node_id,
+            role='node',
+            data_centre=self.settings.data_centre,
+            region=self.settings.region,
+            address=str(self.peer_server.address),
+        )
+
     def _make_peers(self) -> peers.Peers:
         return peers.Peers(
             self.directory,
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -127,6 +127,13 @@
             self._update(found, searcher, capacity)
         return found
 
+    def state_by_searcher(self) -> dict[str, str]:
+        """Return the states of the searchers that have a queue here."""
+        return {
+            searcher_id: found.state.state
+            for searcher_id, found in self._queue_by_searcher.items()
+        }
+
     async def look(self, now: float) -> None:
         """Bring the queues up to date with what is known at ``now``."""
         for searcher_id in list(self._queue_by_searcher):
--- a/chivepond/tests/stepped.py
+++ b/chivepond/tests/stepped.py
@@ -69,6 +69,17 @@
             )
         )
 
+    async def list_kind(self, kind: str, limit: int) -> Any:
+        """Return the objects of a kind."""
+        return await _met(
+            Call(
+                lambda: result.Ok(
+                    object_list.ObjectList(self.table.listed(kind, limit)),
+                ),
+                is_write=False,
+            )
+        )
+
     async def watch(
         self, watched: tuple[str, ...], after: int, wait_s: float
     ) -> Any:
--- a/chivepond/tests/test_accepted_configuration.py
+++ b/chivepond/tests/test_accepted_configuration.py
@@ -236,6 +236,10 @@
                 number = _number(seen['document'], section)
                 assert number >= self.in_force[section]
                 self.in_force[section] = number
+            searched = seen['document']['search']['services']
+            assert set(seen['document']['capacity']['services']) <= set(
+                searched
+            )
         accepted = kinds.DEPLOYMENT_ACCEPTED
         for node in self.nodes:
             assert node.configuration.revision >= node.highest
@@ -413,8 +417,18 @@
     assert settled.revision == 3
     assert list(settled.document.search.by_service) == ['a']
     assert settled.document.audit.claim_retention_s == 77
-    (refusal,) = settled.refusals
-    assert (refusal.section, refusal.edits) == ('search', 2)
+    told = [(one.section, one.edits) for one in settled.refusals]
+    assert told == [('search', 2)]
+
+
+def test_accepted_refusal_says_where_and_what_to_do() -> None:
+    """A refused edit names its place in the section, and a remedy.
+
+    An operator reads `refused` and searches a document of 400 services.
+    """
+    node = _Node(stepped.SteppedPlatform())
+    _judged(node, {'search': _section({'services': {'a': 1}})}, 1)
+    refusal = node.configuration.refusals[0]
     assert 'services' in refusal.message
     assert refusal.remedy
 
@@ -435,7 +449,7 @@
     assert [one.section for one in node.configuration.refusals] == ['search']
     fitting = _section({'services': {}}, edits=2, based_on=3)
     _judged(node, {'search': dropped, 'capacity': fitting}, 4)
-    assert node.configuration.refusals == []
+    assert not node.configuration.refusals
     assert not node.configuration.document.search.by_service
 
 
--- /dev/null
+++ b/chivepond/tests/test_view_moves.py
@@ -0,0 +1,138 @@
+"""Fleets that flap move little, and dead owners go at once."""
+
+import math
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivepond.control import directory, member, object_cache
+from chivepond.platform import kinds
+from chivepond.settings import node_settings
+from chivepond.wire import codec, host, host_list, member_news, notice
+
+_WHERE = 'x'
+_NODES = 9
+_FLAPPING = 4
+_SEARCHERS = 12
+_FIRST_HOLD_S = 10
+_FLAPS = st.lists(
+    st.tuples(
+        st.integers(0, _FLAPPING - 1),
+        st.sampled_from((0.5, 1, 3, 9)),
+    ),
+    max_size=60,
+)
+
+
+class _Viewer:
+    """One node that hears of others, with a clock."""
+
+    def __init__(self) -> None:
+        """See all as live at time zero."""
+        self.now: float = 0
+        cache = object_cache.ObjectCache()
+        told = node_settings.NodeSettings(
+            node_id='own',
+            data_centre=_WHERE,
+            region=_WHERE,
+            callers='',
+            peers='',
+            operators='',
+            platform='',
+        )
+        self.hosts = directory.Directory(told, cache, lambda: self.now)
+        names = ['own', *(f'n{number}' for number in range(_NODES - 1))]
+        listed = [host.Host(one, 'node', _WHERE, _WHERE, '') for one in names]
+        listed.extend(
+            host.Host(f's{number}', 'searcher', _WHERE, _WHERE, '')
+            for number in range(_SEARCHERS)
+        )
+        raw = codec.to_raw(host_list.HostList(1, listed))
+        cache.offer(notice.Notice(kinds.HOSTS, 1, raw))
+        self.incarnation = 0
+
+    def hear(self, node_id: str, state: str) -> None:
+        """Hear of another node."""
+        self.incarnation += 1
+        told = member_news.MemberNews(node_id, state, self.incarnation)
+        self.hosts.members.take([told], self.now)
+        self.hosts.refresh(self.now)
+
+    def live(self) -> set[str]:
+        """Return who is in the view."""
+        return set(self.hosts.view.live_by_data_centre[_WHERE])
+
+    def owners(self) -> dict[str, str]:
+        """Return the owner of each searcher."""
+        view = self.hosts.view
+        return {
+            one.host_id: view.owners(one)[0]
+            for one in view.searcher_by_id.values()
+        }
+
+
+def _changes(seconds: float) -> int:
+    """Return how often a node may go or come within some seconds."""
+    returns = 1 + int(math.log2(seconds / _FIRST_HOLD_S + 1))
+    return 2 * returns + 1
+
+
+@settings(max_examples=200)
+@given(_FLAPS)
+def test_flapping_nodes_move_each_searcher_a_few_times(
+    flaps: list[tuple[int, float]],
+) -> None:
+    """Nodes that come and go by the second move few owners.
+
+    Queues are cold and connections split for minutes, since the links to
+    some nodes fail and recover again and again. A node that is dead is out
+    of the view all the same, and all are back once it is over.
+    """
+    viewer = _Viewer()
+    moves: Counter[str] = Counter()
+    before = viewer.owners()
+    dead: set[str] = set()
+    flapped: set[str] = set()
+    for number, seconds in flaps:
+        node_id = f'n{number}'
+        flapped.add(node_id)
+        dead ^= {node_id}
+        viewer.hear(node_id, member.DEAD if node_id in dead else member.ALIVE)
+        assert not viewer.live() & dead
+        after = viewer.owners()
+        moves.update(one for one in after if after[one] != before[one])
+        before = after
+        viewer.now += seconds
+    most = len(flapped) * _changes(viewer.now)
+    assert max(moves.values(), default=0) <= most
+    for node_id in dead:
+        viewer.hear(node_id, member.ALIVE)
+    viewer.now += 1000
+    viewer.hosts.refresh(viewer.now)
+    assert len(viewer.live()) == _NODES
+
+
+def test_flapping_of_most_nodes_leaves_half_in_the_view() -> None:
+    """A data centre that was cut off twice gets its nodes back.
+
+    Two nodes carry the work of nine after a link failed twice: the others
+    were held back all at once.
+    """
+    viewer = _Viewer()
+    for state in (member.DEAD, member.ALIVE, member.DEAD, member.ALIVE):
+        for number in range(_NODES - 2):
+            viewer.hear(f'n{number}', state)
+    assert len(viewer.live()) >= _NODES // 2
+
+
+def test_flapping_does_not_delay_a_restart() -> None:
+    """A node that was restarted once is back at once.
+
+    A rolling change takes minutes a node.
+    """
+    viewer = _Viewer()
+    viewer.hear('n0', member.LEAVING)
+    assert 'n0' not in viewer.live()
+    viewer.hear('n0', member.ALIVE)
+    assert 'n0' in viewer.live()
--- a/chivepond/tools/membership_cost.py
+++ b/chivepond/tools/membership_cost.py
@@ -11,7 +11,12 @@
 import time
 import tracemalloc
 
-from chivepond.control import configuration, directory, object_cache
+from chivepond.control import (
+    configuration,
+    directory,
+    object_cache,
+    status_board,
+)
 from chivepond.control import heartbeats as beating
 from chivepond.entry import peers
 from chivepond.platform import kinds
@@ -47,10 +52,16 @@
         rng = random.Random(one.host_id)
         self.cache = object_cache.ObjectCache()
         self.directory = directory.Directory(settings, self.cache, time.time)
+        board = status_board.StatusBoard(
+            settings,
+            configuration.Configuration(self.cache),
+            self.directory,
+            dict,
+        )
         self.beats = beating.Heartbeats(
             settings,
             self.cache,
-            configuration.Configuration(self.cache),
+            board,
             self.directory,
             peers.Peers(self.directory),
             rng,
--- a/chivepond/wire/heartbeat.py
+++ b/chivepond/wire/heartbeat.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from chivepond.wire import member_news
+from chivepond.wire import host, member_news
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -10,6 +10,9 @@
     """A sign of life with news of others and a digest of what is held.
 
     ``version_by_key`` is filled only in an answer, where digests differ.
+    ``unlisted`` are nodes that the platform's list may lack so far, and
+    ``searchers_by_state`` counts the sender's searchers, told only to the
+    node that writes the status.
     """
 
     node_id: str
@@ -21,3 +24,5 @@
     news: list[member_news.MemberNews] = dataclasses.field(
         default_factory=list,
     )
+    unlisted: list[host.Host] = dataclasses.field(default_factory=list)
+    searchers_by_state: dict[str, int] | None = None
