--- /dev/null
+++ b/chivepond/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against a whole deployment, with every answer checked."""
--- a/chivepond/standins/platform.py
+++ b/chivepond/standins/platform.py
@@ -17,7 +17,6 @@
 _MS_PER_S = 1000
 _GRACE_S = 1
 _DOWN_POLL_S = 0.02
-_FOREVER_S = 3600
 _OVER_RATE = shed.Shed(
     message='the platform takes no more calls this second',
     remedy='call less often',
@@ -34,6 +33,7 @@
         '_host_version',
         '_rate',
         '_server',
+        '_stopping',
         'calls_by_path',
         'faults',
         'objects',
@@ -46,6 +46,7 @@
         self.calls_by_path: dict[str, int] = {}
         self._host_version = 0
         self._rate = call_rate.CallRate()
+        self._stopping = asyncio.Event()
         self._server = server.Server(self._application(), listen, _GRACE_S)
 
     @property
@@ -67,6 +68,7 @@
         """End all watches and stop serving."""
         self.faults = platform_faults.PlatformFaults()
         self.objects.close()
+        self._stopping.set()
         await self._server.__aexit__(kind, error, trace)
 
     async def set_hosts(self, hosts: list[host.Host]) -> None:
@@ -194,7 +196,7 @@
     async def _lose_reply(self) -> None:
         if self.faults.lose_replies > 0:
             self.faults.lose_replies -= 1
-            await asyncio.sleep(_FOREVER_S)
+            await self._stopping.wait()
 
 
 async def _body(
--- a/chivepond/standins/searcher.py
+++ b/chivepond/standins/searcher.py
@@ -149,6 +149,8 @@
     async def _cancel(self, request: requests.Request) -> responses.Response:
         await self._while_frozen()
         told = await _body(request, cancel_batch.CancelBatch)
+        if told.is_err():
+            return replies.of_problem(told.unwrap_err())
         for ref in told.unwrap().entries:
             cancelled = self._running.get(ref)
             if cancelled is not None:
@@ -158,7 +160,10 @@
 
     async def _command(self, request: requests.Request) -> responses.Response:
         await self._while_frozen()
-        told = (await _body(request, searcher_command.SearcherCommand)).unwrap()
+        read = await _body(request, searcher_command.SearcherCommand)
+        if read.is_err():
+            return replies.of_problem(read.unwrap_err())
+        told = read.unwrap()
         if self._is_refusing() or not self._has_room():
             return replies.of_message(
                 searcher_result.SearcherResult(
