--- a/chivepond/tests/test_accepted_through_cuts.py
+++ b/chivepond/tests/test_accepted_through_cuts.py
@@ -340,13 +340,16 @@
     fresh = _Node(world, 'n9', 'x')
     fresh.hosts.own_host = host.Host('n9', 'node', 'x', 'x', '')
     world.nodes['n9'] = fresh
+    others = [one for one in world.nodes.values() if one is not fresh]
     await fresh.relay.bring(0)
-    await world.pass_periods(8)
-    for node in world.nodes.values():
-        if node is not fresh:
-            assert 'n9' in node.hosts.view.live_by_data_centre['x']
+    await fresh.beats.beat()
+    assert not all('n9' in one.hosts.view.node_by_id for one in others)
     world.stopped.add('n9')
+    await world.pass_periods(3)
+    assert all('n9' in _live(one) for one in others)
     await world.pass_periods(20)
-    for node in world.nodes.values():
-        if node is not fresh:
-            assert 'n9' not in node.hosts.view.node_by_id
+    assert not any('n9' in one.hosts.view.node_by_id for one in others)
+
+
+def _live(node: _Node) -> list[str]:
+    return node.hosts.view.live_by_data_centre['x']
