--- a/chivepond/soak/soak.py
+++ b/chivepond/soak/soak.py
@@ -12,6 +12,7 @@
     command_ledger,
     fault_dice,
     index_publisher,
+    operators_play,
     violation,
 )
 from chivepond.standins import (
@@ -39,6 +40,8 @@
 _COMMAND_PAUSE_S = 0.15
 _FAULT_PAUSE_S = 0.25
 _PUBLISH_PAUSE_S = 0.7
+_EDIT_PAUSE_S = 0.5
+_LOOK_PAUSE_S = 0.02
 _SETTLE_S = 2
 _REPEATS = 2
 _KEY_BITS = 48
@@ -77,6 +80,7 @@
         '_deployed',
         '_dice',
         '_ledger',
+        '_operators',
         '_publisher',
         '_random',
         '_started_at',
@@ -100,6 +104,10 @@
             deployed.plan.services[0],
             random.Random(seed + 2),
         )
+        self._operators = operators_play.OperatorsPlay(
+            deployed,
+            random.Random(seed + 3),
+        )
         self._clients = [
             client.Client(deployed.caller_address(node_id), _CONNECTIONS)
             for node_id in deployed.node_by_id
@@ -116,6 +124,8 @@
             (_COMMAND_PAUSE_S, self._command),
             (_FAULT_PAUSE_S, self._strike),
             (_PUBLISH_PAUSE_S, self._publish),
+            (_EDIT_PAUSE_S, self._operators.edit),
+            (_LOOK_PAUSE_S, self._look),
         )
         until = time.monotonic() + seconds
         await asyncio.gather(
@@ -125,6 +135,8 @@
         await asyncio.sleep(_SETTLE_S)
         for key in self._ledger.keys():
             await self._send(key)
+        for late in await self._operators.behind():
+            self._broke(operators_play.EVERYWHERE, late)
         for promise, seen in self._ledger.broken(self._runs_by_key()):
             self._broke(promise, seen)
 
@@ -185,6 +197,10 @@
     async def _publish(self) -> None:
         self._publisher.publish()
 
+    async def _look(self) -> None:
+        for seen in self._operators.reverted():
+            self._broke(operators_play.NEVER_REVERTS, seen)
+
     def _heal(self) -> None:
         self._deployed.platform.faults = platform_faults.PlatformFaults()
         for searcher in self._deployed.searcher_by_id.values():
