--- a/chivepond/capacity/__main__.py
+++ b/chivepond/capacity/__main__.py
@@ -6,11 +6,13 @@
 
 from chivepond.capacity import (
     batch_probe,
+    entry_probe,
     exchange_probe,
     memory_probe,
     reading,
     stream_probe,
 )
+from chivepond.observe import journal
 
 
 async def measure() -> Sequence[reading.Reading]:
@@ -19,6 +21,7 @@
         await exchange_probe.measure(),
         await stream_probe.measure(),
         await batch_probe.measure(),
+        await entry_probe.measure(),
         memory_probe.measure_index(),
     )
 
@@ -40,8 +43,9 @@
     """Write the table of slopes to standard output."""
     sys.stdout.write('| cost | grows with | points | line | unit |\n')
     sys.stdout.write('| --- | --- | --- | --- | --- |\n')
-    for one in asyncio.run(measure()):
-        sys.stdout.write(f'{show(one)}\n')
+    with journal.Journal('ERROR', 'text'):
+        for one in asyncio.run(measure()):
+            sys.stdout.write(f'{show(one)}\n')
 
 
 if __name__ == '__main__':
