--- a/chivepond/tests/test_member_table.py
+++ b/chivepond/tests/test_member_table.py
@@ -3,7 +3,8 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from chivepond.control import member, member_table
+from chivepond.control import member, member_table, unlisted_hosts
+from chivepond.wire import host
 
 _COUNT = 4
 _SUSPECT_S = 3
@@ -154,3 +155,22 @@
     _tell(leaver, middle, 0)
     _tell(middle, third, 0)
     assert third.table.state_of('n0') == member.LEAVING
+
+
+def test_member_unlisted_changes_its_address_by_itself_alone() -> None:
+    """An address that peers hand on does not undo a newer one.
+
+    A node that was restarted elsewhere before the list had it gets work at
+    its old address, since a peer still told of that.
+    """
+    old, new = (
+        host.Host('n9', 'node', 'x', 'x', f'10.0.0.{number}:1')
+        for number in (1, 2)
+    )
+    unlisted = unlisted_hosts.UnlistedHosts()
+    unlisted.take(old, is_sender=False)
+    unlisted.take(new, is_sender=True)
+    unlisted.take(old, is_sender=False)
+    assert unlisted.by_id == {'n9': new}
+    unlisted.follow([old])
+    assert not unlisted.by_id
