--- a/chivepond/tests/test_decisions.py
+++ b/chivepond/tests/test_decisions.py
@@ -156,7 +156,7 @@
     run = queue_model.run(3, 3, standing_queue.COVERAGE_SHARE, _rng())
     assert run.in_time_share >= _GOODPUT
     assert run.refused_median_ms < 300
-    assert run.refused_p99_ms < 1500
+    assert run.refused_p99_ms < 1300
 
 
 def test_long_work_among_short_refuses_nobody_below_saturation():
