--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 format: $(READY)
 	$(BIN)/ruff format chivepond
 
+load: $(READY)
+	$(BIN)/chivepond-load --short --out reports experiments/*.yaml
+
 # Writes the pages that are tables of the code.
 pages: $(READY)
 	$(BIN)/chivepond config defaults > docs/SETTINGS.md
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -74,10 +74,7 @@
             lambda: self.platform.is_away,
         )
         self.metrics = metrics.Metrics(self.telemetry, self.gauges)
-        self.peers = peers.Peers(
-            self.directory,
-            message_signer.of_settings(settings),
-        )
+        self.peers = self._make_peers()
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
         self.searches = searches.Searches(
@@ -105,6 +102,7 @@
             self.configuration,
             self.directory,
             self.peers,
+            rng,
         )
         self.relay = relay.Relay(
             settings,
@@ -116,7 +114,8 @@
         self.acceptor = acceptor.Acceptor(
             self.platform,
             self.cache,
-            self.configuration,
+            lambda: self.relay.is_relay,
+            rng,
         )
         callers = entry_application.EntryApplication(
             self.searches,
@@ -195,8 +194,7 @@
         """
         journal.log(events.NODE_STOPPING, node=self.settings.node_id)
         self._is_leaving = True
-        self.heartbeats.is_leaving = True
-        await self.heartbeats.beat()
+        await self.heartbeats.leave()
         await asyncio.sleep(self.settings.balancer_lag_ms / _MS_PER_S)
         for loop in self._loops:
             loop.cancel()
@@ -257,6 +255,12 @@
             platform_calls_by_result=dict(self.platform.calls_by_result),
         )
 
+    def _make_peers(self) -> peers.Peers:
+        return peers.Peers(
+            self.directory,
+            message_signer.of_settings(self.settings),
+        )
+
     def _refused(self) -> refused_document.RefusedDocument:
         none = refused_document.RefusedDocument(0, '', '')
         told = self.cache.by_key.get(kinds.DEPLOYMENT_REFUSED)
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -28,6 +28,10 @@
 ):
     """Where a node is, whom it serves, and its own intervals.
 
+    ``seeds`` gives a few other nodes' addresses for peers, asked while no
+    list of hosts is known: a node that starts while the platform is away
+    finds its peers by them.
+
     ``secret`` signs messages between nodes; with ``unsigned`` set they go
     without a signature, which is logged. ``operators_token``, when set, is
     asked for on the operators' address.
@@ -40,6 +44,7 @@
     peers: _Address
     operators: _Address
     platform: _Address
+    seeds: dict[_Name, _Address] = msgspec.field(default_factory=dict)
     roles: list[typing.Literal['entry', 'owner']] = msgspec.field(
         default_factory=lambda: ['entry', 'owner'],
     )
