Commands pass the gate of the node before their key is claimed

Cause: only searches were admitted, so that a hot caller of commands filled a node, and a refusal had to be proved by cancelling a claim. Ruled out: a gate of their own, which leaves places idle and gives a hot caller two shares. Change: entry/admitted_commands.py in front of entry/commands.py, one gate for both; commands weigh as the heaviest class. Conclusion: a refused command leaves nothing that could run later.

--- a/chivepond/entry/admission_gate.py
+++ b/chivepond/entry/admission_gate.py
@@ -1,4 +1,4 @@
-"""The gate of one node: lets searches in, or turns them away at once."""
+"""The gate of one node: lets requests in, or turns them away at once."""
 
 import asyncio
 import random
@@ -6,7 +6,15 @@
 from chivepond.decisions import admission, admission_limit, come_back
 from chivepond.errors import quoting, shed
 from chivepond.settings import search_service
-from chivepond.wire import search_answer, search_request, shard_outcome
+from chivepond.wire import (
+    command_request,
+    search_answer,
+    search_request,
+    shard_outcome,
+)
+
+_COMMAND = 'command'
+_COMMAND_SHARE = 1
 
 
 class AdmissionGate:
@@ -57,6 +65,33 @@
         self._in_flight -= 1
         self._admission.release(request.caller, request.request_class)
 
+    def enter_command(
+        self,
+        request: command_request.CommandRequest,
+    ) -> shed.Shed | None:
+        """Take a place for a command, or return its refusal.
+
+        Commands weigh as much as the heaviest class of searches: a guest
+        stands at the desk for each. Who got no refusal calls
+        ``leave_command`` once.
+        """
+        caller = request.caller
+        if self._admission.admit(caller, _COMMAND, _COMMAND_SHARE):
+            self._in_flight += 1
+            self._come_back.admitted()
+            return None
+        wait_ms = self._come_back.refused_ms()
+        return shed.Shed(
+            message=f'{quoting.quoted(caller)} is over its share',
+            remedy=f'not run; send it again, same key, in {wait_ms} ms',
+            retry_after_ms=wait_ms,
+        )
+
+    def leave_command(self, request: command_request.CommandRequest) -> None:
+        """Give the place of a command back."""
+        self._in_flight -= 1
+        self._admission.release(request.caller, _COMMAND)
+
 
 def _share(
     request_class: str,
--- a/chivepond/entry/application.py
+++ b/chivepond/entry/application.py
@@ -4,7 +4,7 @@
 
 from starlette import applications, requests, responses, routing
 
-from chivepond.entry import commands, searches
+from chivepond.entry import admitted_commands, searches
 from chivepond.observe import metrics
 from chivepond.transport import bodies, endpoints
 from chivepond.wire import command_request, search_request
@@ -20,7 +20,7 @@
     def __init__(
         self,
         searching: searches.Searches,
-        commanding: commands.Commands,
+        commanding: admitted_commands.AdmittedCommands,
         waits_for: Callable[[], str],
         scrapes: metrics.Metrics,
     ) -> None:
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -86,6 +86,11 @@
         self._tasks: set[_OwnerTask] = set()
         self._gate = admission_gate.AdmissionGate(random.Random())
 
+    @property
+    def gate(self) -> admission_gate.AdmissionGate:
+        """The gate of the node, which its commands pass as well."""
+        return self._gate
+
     async def search(
         self,
         request: search_request.SearchRequest,
--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -22,7 +22,7 @@
 )
 from chivepond.control import application as operator_application
 from chivepond.entry import application as entry_application
-from chivepond.entry import commands, peers, searches
+from chivepond.entry import admitted_commands, commands, peers, searches
 from chivepond.observe import (
     burn,
     events,
@@ -119,7 +119,11 @@
         )
         callers = entry_application.EntryApplication(
             self.searches,
-            self.commands,
+            admitted_commands.AdmittedCommands(
+                self.commands,
+                self.searches.gate,
+                self.telemetry,
+            ),
             self.waits_for,
             self.metrics,
         )
