The concurrency limit of a searcher learns from latency as well

Cause: a searcher whose slots share a core was sent all of them, which only made each batch slower. A false report of load is shown to draw no work: reports are not read.

--- /dev/null
+++ b/chivepond/decisions/batch_slowness.py
@@ -0,0 +1,46 @@
+"""How much slower batches are than they were when the searcher was idle.
+
+Load pattern: batches of every size, and stragglers among them. A mean of
+their times says little: it doubles when batches grow. So each time is
+compared with a usual one of its size class (the power of two), which falls
+quickly and rises slowly, so that it stays near that of an idle searcher. A
+ratio counts as four at most: a lone straggler in a window of twenty moves
+the mean by 0.15 and not by one half.
+"""
+
+_WINDOW = 20
+_MOST_RATIO = 4.0
+_FALL = 0.1
+_RISE = 0.001
+
+
+class BatchSlowness:
+    """Means of the ratios of twenty batches."""
+
+    __slots__ = ('_ratios', '_usual_by_class')
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self._ratios: list[float] = []
+        self._usual_by_class: dict[int, float] = {}
+
+    def observe(self, size: int, taken_s: float) -> float:
+        """Take a batch; return a mean once a window is full, else zero."""
+        size_class = size.bit_length()
+        usual_s = self._usual_by_class.get(size_class, taken_s)
+        weight = _FALL if taken_s < usual_s else _RISE
+        usual_s += weight * (taken_s - usual_s)
+        self._usual_by_class[size_class] = usual_s
+        self._ratios.append(min(_MOST_RATIO, taken_s / usual_s))
+        if len(self._ratios) < _WINDOW:
+            return 0
+        return self._mean()
+
+    def begin(self) -> None:
+        """Begin a new window."""
+        self._ratios = []
+
+    def _mean(self) -> float:
+        mean = sum(self._ratios) / len(self._ratios)
+        self._ratios = []
+        return mean
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -311,12 +311,12 @@
 
     def _learn(self, outcomes: set[str], size: int, sent_at: float) -> None:
         """Count a batch once, however many of its replies say the same."""
-        if shard_outcome.OK in outcomes:
-            self._rate.observe(size, _loop().time() - sent_at)
+        taken_s = _loop().time() - sent_at
         if shard_outcome.SHED in outcomes:
             self.limit.refused()
         elif shard_outcome.OK in outcomes:
-            self.limit.succeeded()
+            self._rate.observe(size, taken_s)
+            self.limit.succeeded(size, taken_s)
 
     def _send_cancelled(self) -> None:
         refs = self._cancelled
--- a/chivepond/tests/test_decisions.py
+++ b/chivepond/tests/test_decisions.py
@@ -253,7 +253,7 @@
     for step in steps:
         match step:
             case True:
-                limit.succeeded()
+                limit.succeeded(1, 0.001 * slots)
             case False:
                 limit.refused()
             case _:
--- a/chivepond/tests/test_owner_decisions.py
+++ b/chivepond/tests/test_owner_decisions.py
@@ -278,6 +278,23 @@
         assert gone.counts.refused_connections == tries
 
 
+@pytest.mark.parametrize('faults', [{}, {'false_load': True}])
+async def test_false_report_of_load_draws_no_work(faults):
+    """A slow searcher says that it is idle, and its replica is not asked.
+
+    The one that believes it sends most of the work to the slow one.
+    """
+    async with Bench() as bench:
+        slow = await bench.start('a', work_ms=20)
+        well = await bench.start('b', work_ms=1)
+        slow.apply_faults(searcher_faults.SearcherFaults(**faults))
+        owned = await bench.owner()
+        for _ in range(20):
+            answer = await owned.answer(_query(['a', 'b'], 10))
+            assert len(answer.covered) == 10
+        assert slow.counts.sub_queries < well.counts.sub_queries / 2
+
+
 async def test_drain_that_was_taken_back_is_believed_after_a_while():
     """A drain is called off; no reply tells of it, as no work is sent.
 
