--- a/chivepond/capacity/__main__.py
+++ b/chivepond/capacity/__main__.py
@@ -8,6 +8,7 @@
     batch_probe,
     exchange_probe,
     memory_probe,
+    owner_probe,
     reading,
     stream_probe,
 )
@@ -19,6 +20,7 @@
         await exchange_probe.measure(),
         await stream_probe.measure(),
         await batch_probe.measure(),
+        await owner_probe.measure(),
         memory_probe.measure_index(),
     )
 
--- a/chivepond/capacity/batch_probe.py
+++ b/chivepond/capacity/batch_probe.py
@@ -40,7 +40,7 @@
 
 
 async def _measure_one(size: int) -> float:
-    batch = query_batch.QueryBatch([_sub_query(one) for one in range(size)])
+    batch = query_batch.QueryBatch([sub_query_of(one) for one in range(size)])
     async with (
         server.Server(_application(batch), _ANY_PORT, 1) as serving,
         client.Client(serving.address, 1) as to,
@@ -56,7 +56,7 @@
 
 def _application(batch: query_batch.QueryBatch) -> applications.Starlette:
     lines = b''.join(
-        b'%b\n' % codec.encode(_sub_reply(one)) for one in batch.entries
+        b'%b\n' % codec.encode(sub_reply_of(one)) for one in batch.entries
     )
 
     async def stream() -> AsyncIterator[bytes]:
@@ -71,7 +71,8 @@
     )
 
 
-def _sub_query(number: int) -> sub_query.SubQuery:
+def sub_query_of(number: int) -> sub_query.SubQuery:
+    """Return the sub-query for one shard."""
     return sub_query.SubQuery(
         request_id='r' * 16,
         attempt=0,
@@ -84,7 +85,8 @@
     )
 
 
-def _sub_reply(one: sub_query.SubQuery) -> sub_reply.SubReply:
+def sub_reply_of(one: sub_query.SubQuery) -> sub_reply.SubReply:
+    """Return its reply, with one hit."""
     return sub_reply.SubReply(
         request_id=one.request_id,
         attempt=one.attempt,
