--- a/chivepond/decisions/replica_choice.py
+++ b/chivepond/decisions/replica_choice.py
@@ -8,14 +8,14 @@
 little old does not send everybody to the same replica.
 """
 
-import dataclasses
 import random
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
 
 _PICKS = 2
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Candidate:
+class Candidate(Protocol):
     """A replica, as its owner knows it.
 
     ``latency_s`` is the smoothed time of a sub-query; ``outstanding``
@@ -23,17 +23,22 @@
     the replica warms up or after it was ejected.
     """
 
-    searcher_id: str
     outstanding: int
     latency_s: float
-    weight: float = 1
+    weight: float
 
 
-def choose(candidates: list[Candidate], rng: random.Random) -> Candidate:
+Chosen = TypeVar('Chosen', bound=Candidate)
+
+
+def choose(candidates: Sequence[Chosen], rng: random.Random) -> Chosen:
     """Return the better of two random picks of a list that is not empty."""
+    if len(candidates) == 1:
+        return candidates[0]
     if len(candidates) > _PICKS:
         candidates = rng.sample(candidates, _PICKS)
-    return min(candidates, key=_score)
+    first, second = candidates
+    return first if _score(first) <= _score(second) else second
 
 
 def _score(candidate: Candidate) -> float:
--- a/chivepond/decisions/standing_queue.py
+++ b/chivepond/decisions/standing_queue.py
@@ -52,9 +52,9 @@
         self._empty_at = now
         self._moved_at = now
 
-    def moved(self, now: float) -> None:
-        """Take that the searcher replied."""
-        self._moved_at = now
+    def moved(self, replied_at: float) -> None:
+        """Take when the searcher last replied."""
+        self._moved_at = max(self._moved_at, replied_at)
 
     def is_over(
         self,
--- a/chivepond/owner/attempt.py
+++ b/chivepond/owner/attempt.py
@@ -11,7 +11,14 @@
 class Attempt:
     """A sub-query on its way; times are seconds of the loop's clock."""
 
-    __slots__ = ('call', 'created_at', 'deadline', 'searcher_id', 'sub_query')
+    __slots__ = (
+        'call',
+        'created_at',
+        'deadline',
+        'is_in_flight',
+        'searcher_id',
+        'sub_query',
+    )
 
     def __init__(
         self,
@@ -26,6 +33,7 @@
         self.searcher_id = searcher_id
         self.created_at = now
         self.deadline = call.deadline
+        self.is_in_flight = False
 
     @property
     def is_wanted(self) -> bool:
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -1,13 +1,10 @@
 """The owner role: serves the searchers of this data centre that it owns."""
 
 import asyncio
-import contextlib
 import random
 import types
 from typing import Self
 
-import result
-
 from chivepond.control import configuration, directory
 from chivepond.decisions import (
     hedge_delay,
@@ -19,15 +16,11 @@
     attempt,
     owner_call,
     searcher_queue,
+    searcher_queues,
     searcher_state,
-    searcher_watch,
     shard_progress,
 )
-from chivepond.settings import capacity_service
-from chivepond.transport import address
 from chivepond.wire import (
-    attempt_ref,
-    host,
     owner_answer,
     owner_query,
     shard_outcome,
@@ -40,20 +33,20 @@
 _BUDGET_CAP = 20
 _LOOK_S = 0.5
 
+_Queues = list[searcher_queue.SearcherQueue]
+
 
 class Owner:
     """Answers for shards, from the searchers that are asked through it."""
 
     __slots__ = (
         '_configuration',
-        '_directory',
         '_hedge_budget',
         '_hedge_delay',
-        '_queue_by_searcher',
+        '_queues',
         '_looks',
         '_random',
         '_retry_budget',
-        '_watch',
     )
 
     def __init__(
@@ -64,11 +57,14 @@
     ) -> None:
         """Follow the configuration and the view of this node."""
         self._configuration = settings
-        self._directory = hosts
         self._random = rng
-        self._queue_by_searcher: dict[str, searcher_queue.SearcherQueue] = {}
+        self._queues = searcher_queues.SearcherQueues(
+            settings,
+            hosts,
+            rng,
+            self._on_reply,
+        )
         self._looks: asyncio.Task[None] | None = None
-        self._watch = searcher_watch.SearcherWatch(hosts, rng)
         self._hedge_delay = hedge_delay.HedgeDelay(_FIRST_HEDGE_DELAY_S)
         self._hedge_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
         self._retry_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
@@ -88,9 +84,7 @@
         if self._looks is not None:
             self._looks.cancel()
             await asyncio.gather(self._looks, return_exceptions=True)
-        async with contextlib.AsyncExitStack() as queues:
-            for found in self._queue_by_searcher.values():
-                queues.push_async_exit(found)
+        await self._queues.close()
 
     async def answer(
         self,
@@ -111,9 +105,9 @@
             call.pending[entry.shard] = shard_progress.ShardProgress(
                 replicas=entry.searchers,
                 tried=[],
+                attempts=[],
             )
-        for shard in list(call.pending):
-            self._try_next(call, shard)
+        self._try_all(call, now)
         timers = (
             loop.call_at(deadline, call.finish),
             loop.call_at(now + self._hedge_delay.delay_s, self._hedge, call),
@@ -126,54 +120,17 @@
 
     def queue(self, searcher_id: str) -> searcher_queue.SearcherQueue | None:
         """Return the queue of a searcher of this data centre, if known."""
-        found = self._queue_by_searcher.get(searcher_id)
-        searcher = self._directory.view.searcher_by_id.get(searcher_id)
-        if searcher is None:
-            return None
-        if found is None:
-            return self._open(searcher)
-        capacity = self._configuration.capacity(searcher.service)
-        if not found.is_current(searcher, capacity):
-            self._update(found, searcher, capacity)
-        return found
+        return self._queues.queue(searcher_id)
 
     async def look(self, now: float) -> None:
         """Bring the queues up to date with what is known at ``now``."""
-        for searcher_id in list(self._queue_by_searcher):
-            self.queue(searcher_id)
-        await self._watch.look(list(self._queue_by_searcher.values()), now)
-
-    def _update(
-        self,
-        found: searcher_queue.SearcherQueue,
-        searcher: host.Host,
-        capacity: capacity_service.CapacityService,
-    ) -> None:
-        match address.parse(searcher.address):
-            case result.Ok(target):
-                found.adopt(searcher, target, capacity)
+        await self._queues.look(now)
 
     async def _look_always(self) -> None:
         while True:
             await asyncio.sleep(_LOOK_S)
             await self.look(asyncio.get_running_loop().time())
 
-    def _open(
-        self,
-        searcher: host.Host,
-    ) -> searcher_queue.SearcherQueue | None:
-        match address.parse(searcher.address):
-            case result.Ok(target):
-                opened = searcher_queue.SearcherQueue(
-                    searcher,
-                    target,
-                    self._configuration.capacity(searcher.service),
-                    self._on_reply,
-                )
-                self._queue_by_searcher[searcher.host_id] = opened
-                return opened
-        return None
-
     def _wait_share(self, service: str) -> float:
         found = self._configuration.service(service)
         if found is None:
@@ -187,63 +144,62 @@
         self._hedge_budget.earn(len(query.shards))
         self._retry_budget.earn(len(query.shards))
 
-    def _try_next(self, call: owner_call.OwnerCall, shard: str) -> bool:
-        """Send a shard to a replica not tried yet; tell whether one was."""
+    def _try_all(self, call: owner_call.OwnerCall, now: float) -> None:
+        """Send each shard once; who may get it is asked once a replica set.
+
+        A search has hundreds of shards over a few sets of replicas, and
+        nothing but the length of the queues changes between two of them.
+        """
+        usable_by_replicas: dict[tuple[str, ...], _Queues] = {}
+        for shard, progress in list(call.pending.items()):
+            replicas = tuple(progress.replicas)
+            usable = usable_by_replicas.get(replicas)
+            if usable is None:
+                usable = self._queues.usable(progress.replicas, [], now)
+                usable_by_replicas[replicas] = usable
+            self._send(call, shard, usable, now)
+
+    def _try_next(self, call: owner_call.OwnerCall, shard: str) -> None:
+        """Send a shard to a replica not tried yet, if there is one."""
+        now = asyncio.get_running_loop().time()
         progress = call.pending[shard]
-        chosen = self._choose(progress)
-        if chosen is None:
+        usable = self._queues.usable(progress.replicas, progress.tried, now)
+        self._send(call, shard, usable, now)
+
+    def _send(
+        self,
+        call: owner_call.OwnerCall,
+        shard: str,
+        usable: _Queues,
+        now: float,
+    ) -> None:
+        progress = call.pending[shard]
+        if not usable:
             if not progress.in_flight:
                 call.miss(shard, progress.reason or shard_outcome.NO_REPLICA)
-            return False
+            return
+        chosen = replica_choice.choose(usable, self._random)
         query = call.query
         one = attempt.Attempt(
             call,
             sub_query.SubQuery(
-                request_id=query.request_id,
-                attempt=len(progress.tried),
-                service=query.service,
-                shard=shard,
-                index_version=query.index_version,
-                query=query.query,
-                limit=query.limit,
-                remaining_ms=query.remaining_ms,
+                query.request_id,
+                len(progress.tried),
+                query.service,
+                shard,
+                query.index_version,
+                query.query,
+                query.limit,
+                query.remaining_ms,
             ),
             chosen.host.host_id,
-            asyncio.get_running_loop().time(),
+            now,
         )
         progress.tried.append(chosen.host.host_id)
+        progress.attempts.append(one)
         progress.in_flight += 1
         call.attempts += 1
-        chosen.submit(one)
-        return True
-
-    def _choose(
-        self,
-        progress: shard_progress.ShardProgress,
-    ) -> searcher_queue.SearcherQueue | None:
-        queue_by_id = {}
-        for searcher_id in progress.replicas:
-            found = self.queue(searcher_id)
-            is_new = searcher_id not in progress.tried
-            if found is not None and is_new and not found.is_leaving:
-                queue_by_id[searcher_id] = found
-        if not queue_by_id:
-            return None
-        queue_by_id = _without_ejected(queue_by_id)
-        now = asyncio.get_running_loop().time()
-        chosen = replica_choice.choose(
-            [
-                replica_choice.Candidate(
-                    searcher_id=searcher_id,
-                    outstanding=found.outstanding,
-                    latency_s=found.latency_s,
-                    weight=found.state.weight(now),
-                )
-                for searcher_id, found in queue_by_id.items()
-            ],
-            self._random,
-        )
-        return queue_by_id[chosen.searcher_id]
+        chosen.submit(one, now)
 
     def _hedge(self, call: owner_call.OwnerCall) -> None:
         for shard, progress in list(call.pending.items()):
@@ -256,34 +212,24 @@
         self,
         one: attempt.Attempt,
         reply: sub_reply.SubReply,
+        now: float,
     ) -> None:
-        self._observe(one, reply)
+        is_ok = reply.outcome == shard_outcome.OK
+        if is_ok or reply.outcome == shard_outcome.UNREACHABLE:
+            self._queues.observe(one.searcher_id, not is_ok)
         call = one.call
         progress = call.pending.get(reply.shard)
         if progress is None:
             return
         progress.in_flight -= 1
-        if reply.outcome == shard_outcome.OK:
-            now = asyncio.get_running_loop().time()
+        if is_ok:
             self._hedge_delay.observe(now - one.created_at)
-            self._cancel_others(call, reply, progress)
+            if progress.in_flight:
+                self._cancel_others(one, progress)
             call.cover(reply)
             return
         self._failed(one, reply, progress)
 
-    def _observe(
-        self,
-        one: attempt.Attempt,
-        reply: sub_reply.SubReply,
-    ) -> None:
-        has_failed = reply.outcome == shard_outcome.UNREACHABLE
-        if has_failed or reply.outcome == shard_outcome.OK:
-            self._watch.observe(
-                one.sub_query.service,
-                one.searcher_id,
-                has_failed,
-            )
-
     def _failed(
         self,
         one: attempt.Attempt,
@@ -307,7 +253,10 @@
         one: attempt.Attempt,
         reply: sub_reply.SubReply,
     ) -> None:
-        state = self._queue_by_searcher[one.searcher_id].state
+        queue = self._queues.opened(one.searcher_id)
+        if queue is None:
+            return
+        state = queue.state
         match reply.outcome:
             case shard_outcome.DRAINING if state.is_serving:
                 state.begin_drain(asyncio.get_running_loop().time())
@@ -316,30 +265,10 @@
 
     def _cancel_others(
         self,
-        call: owner_call.OwnerCall,
-        reply: sub_reply.SubReply,
+        answered: attempt.Attempt,
         progress: shard_progress.ShardProgress,
     ) -> None:
-        if not progress.in_flight:
-            return
-        for number, searcher_id in enumerate(progress.tried):
-            if number != reply.attempt:
-                self._queue_by_searcher[searcher_id].cancel(
-                    attempt_ref.AttemptRef(
-                        request_id=call.query.request_id,
-                        attempt=number,
-                        shard=reply.shard,
-                    ),
-                )
-
-
-def _without_ejected(
-    queue_by_id: dict[str, searcher_queue.SearcherQueue],
-) -> dict[str, searcher_queue.SearcherQueue]:
-    """Leave the ejected out, unless nobody else has the shard."""
-    well = {
-        searcher_id: found
-        for searcher_id, found in queue_by_id.items()
-        if found.state.state != searcher_state.EJECTED
-    }
-    return well or queue_by_id
+        for other in progress.attempts:
+            queue = self._queues.opened(other.searcher_id)
+            if other is not answered and queue is not None:
+                queue.cancel(other)
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -4,67 +4,44 @@
 import contextlib
 import math
 import types
-from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import Any, Self
+from collections.abc import AsyncIterator
+from typing import Self
 
-import result
-
-from chivepond.decisions import batch_window, concurrency_limit, work_rate
+from chivepond.decisions import batch_window
 from chivepond.owner import (
     attempt,
+    batch_sender,
+    failed_reply,
+    given_up,
     searcher_state,
     slot_waiters,
     waiting_work,
 )
 from chivepond.settings import capacity_service
 from chivepond.transport import address, client
-from chivepond.wire import (
-    attempt_ref,
-    cancel_batch,
-    codec,
-    host,
-    query_batch,
-    shard_outcome,
-    sub_reply,
-)
+from chivepond.wire import host
 
-#: Connections beyond the slots: one to cancel on, one for health. A node so
-#: uses slots + 2 of the searcher's cap, 4 of 25: six nodes that each take
-#: themselves for the owner still stay under it, and idle connections of
-#: former owners are closed within seconds.
-SPARE_CONNECTIONS = 2
 _MS_PER_S = 1000
-_REPLY_GRACE_S = 0.05
-_CANCEL_TIMEOUT_S = 0.5
-_LATENCY_WEIGHT = 0.1
-_FIRST_LATENCY_S = 0.005
 _SWEEP_S = 0.01
 _IDLE_S = 3
 
-_OnReply = Callable[[attempt.Attempt, sub_reply.SubReply], None]
-
 
 class SearcherQueue:
     """Holds back what the slots can't take; sends the rest in batches."""
 
     __slots__ = (
         '_batches',
-        '_by_ref',
-        '_cancelled',
         '_capacity',
-        '_client',
         '_is_scheduled',
         '_last_used_at',
         '_on_reply',
-        '_rate',
-        '_waiting',
+        '_sender',
         '_slots',
         '_sweeper',
-        '_tasks',
+        '_waiting',
         'host',
-        'latency_s',
-        'limit',
         'state',
+        'weight',
     )
 
     def __init__(
@@ -72,23 +49,23 @@
         searcher: host.Host,
         target: address.Address,
         capacity: capacity_service.CapacityService,
-        on_reply: _OnReply,
+        on_reply: batch_sender.OnReply,
     ) -> None:
         """Serve one searcher; each attempt gets one call of ``on_reply``."""
         self.host = searcher
-        self.latency_s = _FIRST_LATENCY_S
-        self.limit = concurrency_limit.ConcurrencyLimit(capacity.slots)
+        self.weight = float(1)
         self._capacity = capacity
-        self._client = _client(target, capacity)
         self._on_reply = on_reply
-        self._rate = work_rate.WorkRate()
         self._batches: set[asyncio.Task[None]] = set()
-        self._by_ref: dict[attempt_ref.AttemptRef, attempt.Attempt] = {}
-        self._cancelled: list[attempt_ref.AttemptRef] = []
-        self._tasks: set[asyncio.Task[None]] = set()
         self._slots = slot_waiters.SlotWaiters()
         self._is_scheduled = False
         self._last_used_at = _loop().time()
+        self._sender = batch_sender.BatchSender(
+            target,
+            capacity,
+            on_reply,
+            self._last_used_at,
+        )
         self._waiting = waiting_work.WaitingWork(self._last_used_at)
         self._sweeper: asyncio.TimerHandle | None = None
         self.state = searcher_state.SearcherState(
@@ -113,7 +90,8 @@
             self._sweeper.cancel()
         if self._batches:
             await asyncio.wait(self._batches)
-        await self._client.__aexit__(kind, error, trace)
+        await self._sender.close()
+        self.state.forget()
 
     @property
     def is_leaving(self) -> bool:
@@ -123,16 +101,26 @@
     @property
     def outstanding(self) -> int:
         """Sub-queries queued and in flight."""
-        return len(self._waiting) + len(self._by_ref)
+        return len(self._waiting) + self._sender.in_flight
+
+    @property
+    def latency_s(self) -> float:
+        """The smoothed time of a sub-query once sent, in seconds."""
+        return self._sender.latency_s
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits and nothing is in flight."""
+        is_busy = self._waiting or self._batches or self._slots.are_wanted
+        return not is_busy
 
     @property
     def command_client(self) -> client.Client:
         """The connections, for work that is not a search."""
-        return self._client
+        return self._sender.client
 
-    def submit(self, one: attempt.Attempt) -> None:
+    def submit(self, one: attempt.Attempt, now: float) -> None:
         """Queue an attempt, and send it as soon as a slot is free."""
-        now = _loop().time()
         self._last_used_at = now
         self._waiting.push(one, now)
         if self._is_scheduled:
@@ -172,11 +160,10 @@
         """
         was_live = self.host.state == 'live'
         is_moved = searcher.address != self.host.address
-        old = self._client
         is_resized = capacity != self._capacity
         self.host = searcher
         self._capacity = capacity
-        self.limit.resize(capacity.slots)
+        self._sender.limit.resize(capacity.slots)
         is_live = searcher.state == 'live'
         self.state.follow(
             is_live,
@@ -184,8 +171,7 @@
             _loop().time(),
         )
         if is_moved or is_resized:
-            self._client = _client(target, capacity)
-            self._start(old.distrust_idle())
+            self._sender.adopt(target, capacity)
         self._dispatch()
 
     async def give_back_idle(self, now: float) -> None:
@@ -195,18 +181,13 @@
         node that once owned a searcher would keep its share open, which
         shows as refused connections at the searcher after owners moved.
         """
-        is_idle = not self.outstanding and not self._slots.held
-        if is_idle and now - self._last_used_at > _IDLE_S:
+        if self.is_idle and now - self._last_used_at > _IDLE_S:
             self._last_used_at = now
-            await self._client.distrust_idle()
+            await self.command_client.distrust_idle()
 
-    def cancel(self, ref: attempt_ref.AttemptRef) -> None:
+    def cancel(self, one: attempt.Attempt) -> None:
         """Tell the searcher that nobody waits for an attempt any more."""
-        if ref not in self._by_ref:
-            return
-        if not self._cancelled:
-            _loop().call_soon(self._send_cancelled)
-        self._cancelled.append(ref)
+        self._sender.cancel(one)
 
     @contextlib.asynccontextmanager
     async def slot(self, timeout_s: float) -> AsyncIterator[bool]:
@@ -227,7 +208,9 @@
 
     @property
     def _free_slots(self) -> int:
-        return self.limit.current - len(self._batches) - self._slots.held
+        return (
+            self._sender.limit.current - len(self._batches) - self._slots.held
+        )
 
     def _dispatch_scheduled(self) -> None:
         self._is_scheduled = False
@@ -235,16 +218,22 @@
 
     def _sweep(self) -> None:
         self._sweeper = None
-        each_s = self._rate.each_s(self.limit.current)
-        for lost in self._waiting.give_up(_loop().time(), each_s):
-            self._on_reply(lost.attempt, _failed(lost.attempt, lost.outcome))
+        now = _loop().time()
+        self._waiting.moved(self._sender.replied_at)
+        each_s = self._sender.rate.each_s(self._sender.limit.current)
+        self._tell(self._waiting.give_up(now, each_s))
         self._dispatch()
 
     def _hand_back(self) -> None:
-        for lost in self._waiting.hand_back():
-            self._on_reply(lost.attempt, _failed(lost.attempt, lost.outcome))
+        self._tell(self._waiting.hand_back())
         self._slots.refuse()
 
+    def _tell(self, given_up_work: list[given_up.GivenUp]) -> None:
+        now = _loop().time()
+        for lost in given_up_work:
+            told = failed_reply.of(lost.attempt, lost.outcome)
+            self._on_reply(lost.attempt, told, now)
+
     def _dispatch(self) -> None:
         if self.is_leaving:
             self._hand_back()
@@ -252,7 +241,7 @@
         while self._waiting and self._free_slots > 0:
             batch = self._next_batch()
             if batch:
-                task = _loop().create_task(self._run(batch))
+                task = _loop().create_task(self._sender.send(batch))
                 self._batches.add(task)
                 task.add_done_callback(self._on_batch_end)
         if self._waiting and self._sweeper is None:
@@ -267,140 +256,6 @@
         size = min(share, self._capacity.max_batch)
         return self._waiting.take(size)
 
-    async def _run(self, batch: list[attempt.Attempt]) -> None:
-        now = _loop().time()
-        by_ref = {_ref(one): one for one in batch}
-        self._by_ref.update(by_ref)
-        last = max(one.deadline for one in batch)
-        lines = self._client.lines(
-            '/v1/query',
-            _encoded(batch, now),
-            max(0, last - now) + _REPLY_GRACE_S,
-        )
-        outcomes: set[str] = set()
-        async for line in lines:
-            outcomes.add(self._take_line(line, by_ref, now))
-        self._learn(outcomes, len(batch), now)
-        for ref, one in by_ref.items():
-            self._by_ref.pop(ref, None)
-            self._on_reply(one, _failed(one, shard_outcome.UNREACHABLE))
-
-    def _take_line(
-        self,
-        line: result.Result[bytes, object],
-        by_ref: dict[attempt_ref.AttemptRef, attempt.Attempt],
-        sent_at: float,
-    ) -> str:
-        """Hand one reply to the attempt that it names.
-
-        Guards against late, doubled and foreign lines: they show as hits of
-        another request in an answer. Only an attempt of this very batch that
-        has no reply yet takes one, and only for the version it asked for.
-        """
-        match line.and_then(_read_reply):
-            case result.Ok(reply):
-                ref = _ref_of_reply(reply)
-                self._waiting.moved(_loop().time())
-                one = by_ref.pop(ref, None)
-                if one is not None:
-                    self._by_ref.pop(ref, None)
-                    self.latency_s = _latency(self.latency_s, reply, sent_at)
-                    self._on_reply(one, _checked(one, reply))
-                    return reply.outcome
-        return ''
-
-    def _learn(self, outcomes: set[str], size: int, sent_at: float) -> None:
-        """Count a batch once, however many of its replies say the same."""
-        taken_s = _loop().time() - sent_at
-        if shard_outcome.SHED in outcomes:
-            self.limit.refused()
-        elif shard_outcome.OK in outcomes:
-            self._rate.observe(size, taken_s)
-            self.limit.succeeded(size, taken_s)
-
-    def _send_cancelled(self) -> None:
-        refs = self._cancelled
-        self._cancelled = []
-        wanted = [ref for ref in refs if ref in self._by_ref]
-        if wanted:
-            body = codec.encode(cancel_batch.CancelBatch(wanted))
-            self._start(
-                self._client.post('/v1/cancel', body, _CANCEL_TIMEOUT_S),
-            )
-
-    def _start(self, work: Coroutine[Any, Any, object]) -> None:
-        task = _loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-def _client(
-    target: address.Address,
-    capacity: capacity_service.CapacityService,
-) -> client.Client:
-    return client.Client(
-        target,
-        min(capacity.connections, capacity.slots + SPARE_CONNECTIONS),
-    )
-
 
 def _loop() -> asyncio.AbstractEventLoop:
     return asyncio.get_running_loop()
-
-
-def _latency(
-    before_s: float,
-    reply: sub_reply.SubReply,
-    sent_at: float,
-) -> float:
-    if reply.outcome != shard_outcome.OK:
-        return before_s
-    taken_s = _loop().time() - sent_at
-    return before_s + _LATENCY_WEIGHT * (taken_s - before_s)
-
-
-def _encoded(batch: list[attempt.Attempt], now: float) -> bytes:
-    for one in batch:
-        left_s = max(0, one.deadline - now)
-        one.sub_query.remaining_ms = int(left_s * _MS_PER_S)
-    entries = [one.sub_query for one in batch]
-    return codec.encode(query_batch.QueryBatch(entries))
-
-
-def _read_reply(raw: bytes) -> result.Result[sub_reply.SubReply, object]:
-    return codec.decode(sub_reply.SubReply, raw)
-
-
-def _ref(one: attempt.Attempt) -> attempt_ref.AttemptRef:
-    return attempt_ref.AttemptRef(
-        request_id=one.sub_query.request_id,
-        attempt=one.sub_query.attempt,
-        shard=one.sub_query.shard,
-    )
-
-
-def _ref_of_reply(reply: sub_reply.SubReply) -> attempt_ref.AttemptRef:
-    return attempt_ref.AttemptRef(
-        request_id=reply.request_id,
-        attempt=reply.attempt,
-        shard=reply.shard,
-    )
-
-
-def _checked(
-    one: attempt.Attempt,
-    reply: sub_reply.SubReply,
-) -> sub_reply.SubReply:
-    if reply.index_version == one.sub_query.index_version:
-        return reply
-    return _failed(one, shard_outcome.WITHDRAWN)
-
-
-def _failed(one: attempt.Attempt, outcome: str) -> sub_reply.SubReply:
-    return sub_reply.SubReply(
-        request_id=one.sub_query.request_id,
-        attempt=one.sub_query.attempt,
-        shard=one.sub_query.shard,
-        index_version=one.sub_query.index_version,
-        outcome=outcome,
-    )
--- a/chivepond/owner/searcher_state.py
+++ b/chivepond/owner/searcher_state.py
@@ -55,6 +55,10 @@
         self.serves_since = now
         self.drain()
 
+    def forget(self) -> None:
+        """Leave the machine, which else keeps each searcher for good."""
+        _MACHINE.remove_model(self)
+
     def told(self) -> None:
         """Write the new state to the log; called after each change."""
         journal.log(
--- a/chivepond/owner/slot_waiters.py
+++ b/chivepond/owner/slot_waiters.py
@@ -16,6 +16,12 @@
             collections.deque()
         )
 
+    @property
+    def are_wanted(self) -> bool:
+        """Whether a slot is held or waited for."""
+        is_waited_for = any(not one.done() for one in self._waiting)
+        return is_waited_for or self.held > 0
+
     def join(self) -> asyncio.Future[bool]:
         """Wait for a slot; false says that none will come."""
         waiter = asyncio.get_running_loop().create_future()
--- a/chivepond/owner/waiting_work.py
+++ b/chivepond/owner/waiting_work.py
@@ -33,9 +33,9 @@
             self._standing.emptied(now)
         heapq.heappush(self._heap, (one.deadline, next(self._numbers), one))
 
-    def moved(self, now: float) -> None:
-        """Take that the searcher replied."""
-        self._standing.moved(now)
+    def moved(self, replied_at: float) -> None:
+        """Take when the searcher last replied."""
+        self._standing.moved(replied_at)
 
     def take(self, size: int) -> list[attempt.Attempt]:
         """Return up to ``size`` attempts that are still wanted."""
--- a/chivepond/tests/test_decisions.py
+++ b/chivepond/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """What callers get from the decisions, under patterns of load."""
 
 import ast
+import dataclasses
 import pathlib
 import random
 
@@ -219,6 +220,14 @@
             watched.observe(searcher_id, has_failed=number < failed)
 
 
+@dataclasses.dataclass
+class _Replica:
+    searcher_id: str
+    outstanding: int
+    weight: float
+    latency_s: float = 0.004
+
+
 def test_cold_replica_gets_little_work_at_first():
     """It answers as if nothing waited there, so it looks the best."""
     rng = random.Random(1)
@@ -226,13 +235,8 @@
     for _ in range(110):
         chosen = replica_choice.choose(
             [
-                replica_choice.Candidate(
-                    'cold',
-                    taken['cold'],
-                    0.004,
-                    slow_start.weight(10, 10.1),
-                ),
-                replica_choice.Candidate('warm', taken['warm'], 0.004),
+                _Replica('cold', taken['cold'], slow_start.weight(10, 10.1)),
+                _Replica('warm', taken['warm'], 1),
             ],
             rng,
         )
--- a/chivepond/tests/test_owner_decisions.py
+++ b/chivepond/tests/test_owner_decisions.py
@@ -1,14 +1,16 @@
 """What an owner does under faults, against searchers on loopback."""
 
 import asyncio
+import collections
 import contextlib
+import gc
 import random
 
 import pytest
 
 from chivepond.control import configuration, directory, object_cache, view
 from chivepond.entry import admission_gate
-from chivepond.owner import owner
+from chivepond.owner import owner, searcher_queue, searcher_state
 from chivepond.settings import (
     capacity_section,
     capacity_service,
@@ -295,6 +297,39 @@
         assert slow.counts.sub_queries < well.counts.sub_queries / 2
 
 
+async def test_searchers_that_are_gone_leave_nothing_behind():
+    """Hosts are replaced all day, and a node runs for weeks.
+
+    Each left its queue, its client and its state behind, until the node had
+    no memory left. One that is gone while its work is in flight still
+    answers it.
+    """
+    async with Bench() as bench:
+        last = await bench.start('last')
+        last.apply_faults(searcher_faults.SearcherFaults(frozen=True))
+        owned = await bench.owner()
+        known = bench.directories[0].view.searcher_by_id
+        query = _query(['last'], 3, remaining_ms=60000)
+        asked = asyncio.create_task(owned.answer(query))
+        await _until(lambda: last.counts.connections)
+        for number in range(2000):
+            known.clear()
+            known[f'h-{number}'] = host.Host(
+                f'h-{number}', 'searcher', 'd', 'r', '127.0.0.1:1', 'live', 'n'
+            )
+            assert owned.queue(f'h-{number}')
+            if number % 10 == 0:
+                await owned.look(_now())
+        last.apply_faults(searcher_faults.SearcherFaults())
+        assert len((await asked).covered) == 3
+        known.clear()
+        await owned.look(_now())
+        gc.collect()
+        kinds = collections.Counter(type(one) for one in gc.get_objects())
+        assert kinds[searcher_queue.SearcherQueue] < 20
+        assert kinds[searcher_state.SearcherState] < 20
+
+
 async def test_drain_that_was_taken_back_is_believed_after_a_while():
     """A drain is called off; no reply tells of it, as no work is sent.
 
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -28,6 +28,9 @@
 _IDLE_MS = 60000
 
 
+_Lines = result.Result[list[bytes], unreachable.Unreachable]
+
+
 class Client:
     """Exchanges with one process; never over a connection that timed out.
 
@@ -105,12 +108,29 @@
     ) -> AsyncIterator[result.Result[bytes, unreachable.Unreachable]]:
         """Send one POST and yield the lines of its reply as they arrive.
 
+        A failure is the last thing yielded.
+        """
+        async for group in self.line_groups(path, body, timeout_s):
+            if group.is_err():
+                yield group
+                return
+            for line in group.unwrap():
+                yield result.Ok(line)
+
+    async def line_groups(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> AsyncIterator[_Lines]:
+        """Yield the lines of a reply in the groups that arrive together.
+
         A failure is the last thing yielded.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                async for line in self._stream(path, body):
-                    yield result.Ok(line)
+                async for lines in self._stream(path, body):
+                    yield result.Ok(lines)
         except TimeoutError:
             await self.distrust_idle()
             yield result.Err(self._failed(path, 'no whole reply in time'))
@@ -162,7 +182,11 @@
         )
         return reply.Reply(response.status_code, await response.content())
 
-    async def _stream(self, path: str, body: bytes) -> AsyncIterator[bytes]:
+    async def _stream(
+        self,
+        path: str,
+        body: bytes,
+    ) -> AsyncIterator[list[bytes]]:
         async with self._client.stream(
             'POST',
             self._base + path,
@@ -172,10 +196,10 @@
             pending = b''
             async for chunk in response.read_chunks():
                 *whole, pending = (pending + chunk).split(b'\n')
-                for line in whole:
-                    yield line
+                if whole:
+                    yield whole
             if pending:
-                yield pending
+                yield [pending]
 
     def _failed(self, path: str, why: str) -> unreachable.Unreachable:
         return unreachable.Unreachable(
