Refuse a second try by what is left of its time

Cause: work that can't be done any more was found by the time since the try began, so that a retry made late was kept until its deadline.

--- a/chivepond/decisions/standing_queue.py
+++ b/chivepond/decisions/standing_queue.py
@@ -62,12 +62,14 @@
         allowance_s: float,
         share: float,
         waited_s: float,
+        left_s: float,
         ahead_s: float,
     ) -> bool:
         """Tell whether work is to be given up.
 
-        ``allowance_s`` is the time that its search had in all, ``ahead_s``
-        the time until what is ahead of it will be done, as far as known.
+        ``allowance_s`` is the time that its search had in all, ``left_s``
+        what is left of it, ``ahead_s`` the time until what is ahead of the
+        work will be done, as far as known.
         """
         stood_s = now - self._empty_at
         bound_s = allowance_s * share
@@ -77,4 +79,4 @@
         if stood_s > allowance_s and ahead_s > bound_s:
             return True
         could_s = ahead_s / _HOPELESS_FACTOR
-        return stood_s > bound_s and could_s > allowance_s - waited_s
+        return stood_s > bound_s and could_s > left_s
--- a/chivepond/owner/waiting_work.py
+++ b/chivepond/owner/waiting_work.py
@@ -95,5 +95,6 @@
             call.deadline - call.started_at,
             call.wait_share,
             now - one.created_at,
+            one.deadline - now,
             ahead_s,
         )
--- a/chivepond/tests/test_decisions.py
+++ b/chivepond/tests/test_decisions.py
@@ -168,9 +168,16 @@
 
 def test_burst_that_empties_soon_refuses_nobody():
     standing = standing_queue.StandingQueue(0)
-    assert not standing.is_over(0.24, 0.25, 0.2, 0.24, 0.01)
+    assert not standing.is_over(0.24, 0.25, 0.2, 0.24, 0.01, 0.01)
     standing.emptied(0.2)
-    assert not standing.is_over(0.4, 0.25, 0.2, 0.2, 0.05)
+    assert not standing.is_over(0.4, 0.25, 0.2, 0.2, 0.05, 0.05)
+
+
+def test_second_try_that_can_not_be_done_any_more_is_refused_at_once():
+    """It came 10 ms before its deadline, behind 50 ms of work."""
+    standing = standing_queue.StandingQueue(0)
+    assert standing.is_over(0.24, 0.25, 0.2, 0, 0.01, 0.05)
+    assert not standing.is_over(0.24, 0.25, 0.2, 0, 0.05, 0.05)
 
 
 def _model(load):
--- a/chivepond/tools/queue_model.py
+++ b/chivepond/tools/queue_model.py
@@ -126,6 +126,7 @@
                 self._deadline_s,
                 self._share,
                 waited_s,
+                self._deadline_s - waited_s,
                 len(kept) * each_s,
             )
             if is_over:
