--- a/chivepond/capacity/__main__.py
+++ b/chivepond/capacity/__main__.py
@@ -6,23 +6,27 @@
 
 from chivepond.capacity import (
     batch_probe,
+    entry_probe,
     exchange_probe,
     memory_probe,
     owner_probe,
     reading,
     stream_probe,
 )
+from chivepond.observe import journal
 
 
 async def measure() -> Sequence[reading.Reading]:
     """Return all readings, one after the other."""
-    return (
-        await exchange_probe.measure(),
-        await stream_probe.measure(),
-        await batch_probe.measure(),
-        await owner_probe.measure(),
-        memory_probe.measure_index(),
+    probes = (
+        exchange_probe,
+        stream_probe,
+        batch_probe,
+        owner_probe,
+        entry_probe,
     )
+    readings = [await one.measure() for one in probes]
+    return (*readings, memory_probe.measure_index())
 
 
 def show(one: reading.Reading) -> str:
@@ -42,8 +46,9 @@
     """Write the table of slopes to standard output."""
     sys.stdout.write('| cost | grows with | points | line | unit |\n')
     sys.stdout.write('| --- | --- | --- | --- | --- |\n')
-    for one in asyncio.run(measure()):
-        sys.stdout.write(f'{show(one)}\n')
+    with journal.Journal('ERROR', 'text'):
+        for one in asyncio.run(measure()):
+            sys.stdout.write(f'{show(one)}\n')
 
 
 if __name__ == '__main__':
