--- a/chivepond/decisions/standing_queue.py
+++ b/chivepond/decisions/standing_queue.py
@@ -9,19 +9,18 @@
 measured by the time that each search has: a search of 250 ms and one of
 seconds may wait in one queue. Work is given up in three cases.
 
-- The queue has stood for two and a half times a share of the time of the
-  search, at most for all of it, so it is no burst, and what is ahead of the
-  work would take more than that share, by the rate seen. What came last
-  goes first, so that refusals are early and those who waited are served.
-  Counting what it waited as well gave up work just before its turn: the
-  99th percentile of refusals at three times the load was 53 ms, not 18.
+- The queue has stood for the whole time of the search, so it is no burst of
+  this search, and what is ahead of the work would take more than a share
+  of that time, by the rate seen. What came last goes first, so that
+  refusals are early and those who waited are served. Counting what it
+  waited as well gave up work just before its turn: the 99th percentile of
+  refusals at three times the load was 53 ms in place of 18.
 - The queue has stood for that share, and the work can't be done in time,
   even were the searcher a quarter faster than it was.
 - Nothing came back for that share of the time: the searcher hangs.
 
 A search over one slow searcher, which nothing else keeps busy, so gets the
-whole of its time where its answer waits for coverage, and 0.7 of it, which
-is what may stand and what may be ahead, where it keeps a deadline. The share is 0.2 where answers keep a deadline, which
+whole of its time. The share is 0.2 where answers keep a deadline, which
 leaves time for the work itself and for another replica, and 0.5 where they
 wait for coverage: there a gap costs more than a wait. The runs are in
 docs/design/queueing.md.
@@ -29,7 +28,6 @@
 
 DEADLINE_SHARE = 0.2
 COVERAGE_SHARE = 0.5
-_STANDS_FACTOR = 2.5
 _HOPELESS_FACTOR = 1.25
 _LEAST_STILL_S = 0.25
 
@@ -78,8 +76,7 @@
         if waited_s > bound_s:
             if now - self._moved_at > max(bound_s, _LEAST_STILL_S):
                 return True
-        stands_s = min(allowance_s, bound_s * _STANDS_FACTOR)
-        if stood_s > stands_s and ahead_s > bound_s:
+        if stood_s > allowance_s and ahead_s > bound_s:
             return True
         could_s = ahead_s / _HOPELESS_FACTOR
         return stood_s > bound_s and could_s > left_s
