Entry asks a second owner under a budget; margins by measured round trips

Cause: one slow or silent owner held a search until its deadline, re-asks of shed shards had no budget, and margins were fixed. Ruled out: asking all places at once, which doubles the load. Change: decisions/owner_hedge learns answer times, pays extra asks from a budget, avoids owners that failed or say nothing.

--- a/chivepond/entry/owner_asks.py
+++ b/chivepond/entry/owner_asks.py
@@ -5,8 +5,9 @@
 import result
 
 from chivepond.control import directory
+from chivepond.decisions import owner_hedge
+from chivepond.entry import owner_ask, place, planner, search_state
 from chivepond.entry import peers as peer_clients
-from chivepond.entry import place, planner, search_state
 from chivepond.errors import problem
 from chivepond.owner import owner
 from chivepond.settings import node_settings
@@ -18,12 +19,14 @@
 )
 
 _MS_PER_S = 1000
-_LOCAL_MARGIN_S = 0.004
-_REMOTE_MARGIN_S = 0.03
-
-OwnerTask = asyncio.Task[
-    result.Result[owner_answer.OwnerAnswer, problem.Problem]
-]
+#: For the loops at both ends, besides the round trip.
+_MARGIN_S = 0.004
+#: The round trip to another data centre while none was measured.
+_REMOTE_S = 0.026
+#: The most of the time left that is kept for the way.
+_MARGIN_SHARE = 0.25
+#: How near its end an ask counts as timed out.
+_END_S = 0.002
 
 
 class OwnerAsks:
@@ -31,6 +34,7 @@
 
     __slots__ = (
         '_directory',
+        '_hedge',
         '_owner',
         '_peers',
         '_planner',
@@ -44,80 +48,138 @@
         hosts: directory.Directory,
         peers: peer_clients.Peers,
         owned: owner.Owner,
+        hedge: owner_hedge.OwnerHedge,
     ) -> None:
         """Ask ``owned`` for this node's own searchers, peers for the rest."""
         self._settings = settings
         self._directory = hosts
+        self._hedge = hedge
         self._peers = peers
         self._owner = owned
         self._planner = planner.Planner(settings.data_centre, settings.region)
-        self._tasks: set[OwnerTask] = set()
+        self._tasks: set[owner_ask.OwnerTask] = set()
 
     def ask(
         self,
         state: search_state.SearchState,
         shards: list[str],
-    ) -> set[OwnerTask]:
-        """Ask the next place of each shard; one message for each place."""
+        near: str = '',
+    ) -> list[owner_ask.OwnerAsk]:
+        """Ask the next place of each shard; one message for each place.
+
+        A place in the data centre ``near`` goes before others.
+        """
+        avoided = self._hedge.avoided(_now())
         entries_by_place: dict[place.Place, list[shard_entry.ShardEntry]] = {}
         for shard in shards:
-            found = self._next_place(state, shard)
-            if found is None:
-                state.reason_by_shard.setdefault(
-                    shard,
-                    shard_outcome.NO_REPLICA,
-                )
+            places = self._places(state, shard, avoided)
+            where = _next(state, shard, list(places), near)
+            if where is None:
+                self._note_no_place(state, shard)
                 continue
-            where, replicas = found
             entries_by_place.setdefault(where, []).append(
-                shard_entry.ShardEntry(shard=shard, searchers=replicas),
+                shard_entry.ShardEntry(shard=shard, searchers=places[where]),
             )
-        return {
+        return [
             self._send(state, where, entries)
             for where, entries in entries_by_place.items()
-        }
+        ]
+
+    def why_lost(self, ask: owner_ask.OwnerAsk, deadline: float) -> str:
+        """Return why an ask without an answer has none.
+
+        One that broke off before its time, and one of an owner that says
+        nothing at all, had no owner to reach.
+        """
+        broke_off = ask.task.done() and _now() < deadline - _END_S
+        if broke_off or self.is_silent(ask):
+            return shard_outcome.UNREACHABLE
+        return shard_outcome.LATE
+
+    def is_silent(self, ask: owner_ask.OwnerAsk) -> bool:
+        """Tell whether the owner has said nothing; if so, avoid it."""
+        if ask.where.node_id == self._settings.node_id:
+            return False
+        is_silent = self._hedge.is_silent(
+            ask.where.node_id,
+            ask.where.data_centre,
+            ask.sent_at,
+            _now(),
+        )
+        if is_silent:
+            self._hedge.failed(ask.where.node_id, _now())
+        return is_silent
 
-    def _next_place(
+    def _places(
         self,
         state: search_state.SearchState,
         shard: str,
-    ) -> tuple[place.Place, list[str]] | None:
-        tried = state.tried_by_shard.setdefault(shard, set())
-        places = self._planner.places(
+        avoided: frozenset[str],
+    ) -> dict[place.Place, list[str]]:
+        return self._planner.places(
             self._directory.view,
             state.index.searchers_by_shard[shard],
+            avoided,
         )
-        for where, replicas in places.items():
-            if where not in tried:
-                tried.add(where)
-                return where, replicas
-        return None
+
+    def _note_no_place(
+        self,
+        state: search_state.SearchState,
+        shard: str,
+    ) -> None:
+        """Name why nobody is asked for a shard, unless that is known.
+
+        A searcher that the platform lists as live in a data centre of
+        which no node is heard is there, but can't be reached.
+        """
+        seen = self._directory.view.searcher_by_id
+        replicas = state.index.searchers_by_shard[shard]
+        is_listed = any(
+            one in seen and seen[one].state == 'live' for one in replicas
+        )
+        reason = shard_outcome.NO_REPLICA
+        if is_listed:
+            reason = shard_outcome.UNREACHABLE
+        state.reason_by_shard.setdefault(shard, reason)
 
     def _send(
         self,
         state: search_state.SearchState,
         where: place.Place,
         entries: list[shard_entry.ShardEntry],
-    ) -> OwnerTask:
-        is_local = where.data_centre == self._settings.data_centre
-        margin_s = _LOCAL_MARGIN_S if is_local else _REMOTE_MARGIN_S
-        left_s = max(0, state.deadline - _now() - margin_s)
+    ) -> owner_ask.OwnerAsk:
+        now = _now()
+        left_s = max(0, state.deadline - now)
         query = owner_query.OwnerQuery(
             request_id=state.request_id,
             service=state.request.service,
             index_version=state.index.version,
             query=state.request.query,
             limit=state.wanted,
-            remaining_ms=int(left_s * _MS_PER_S),
+            remaining_ms=int(
+                (left_s - self._margin_s(where, left_s)) * _MS_PER_S,
+            ),
             shards=entries,
         )
-        task = asyncio.create_task(
-            self._exchange(where, query, state.deadline - _now()),
-            name='\n'.join(entry.shard for entry in entries),
-        )
+        task = asyncio.create_task(self._exchange(where, query, left_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return task
+        return owner_ask.OwnerAsk(
+            where,
+            [entry.shard for entry in entries],
+            now,
+            now + self._hedge.delay_s(where.data_centre, left_s),
+            task,
+        )
+
+    def _margin_s(self, where: place.Place, left_s: float) -> float:
+        """Return what the way there and back takes of the time left."""
+        if where.node_id == self._settings.node_id:
+            return min(_MARGIN_S, left_s)
+        way_s = self._directory.round_trip_s(where.data_centre)
+        if not way_s and where.data_centre != self._settings.data_centre:
+            way_s = _REMOTE_S
+        return min(way_s + _MARGIN_S, left_s * _MARGIN_SHARE)
 
     async def _exchange(
         self,
@@ -125,15 +187,45 @@
         query: owner_query.OwnerQuery,
         left_s: float,
     ) -> result.Result[owner_answer.OwnerAnswer, problem.Problem]:
+        """Ask one owner, and learn from how it went, also when it is late."""
+        sent_at = _now()
         if where.node_id == self._settings.node_id:
             return result.Ok(await self._owner.answer(query))
-        return await self._peers.post(
+        answer = await self._peers.post(
             owner_answer.OwnerAnswer,
             where.node_id,
             '/internal/query',
             query,
             left_s,
         )
+        if answer.is_ok():
+            self._hedge.answered(
+                where.node_id,
+                where.data_centre,
+                sent_at,
+                _now(),
+            )
+        elif _now() < sent_at + left_s - _END_S:
+            self._hedge.failed(where.node_id, _now())
+        return answer
+
+
+def _next(
+    state: search_state.SearchState,
+    shard: str,
+    places: list[place.Place],
+    near: str,
+) -> place.Place | None:
+    """Return the best place that was not tried, and note it as tried."""
+    tried = state.tried_by_shard.setdefault(shard, set())
+    fresh = [where for where in places if where not in tried]
+    if not fresh:
+        return None
+    chosen = min(
+        fresh, key=lambda where: bool(near) & (where.data_centre != near)
+    )
+    tried.add(chosen)
+    return chosen
 
 
 def _now() -> float:
--- a/chivepond/entry/search_collector.py
+++ b/chivepond/entry/search_collector.py
@@ -1,30 +1,34 @@
 """Collects the owners' answers until the search is answered."""
 
 import asyncio
+import math
 
 import result
 
 from chivepond.control import catalog, shard_index
-from chivepond.decisions import answer_time
-from chivepond.entry import owner_asks, search_state
+from chivepond.decisions import answer_time, owner_hedge
+from chivepond.entry import owner_ask, owner_asks, search_state
 from chivepond.settings import answer_policy
 from chivepond.wire import shard_outcome
 
 _MS_PER_S = 1000
 _MIN_LEFT_S = 0.01
+_AskByTask = dict[owner_ask.OwnerTask, owner_ask.OwnerAsk]
 
 
 class SearchCollector:
     """Runs searches that are pinned to a version."""
 
-    __slots__ = ('_asks', '_catalog')
+    __slots__ = ('_asks', '_catalog', '_hedge')
 
     def __init__(
         self,
         asks: owner_asks.OwnerAsks,
+        hedge: owner_hedge.OwnerHedge,
         indexes: catalog.Catalog,
     ) -> None:
         """Send by ``asks``; find newer versions in ``indexes``."""
+        self._hedge = hedge
         self._asks = asks
         self._catalog = indexes
 
@@ -66,36 +70,120 @@
         policy: answer_policy.AnswerPolicy,
         started_at: float,
     ) -> None:
-        running = self._asks.ask(state, list(state.index.searchers_by_shard))
+        """Ask all shards; take answers, and ask elsewhere for the rest.
+
+        Guards against one owner that holds the whole answer: it shows as
+        searches that all end at their deadline. What it still owes after
+        the delay that the decision gives is asked for elsewhere as well.
+        """
+        shards = list(state.index.searchers_by_shard)
+        self._hedge.needed(len(shards))
+        running = _by_task(self._asks.ask(state, shards))
         while running and _now() < state.deadline:
             progress = _progress(state, started_at)
             if answer_time.is_due(policy, progress):
                 break
-            until = _next_look(state, policy, started_at)
-            finished, running = await asyncio.wait(
+            until = min(
+                _next_look(state, policy, started_at),
+                *(ask.hedge_at for ask in running.values()),
+            )
+            finished, _ = await asyncio.wait(
                 running,
                 timeout=max(0, until - _now()),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in finished:
-                running |= self._take(state, task)
+                self._take(state, running.pop(task), running)
+            self._hedge_due(state, running)
+        self._name_lost(state, running)
 
     def _take(
         self,
         state: search_state.SearchState,
-        task: owner_asks.OwnerTask,
-    ) -> set[owner_asks.OwnerTask]:
+        ask: owner_ask.OwnerAsk,
+        running: _AskByTask,
+    ) -> None:
         """Take one owner's answer; ask elsewhere for what it lacks."""
-        shards = task.get_name().split('\n')
-        for shard in shards:
-            state.reason_by_shard[shard] = shard_outcome.UNREACHABLE
-        match task.result():
+        near = ''
+        match ask.task.result():
             case result.Ok(answer):
-                state.absorb(answer, shards)
-        lost = [shard for shard in shards if shard not in state.covered]
-        if not lost or state.deadline - _now() < _MIN_LEFT_S:
-            return set()
-        return self._asks.ask(state, lost)
+                state.lose(ask.shards, shard_outcome.UNREACHABLE)
+                state.absorb(answer, ask.shards)
+            case _:
+                near = ask.where.data_centre
+                reason = self._asks.why_lost(ask, state.deadline)
+                state.lose(ask.shards, reason)
+        lost = _still_lost(state, ask, running)
+        if state.deadline - _now() >= _MIN_LEFT_S:
+            allowed = self._allowed(state, lost, is_owner_lost=bool(near))
+            running.update(_by_task(self._asks.ask(state, allowed, near)))
+
+    def _allowed(
+        self,
+        state: search_state.SearchState,
+        lost: list[str],
+        *,
+        is_owner_lost: bool,
+    ) -> list[str]:
+        """Return which shards may be asked for again.
+
+        Those that cost a searcher work are paid from the budget: without
+        one a shed shard is asked for at every place in turn, which doubles
+        the load just when there is too much.
+        """
+        if is_owner_lost:
+            return lost
+        free = [one for one in lost if state.is_untouched(one)]
+        paid = [one for one in lost if not state.is_untouched(one)]
+        return free + paid[: self._hedge.spend(len(paid))]
+
+    def _hedge_due(
+        self,
+        state: search_state.SearchState,
+        running: _AskByTask,
+    ) -> None:
+        """Ask a second owner for what the slow ones still owe."""
+        now = _now()
+        for ask in list(running.values()):
+            if ask.hedge_at > now:
+                continue
+            ask.hedge_at = math.inf
+            self._asks.is_silent(ask)
+            others = {task: one for task, one in running.items() if one != ask}
+            owed = _still_lost(state, ask, others)
+            owed = owed[: self._hedge.spend(len(owed))]
+            near = ask.where.data_centre
+            running.update(_by_task(self._asks.ask(state, owed, near)))
+
+    def _name_lost(
+        self,
+        state: search_state.SearchState,
+        running: _AskByTask,
+    ) -> None:
+        """Name why shards that are still asked for have no answer."""
+        for ask in running.values():
+            reason = self._asks.why_lost(ask, state.deadline)
+            for shard in ask.shards:
+                if reason == shard_outcome.LATE:
+                    state.reason_by_shard[shard] = reason
+                else:
+                    state.reason_by_shard.setdefault(shard, reason)
+
+
+def _by_task(asks: list[owner_ask.OwnerAsk]) -> _AskByTask:
+    return {ask.task: ask for ask in asks}
+
+
+def _still_lost(
+    state: search_state.SearchState,
+    ask: owner_ask.OwnerAsk,
+    others: _AskByTask,
+) -> list[str]:
+    """Return the shards of an ask that nobody has covered or still may."""
+    hoped_for = set(state.covered)
+    for other in others.values():
+        hoped_for.update(other.shards)
+    return [shard for shard in ask.shards if shard not in hoped_for]
 
 
 def _now() -> float:
--- a/chivepond/entry/search_state.py
+++ b/chivepond/entry/search_state.py
@@ -23,6 +23,15 @@
     },
 )
 
+#: Reasons given before any searcher worked on a shard.
+_UNTOUCHED = frozenset(
+    (
+        shard_outcome.DRAINING,
+        shard_outcome.COLD,
+        shard_outcome.NO_REPLICA,
+    ),
+)
+
 
 @dataclasses.dataclass(slots=True)
 class SearchState:
@@ -81,6 +90,16 @@
             missing=missing,
         )
 
+    def lose(self, shards: list[str], reason: str) -> None:
+        """Note why shards that nobody covered yet are missing."""
+        for shard in shards:
+            if shard not in self.covered:
+                self.reason_by_shard[shard] = reason
+
+    def is_untouched(self, shard: str) -> bool:
+        """Tell whether a lost shard cost no searcher any work so far."""
+        return self.reason_by_shard.get(shard) in _UNTOUCHED
+
     @property
     def is_withdrawn(self) -> bool:
         """Whether some searcher said that the version is gone."""
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -7,6 +7,7 @@
 import result
 
 from chivepond.control import catalog, configuration, directory
+from chivepond.decisions import owner_hedge
 from chivepond.entry import (
     admission_gate,
     cursor,
@@ -51,8 +52,10 @@
         """Ask ``owned`` for this node's own searchers, peers for the rest."""
         self._configuration = configured
         self._catalog = indexes
+        hedge = owner_hedge.OwnerHedge()
         self._collector = search_collector.SearchCollector(
-            owner_asks.OwnerAsks(settings, hosts, peers, owned),
+            owner_asks.OwnerAsks(settings, hosts, peers, owned, hedge),
+            hedge,
             indexes,
         )
         self._telemetry = told
--- a/chivepond/tests/test_snapshots.py
+++ b/chivepond/tests/test_snapshots.py
@@ -96,6 +96,7 @@
                     {one.host_id: one for one in hosts},
                     {'dc': list(_NODES)},
                 ),
+                round_trip_s=lambda _: 0,
             ),
             types.SimpleNamespace(post=self.post),
             None,
