--- a/chivepond/standins/platform.py
+++ b/chivepond/standins/platform.py
@@ -69,6 +69,10 @@
         self.objects.close()
         await self._server.__aexit__(kind, error, trace)
 
+    def silence(self) -> None:
+        """Make the open connections silent for good; new ones work."""
+        self._server.silence()
+
     async def set_hosts(self, hosts: list[host.Host]) -> None:
         """Publish a list of hosts, after the lag in force."""
         await asyncio.sleep(self.faults.host_lag_ms / _MS_PER_S)
--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import sys
+import time
 import types
 from collections.abc import Coroutine
 from typing import Any, Self
@@ -17,6 +18,8 @@
 from chivepond.transport import address, client, exchange
 from chivepond.wire import (
     codec,
+    command_answer,
+    command_request,
     host,
     search_answer,
     search_request,
@@ -281,3 +284,26 @@
         case result.Ok(reply):
             return reply.status == 200
     return False
+
+
+async def command(
+    to: client.Client,
+    service: str,
+    name: str,
+    deadline_ms: float = 8000,
+) -> result.Result[command_answer.CommandAnswer, problem.Problem]:
+    """Send a command under a fresh key that ends with ``name``."""
+    return await exchange.post(
+        command_answer.CommandAnswer,
+        to,
+        '/v1/commands',
+        command_request.CommandRequest(
+            service,
+            f'{int(time.time() * 1000)}-{name}',
+            'member',
+            'stamp',
+            'test',
+            deadline_ms,
+        ),
+        TIMEOUT_S * 2,
+    )
--- /dev/null
+++ b/chivepond/tests/test_silent_links.py
@@ -0,0 +1,239 @@
+"""The four links of a node: silent connections, caps, bad bodies."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+import pytest
+
+from chivepond.control import view
+from chivepond.platform import kinds
+from chivepond.standins import (
+    deployment_plan,
+    embedded,
+    searcher_faults,
+    service_plan,
+)
+from chivepond.tests import support
+from chivepond.transport import address, bodies, client
+from chivepond.wire import (
+    error_reply,
+    heartbeat,
+    owner_query,
+    shard_entry,
+)
+
+_SERVICE = 'pass-lookup'
+_RARELY_MS = 60000
+_SHORT_S = 0.2
+_KEPT = 3
+_PARTS = 60
+_CAP = 25
+_TAKEN_BY_NODE = 4
+
+_Exchange = Callable[[], Awaitable[bool]]
+_Ends = tuple[_Exchange, Callable[[], None]]
+_Link = Callable[[embedded.EmbeddedDeployment], _Ends]
+
+
+@contextlib.asynccontextmanager
+async def _deployed(
+    nodes: int = 2,
+) -> AsyncIterator[embedded.EmbeddedDeployment]:
+    plan = deployment_plan.DeploymentPlan(
+        services=[
+            service_plan.ServicePlan(
+                name=_SERVICE,
+                index='passes',
+                groups=1,
+                replicas=1,
+                capacity={'max_batch': 1},
+                profile={'connections': _CAP, 'work_ms': 20, 'backlog': 8},
+            ),
+        ],
+        nodes_per_data_centre=nodes,
+        node={
+            'balancer_lag_ms': 0,
+            'heartbeat_ms': _RARELY_MS,
+            'platform_timeout_ms': _SHORT_S * 1000,
+        },
+    )
+    async with embedded.EmbeddedDeployment(plan) as deployed:
+        yield deployed
+
+
+def _caller_to_node(
+    deployed: embedded.EmbeddedDeployment,
+) -> _Ends:
+    to = client.Client(deployed.caller_address('dc-a-0'), _KEPT)
+
+    async def exchange() -> bool:
+        return (await to.get('/healthz', _SHORT_S)).is_ok()
+
+    return exchange, deployed.node_by_id['dc-a-0'].caller_server.silence
+
+
+def _node_to_searcher(
+    deployed: embedded.EmbeddedDeployment,
+) -> _Ends:
+    searcher_id, standin = next(iter(deployed.searcher_by_id.items()))
+    owner = deployed.node_by_id['dc-a-0'].owner
+    entries = [shard_entry.ShardEntry(f'{_SERVICE}-0-0', [searcher_id])]
+    numbers = iter(range(1000))
+
+    async def exchange() -> bool:
+        query = owner_query.OwnerQuery(
+            f'r{next(numbers)}', _SERVICE, 1, 'a', 1, 200, entries
+        )
+        answer = await owner.answer(query)
+        # The queue waits a little longer than the search for its batch.
+        await asyncio.sleep(_SHORT_S)
+        return bool(answer.covered)
+
+    faults = searcher_faults.SearcherFaults(silent=True)
+    return exchange, lambda: standin.apply_faults(faults)
+
+
+def _node_to_node(
+    deployed: embedded.EmbeddedDeployment,
+) -> _Ends:
+    sender = deployed.node_by_id['dc-a-0']
+
+    async def exchange() -> bool:
+        answer = await sender.peers.post(
+            heartbeat.Heartbeat,
+            'dc-a-1',
+            '/internal/heartbeat',
+            sender.heartbeats.own('dc-a-1'),
+            _SHORT_S,
+        )
+        return answer.is_ok()
+
+    return exchange, deployed.node_by_id['dc-a-1'].peer_server.silence
+
+
+def _node_to_platform(
+    deployed: embedded.EmbeddedDeployment,
+) -> _Ends:
+    platform = deployed.node_by_id['dc-a-0'].platform
+
+    async def exchange() -> bool:
+        return (await platform.read(kinds.INDEX, _SERVICE)).is_ok()
+
+    return exchange, deployed.platform.silence
+
+
+@pytest.mark.parametrize(
+    'link',
+    [_caller_to_node, _node_to_searcher, _node_to_node, _node_to_platform],
+)
+def test_whole_answer_on_a_fresh_connection_of_each_link(
+    link: _Link,
+) -> None:
+    """All kept connections of a link go silent while new ones work.
+
+    Something between the two ends forgets them. One exchange is lost, and
+    the next one must go on a fresh connection: with some kept ones each
+    would otherwise cost one more answer.
+    """
+    support.run(_silent(link))
+
+
+async def _silent(
+    link: _Link,
+) -> None:
+    async with _deployed() as deployed:
+        exchange, silence = link(deployed)
+        assert all(await asyncio.gather(*(exchange() for _ in range(_KEPT))))
+        silence()
+        assert not await exchange()
+        assert await exchange()
+        assert all(await asyncio.gather(*(exchange() for _ in range(_KEPT))))
+
+
+def test_whole_answer_under_the_cap_of_nodes_that_disagree() -> None:
+    """Six nodes each take themselves for the owner of one searcher.
+
+    It refuses connections over its cap, which shows as shards unreachable.
+    Searches and commands run through all nodes at once; the searcher counts
+    the connections.
+    """
+    support.run(_disagree())
+
+
+async def _disagree() -> None:
+    async with _deployed(nodes=6) as deployed:
+        callers = []
+        for node_id, node in deployed.node_by_id.items():
+            seen = node.directory.view
+            node.directory.view = view.View(
+                seen.node_by_id,
+                seen.searcher_by_id,
+                {'dc-a': [node_id]},
+            )
+            callers.append(client.Client(deployed.caller_address(node_id), 8))
+        await asyncio.gather(
+            *(support.search(to, _SERVICE) for to in callers for _ in range(8)),
+            *(
+                support.command(to, _SERVICE, f'cap-{number}-{again}')
+                for number, to in enumerate(callers)
+                for again in range(4)
+            ),
+        )
+        standin = next(iter(deployed.searcher_by_id.values()))
+        assert standin.counts.refused_connections == 0
+        assert 6 < standin.counts.peak_connections <= 6 * _TAKEN_BY_NODE
+
+
+@pytest.mark.parametrize(
+    ('length', 'size', 'kind'),
+    [(100, 1, 'invalid'), (1000000, 8192, 'too_large')],
+)
+def test_not_run_from_a_body_that_trickles_or_is_too_large(
+    monkeypatch: pytest.MonkeyPatch,
+    length: int,
+    size: int,
+    kind: str,
+) -> None:
+    """A client sends its body byte by byte, or one without end.
+
+    Each such request would hold memory for as long as the client likes.
+    Through a real socket it is told what is wrong, in time.
+    """
+    monkeypatch.setattr(bodies, 'ARRIVAL_S', _SHORT_S)
+    support.run(_send_badly(length, size, kind))
+
+
+async def _send_badly(length: int, size: int, kind: str) -> None:
+    async with _deployed(nodes=1) as deployed:
+        target = deployed.caller_address('dc-a-0')
+        told = await asyncio.wait_for(
+            _post_slowly(target, length, size),
+            support.TIMEOUT_S,
+        )
+        assert told.error.kind == kind
+        assert told.error.remedy
+
+
+async def _post_slowly(
+    target: address.Address,
+    length: int,
+    size: int,
+) -> error_reply.ErrorReply:
+    reader, writer = await asyncio.open_connection(target.ip, target.port)
+    writer.write(
+        b'POST /v1/search HTTP/1.1\r\nhost: x\r\n'
+        b'content-length: %d\r\n\r\n' % length,
+    )
+    reply = asyncio.create_task(reader.readuntil(b'}}'))
+    for _ in range(_PARTS):
+        if not reply.done():
+            writer.write(b'x' * size)
+            await asyncio.sleep(0.01)
+    raw = await reply
+    writer.close()
+    return msgspec.json.decode(
+        raw.partition(b'\r\n\r\n')[2],
+        type=error_reply.ErrorReply,
+    )
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -119,3 +119,13 @@
             listener.close()
         for connection in list(self._server.server_state.connections):
             connection.transport.abort()
+
+    def silence(self) -> None:
+        """Hear nothing more on the connections open now, for good.
+
+        As when something between the two ends forgets them: neither end is
+        told, and new connections work.
+        """
+        for connection in list(self._server.server_state.connections):
+            connection.transport.set_protocol(asyncio.Protocol())
+            self._server.server_state.connections.discard(connection)
