Drains told on by owners; a second signal, and a peer that still sends

A command always went to the first replica, so that a draining one refused each new key. Change: owners' answers name searchers that drain, entries leave them out; three tests.

--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -313,7 +313,10 @@
         shard = rendezvous.ranked(request.shard_key, shards)[0]
         places = self._planner.places(
             self._directory.view,
-            index.searchers_by_shard[shard],
+            self._peers.drains.without(
+                index.searchers_by_shard[shard],
+                _now(),
+            ),
         )
         if not places:
             return None
--- a/chivepond/entry/owner_asks.py
+++ b/chivepond/entry/owner_asks.py
@@ -118,7 +118,10 @@
     ) -> dict[place.Place, list[str]]:
         return self._planner.places(
             self._directory.view,
-            state.index.searchers_by_shard[shard],
+            self._peers.drains.without(
+                state.index.searchers_by_shard[shard],
+                _now(),
+            ),
             avoided,
         )
 
@@ -190,7 +193,9 @@
         """Ask one owner, and learn from how it went, also when it is late."""
         sent_at = _now()
         if where.node_id == self._settings.node_id:
-            return result.Ok(await self._owner.answer(query))
+            own = await self._owner.answer(query)
+            self._peers.drains.heard(own.draining, _now())
+            return result.Ok(own)
         answer = await self._peers.post(
             owner_answer.OwnerAnswer,
             where.node_id,
@@ -199,6 +204,7 @@
             left_s,
         )
         if answer.is_ok():
+            self._peers.drains.heard(answer.unwrap().draining, _now())
             self._hedge.answered(
                 where.node_id,
                 where.data_centre,
--- a/chivepond/entry/peers.py
+++ b/chivepond/entry/peers.py
@@ -7,6 +7,7 @@
 import result
 
 from chivepond.control import directory
+from chivepond.entry import drain_news
 from chivepond.errors import problem, unreachable
 from chivepond.transport import address, client, exchange, message_signer
 from chivepond.wire import codec
@@ -19,7 +20,13 @@
 class Peers:
     """Reaches the other nodes by their ids."""
 
-    __slots__ = ('_client_by_address', '_clients', '_directory', '_signer')
+    __slots__ = (
+        '_client_by_address',
+        '_clients',
+        '_directory',
+        '_signer',
+        'drains',
+    )
 
     def __init__(
         self,
@@ -29,6 +36,8 @@
         """Find addresses in the view of this node; sign by ``signer``."""
         self._signer = signer
         self._directory = hosts
+        #: What they told of searchers that drain.
+        self.drains = drain_news.DrainNews()
         self._client_by_address: dict[str, client.Client] = {}
         self._clients = contextlib.AsyncExitStack()
 
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -109,7 +109,7 @@
             loop.call_at(now + self._hedge_delay.delay_s, self._hedge, call),
         )
         try:
-            return await call.answer()
+            return self._with_news(query, await call.answer())
         finally:
             for timer in timers:
                 timer.cancel()
@@ -133,6 +133,21 @@
             self.queue(searcher_id)
         await self._watch.look(list(self._queue_by_searcher.values()), now)
 
+    def _with_news(
+        self,
+        query: owner_query.OwnerQuery,
+        answer: owner_answer.OwnerAnswer,
+    ) -> owner_answer.OwnerAnswer:
+        """Tell the entry which of the searchers it named drain."""
+        asked = {one for entry in query.shards for one in entry.searchers}
+        queue_by_id = self._queue_by_searcher
+        answer.draining = [
+            one
+            for one in sorted(asked)
+            if one in queue_by_id and queue_by_id[one].is_leaving
+        ]
+        return answer
+
     def _update(
         self,
         found: searcher_queue.SearcherQueue,
--- a/chivepond/tests/command_bench.py
+++ b/chivepond/tests/command_bench.py
@@ -13,7 +13,7 @@
 import result
 
 from chivepond.control import claim_store, shard_index, view
-from chivepond.entry import claim_sweeper, commands
+from chivepond.entry import claim_sweeper, commands, drain_news
 from chivepond.errors import unreachable
 from chivepond.owner import command_runner
 from chivepond.platform import client as platform_client
@@ -135,7 +135,10 @@
             bench.configured,
             types.SimpleNamespace(current=lambda _: index),
             hosts,
-            types.SimpleNamespace(post=bench.post_peer),
+            types.SimpleNamespace(
+                post=bench.post_peer,
+                drains=drain_news.DrainNews(),
+            ),
             claims,
             self.runner,
             types.SimpleNamespace(command_done=lambda *_: None),
--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -291,15 +291,16 @@
     service: str,
     name: str,
     deadline_ms: float = 8000,
+    issued_ms: int = 0,
 ) -> result.Result[command_answer.CommandAnswer, problem.Problem]:
-    """Send a command under a fresh key that ends with ``name``."""
+    """Send a command under a key that ends with ``name``."""
     return await exchange.post(
         command_answer.CommandAnswer,
         to,
         '/v1/commands',
         command_request.CommandRequest(
             service,
-            f'{int(time.time() * 1000)}-{name}',
+            f'{issued_ms or int(time.time() * 1000)}-{name:->8}',
             'member',
             'stamp',
             'test',
--- a/chivepond/tests/test_owner_hedge.py
+++ b/chivepond/tests/test_owner_hedge.py
@@ -8,7 +8,7 @@
 import result
 
 from chivepond.control import catalog, object_cache, view
-from chivepond.entry import searches
+from chivepond.entry import drain_news, searches
 from chivepond.errors import unreachable
 from chivepond.settings import search_service
 from chivepond.tests import virtual_time
@@ -81,7 +81,10 @@
             ),
             indexes,
             self.hosts,
-            types.SimpleNamespace(post=self.post),
+            types.SimpleNamespace(
+                post=self.post,
+                drains=drain_news.DrainNews(),
+            ),
             None,
             types.SimpleNamespace(search_done=lambda *_: None),
         )
--- a/chivepond/tests/test_planned_stops.py
+++ b/chivepond/tests/test_planned_stops.py
@@ -6,19 +6,24 @@
 import signal
 import time
 
+import pytest
+
+from chivepond.control import directory
 from chivepond.standins import (
     deployment_plan,
     embedded,
+    searcher_counts,
     searcher_faults,
     service_plan,
 )
 from chivepond.tests import support
 from chivepond.transport import client, exchange
-from chivepond.wire import codec, command_answer, command_request, host_list
+from chivepond.wire import codec, host_list
 
 _SERVICE = 'pass-lookup'
 _LONG_MS = 2500
 _LEAVING_S = 2
+_AFTER = 12
 
 
 def _plan(**profile: object) -> deployment_plan.DeploymentPlan:
@@ -36,24 +41,6 @@
     )
 
 
-async def _command(to: client.Client, number: int) -> str:
-    told = await exchange.post(
-        command_answer.CommandAnswer,
-        to,
-        '/v1/commands',
-        command_request.CommandRequest(
-            _SERVICE,
-            f'{int(time.time() * 1000)}-shutdown-{number}',
-            f'member {number}',
-            'stamp',
-            'test',
-            8000,
-        ),
-        support.TIMEOUT_S * 2,
-    )
-    return told.unwrap().outcome
-
-
 def test_shutdown_lets_long_commands_end(tmp_path: pathlib.Path) -> None:
     """A node is replaced while stamps that take seconds are in flight.
 
@@ -66,20 +53,154 @@
 
 async def _stop_under_commands(folder: pathlib.Path) -> None:
     async with support.Processes(_plan(), folder) as deployed:
-        slow = searcher_faults.SearcherFaults(late_ms=_LONG_MS)
-        for searcher_id in deployed.searcher_by_id:
-            async with deployed.caller_client(searcher_id) as to:
-                told = await to.post('/standin/faults', codec.encode(slow), 5)
-                told.unwrap()
+        await _slow_down(deployed)
         node_ids = ('dc-a-0', 'dc-a-1')
         callers = [deployed.caller_client(one) for one in node_ids]
         asked = [
-            asyncio.create_task(_command(callers[number % 2], number))
+            asyncio.create_task(
+                support.command(
+                    callers[number % 2],
+                    _SERVICE,
+                    f'shutdown-{number}',
+                ),
+            )
             for number in range(4)
         ]
         await asyncio.sleep(0.5)
         assert await deployed.node_by_id['dc-a-0'].stop(signal.SIGTERM) == 0
-        assert set(await asyncio.gather(*asked)) == {'done'}
+        told = await asyncio.gather(*asked)
+        assert {one.unwrap().outcome for one in told} == {'done'}
+
+
+async def _slow_down(deployed: support.Processes) -> None:
+    slow = searcher_faults.SearcherFaults(late_ms=_LONG_MS)
+    for searcher_id in deployed.searcher_by_id:
+        async with deployed.caller_client(searcher_id) as to:
+            told = await to.post('/standin/faults', codec.encode(slow), 5)
+            told.unwrap()
+
+
+def test_shutdown_at_once_by_a_second_signal(tmp_path: pathlib.Path) -> None:
+    """An operator can't wait for a stamp in flight and signals again.
+
+    The node ends at once, as it says, with its code for a failure. The
+    stamp's caller is cut, yet its key runs once: the repeat through
+    another node is not told "not run".
+    """
+    support.run(_signal_twice(tmp_path))
+
+
+async def _signal_twice(folder: pathlib.Path) -> None:
+    async with support.Processes(_plan(), folder) as deployed:
+        await _slow_down(deployed)
+        one, other = (
+            deployed.caller_client(node_id) for node_id in ('dc-a-0', 'dc-a-1')
+        )
+        key = 'twice'
+        issued_ms = int(time.time() * 1000)
+        cut = asyncio.create_task(
+            support.command(one, _SERVICE, key, issued_ms=issued_ms),
+        )
+        await asyncio.sleep(0.5)
+        stopping = deployed.node_by_id['dc-a-0']
+        stopping.process.send_signal(signal.SIGTERM)
+        await stopping.line_with('node stopping')
+        assert (cut.done(), await stopping.stop(signal.SIGTERM)) == (False, 1)
+        assert (await cut).unwrap_err().kind == 'unreachable'
+        again = await support.command(
+            other,
+            _SERVICE,
+            key,
+            issued_ms=issued_ms,
+            deadline_ms=1000,
+        )
+        kind = again.unwrap_err().kind if again.is_err() else 'done'
+        assert kind in {'done', 'outcome_unknown'}
+        assert await _runs(deployed) == 1
+
+
+async def _runs(deployed: support.Processes) -> int:
+    runs = 0
+    for searcher_id in deployed.searcher_by_id:
+        async with deployed.caller_client(searcher_id) as to:
+            counts = await exchange.get(
+                searcher_counts.SearcherCounts,
+                to,
+                '/standin/counts',
+                support.TIMEOUT_S,
+            )
+            runs += sum(counts.unwrap().runs_by_key.values())
+    return runs
+
+
+def test_shutdown_with_a_peer_that_still_sends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node leaves, and another one never hears of it.
+
+    Its view stays as it was, so it goes on sending searches and stamps to
+    the owner that stops, on kept connections and on new ones. What the
+    owner doesn't answer any more must go elsewhere: all searches whole,
+    and no stamp of which nobody knows whether it ran.
+    """
+    support.run(_stop_unheard(monkeypatch))
+
+
+async def _stop_unheard(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with embedded.EmbeddedDeployment(_plan()) as deployed:
+        leaving, sending, _ = deployed.node_by_id.values()
+        refresh = directory.Directory.refresh
+        monkeypatch.setattr(
+            directory.Directory,
+            'refresh',
+            lambda hosts, now: (
+                hosts is sending.directory or refresh(hosts, now)
+            ),
+        )
+        to = client.Client(sending.caller_server.address, 4)
+        stop = asyncio.create_task(leaving.__aexit__(None, None, None))
+        told = []
+        while not stop.done() or len(told) < _AFTER:
+            await _search_often(to, 3)
+            told.append(await support.command(to, _SERVICE, str(len(told))))
+        await stop
+        refused = [one.unwrap_err().kind for one in told if one.is_err()]
+        assert set(refused) <= {'not_run'}
+        assert len(refused) < len(told)
+        await _search_often(to)
+
+
+def test_drain_is_learned_from_owners() -> None:
+    """A searcher drains, its owner dies, and the platform marks nothing.
+
+    The next owner never heard the searcher say so, and would give it new
+    work that is cut when it goes; stamps would be refused again and again.
+    The entry knows from the owner's answers.
+    """
+    support.run(_drain_news())
+
+
+async def _drain_news() -> None:
+    async with embedded.EmbeddedDeployment(_plan()) as deployed:
+        nodes = deployed.node_by_id
+        index = nodes['dc-a-0'].catalog.current(_SERVICE)
+        first = [found[0] for found in index.searchers_by_shard.values()]
+        seen = nodes['dc-a-0'].directory.view
+        host = seen.searcher_by_id[first[0]]
+        owner_id, next_id, *_ = seen.owners(host)
+        drained = deployed.searcher_by_id[first[0]]
+        drained.apply_faults(searcher_faults.SearcherFaults(draining=True))
+        to = client.Client(nodes[next_id].caller_server.address, 2)
+        await _search_often(to)
+        told = await asyncio.gather(
+            *(support.command(to, _SERVICE, str(one)) for one in range(6)),
+        )
+        assert all(one.is_ok() for one in told)
+        nodes[owner_id].abort()
+        drained.apply_faults(searcher_faults.SearcherFaults())
+        before = drained.counts.batches
+        await _search_often(to)
+        assert drained.counts.batches == before
 
 
 def test_drain_by_answer_or_mark_ends_new_work() -> None:
@@ -124,7 +245,7 @@
         assert [one.counts.batches for one in leaving] == before
 
 
-async def _search_often(to: client.Client) -> None:
-    for _ in range(30):
+async def _search_often(to: client.Client, times: int = 30) -> None:
+    for _ in range(times):
         given = (await support.search(to, _SERVICE)).unwrap()
         assert given.coverage.total == given.coverage.covered
--- a/chivepond/tests/test_snapshots.py
+++ b/chivepond/tests/test_snapshots.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from chivepond.control import catalog, object_cache, shard_index, view
-from chivepond.entry import cursor, search_state, searches
+from chivepond.entry import cursor, drain_news, search_state, searches
 from chivepond.errors import unreachable
 from chivepond.settings import search_service
 from chivepond.wire import (
@@ -98,7 +98,10 @@
                 ),
                 round_trip_s=lambda _: 0,
             ),
-            types.SimpleNamespace(post=self.post),
+            types.SimpleNamespace(
+                post=self.post,
+                drains=drain_news.DrainNews(),
+            ),
             None,
             types.SimpleNamespace(search_done=lambda *_: None),
         )
--- a/chivepond/wire/owner_answer.py
+++ b/chivepond/wire/owner_answer.py
@@ -11,6 +11,8 @@
     """Merged hits, the shards searched, and the rest with reasons.
 
     ``attempts`` counts the sub-queries sent, hedges and retries included.
+    ``draining`` names those of the searchers asked for that say of
+    themselves that they drain.
     """
 
     request_id: str
@@ -19,3 +21,4 @@
     missing: list[missing_shard.MissingShard]
     hits: list[hit.Hit]
     attempts: int = 0
+    draining: list[str] = dataclasses.field(default_factory=list)
