--- a/chivepond/control/claim_store.py
+++ b/chivepond/control/claim_store.py
@@ -43,6 +43,15 @@
         """Keep the claims on ``platform``."""
         self._platform = platform
 
+    def is_away(self) -> bool:
+        """Tell whether the platform is known to be away.
+
+        While it is, each question starts a look whether it is back.
+        """
+        if self._platform.is_away:
+            self._platform.probe()
+        return self._platform.is_away
+
     async def create(
         self,
         fresh: claim.Claim,
--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -147,7 +147,11 @@
 
         While the platform is away nothing is sent. That is no "not run":
         an earlier send of this key, through another node, may have run.
+        Guards against callers that wait in vain for a platform known to be
+        away: it shows as refusals that take seconds.
         """
+        if self._claims.is_away():
+            return result.Err(_unseen(request.key))
         fresh = claim.Claim(
             key=request.key,
             service=request.service,
--- /dev/null
+++ b/chivepond/errors/not_connected.py
@@ -0,0 +1,10 @@
+"""The error for an exchange whose connection was never made."""
+
+import dataclasses
+
+from chivepond.errors import unreachable
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotConnected(unreachable.Unreachable):
+    """The other process refused the connection: nothing was sent."""
--- a/chivepond/owner/command_runner.py
+++ b/chivepond/owner/command_runner.py
@@ -7,7 +7,7 @@
 import result
 
 from chivepond.control import claim_store
-from chivepond.errors import not_run, outcome_unknown, problem
+from chivepond.errors import not_connected, not_run, outcome_unknown, problem
 from chivepond.observe import events, journal
 from chivepond.owner import owner, searcher_queue
 from chivepond.transport import exchange
@@ -136,6 +136,9 @@
             case result.Ok(searcher_result.SearcherResult(outcome='refused')):
                 await self._keep(held, claim_store.CANCELLED, deadline)
                 return result.Err(_refused('its searcher refused it'))
+            case result.Err(not_connected.NotConnected()):
+                await self._keep(held, claim_store.CANCELLED, deadline)
+                return result.Err(_refused('its searcher is not there'))
             case result.Ok(searcher_result.SearcherResult(outcome='done')):
                 outcome = told.unwrap().result
                 await self._keep(held, claim_store.DONE, deadline, outcome)
--- a/chivepond/platform/client.py
+++ b/chivepond/platform/client.py
@@ -1,5 +1,6 @@
 """A client of the platform's object API."""
 
+import asyncio
 import secrets
 import types
 from collections import Counter
@@ -9,7 +10,7 @@
 import result
 
 from chivepond.errors import outcome_unknown, problem
-from chivepond.platform import counted_client
+from chivepond.platform import counted_client, kinds
 from chivepond.transport import address, exchange
 from chivepond.wire import codec, object_list, object_write, stored_object
 
@@ -22,12 +23,13 @@
 class PlatformClient:
     """Reads, conditional writes and watches, with lost replies settled."""
 
-    __slots__ = ('_client', '_timeout_s')
+    __slots__ = ('_client', '_probe', '_timeout_s')
 
     def __init__(self, target: address.Address, timeout_s: float) -> None:
         """Give each exchange ``timeout_s`` seconds."""
         self._client = counted_client.CountedClient(target, _CONNECTIONS)
         self._timeout_s = timeout_s
+        self._probe: asyncio.Task[object] | None = None
 
     async def __aenter__(self) -> Self:
         """Return the client."""
@@ -40,6 +42,8 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Close all connections."""
+        if self._probe is not None:
+            self._probe.cancel()
         await self._client.__aexit__(kind, error, trace)
 
     @property
@@ -52,6 +56,16 @@
         """Whether the last call found no platform that serves."""
         return self._client.is_away
 
+    def probe(self) -> None:
+        """See in the background whether the platform is back.
+
+        Any reply tells.
+        """
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.create_task(
+                self.read(*kinds.HOSTS.split('/')),
+            )
+
     async def read(
         self,
         kind: str,
--- a/chivepond/tests/command_bench.py
+++ b/chivepond/tests/command_bench.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import types
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
@@ -36,7 +37,7 @@
 )
 #: A group that `n0` finds to be owned by `n1`.
 GROUP = 'g3'
-SPINS = 25
+_TICK_S = 0.001
 STARTED_S = 1_700_000_000
 
 LOST = result.Err(unreachable.Unreachable(message='lost', remedy='none'))
@@ -48,6 +49,22 @@
     bench: 'Bench'
     slept_s = float(0)
 
+    def settle(self) -> None:
+        """Run until nothing is left to do at this time."""
+        while True:
+            self.call_soon(self.stop)
+            self.run_forever()
+            due = self._scheduled and self._scheduled[0].when() <= self.time()
+            if not self._ready and not due:
+                return
+
+    @property
+    def due_at(self) -> float:
+        """When the next timer is due, by the time of the bench."""
+        if not self._scheduled:
+            return math.inf
+        return self._scheduled[0].when() + self.slept_s
+
     def time(self) -> float:
         """Return the bench's time, less what a suspended host slept."""
         return self.bench.now - self.slept_s
@@ -70,6 +87,8 @@
 class Line:
     """A client of the transport whose messages wait to be delivered."""
 
+    is_away = False
+
     def __init__(
         self,
         bench: 'Bench',
@@ -109,6 +128,7 @@
         self.loop.bench = bench
         self.tasks: list[asyncio.Task[object]] = []
         line = Line(bench, 'platform', bench.serve_platform)
+        self.platform_line = line
         with mock.patch.object(
             platform_client.counted_client,
             'CountedClient',
@@ -170,7 +190,7 @@
     def spin(self) -> None:
         """Let the node go on until it waits for messages or for time."""
         if not self.is_paused:
-            self.loop.run_until_complete(_spin())
+            self.loop.settle()
 
     def close(self) -> None:
         """End all work of the node."""
@@ -247,6 +267,21 @@
         while self.parked and self.parked[0].what != what:
             self.deliver()
 
+    def jump(self) -> None:
+        """Let time pass until some node has something to do, or wakes."""
+        due = [
+            node.loop.due_at
+            for node in self.node_by_id.values()
+            if not node.is_paused
+        ]
+        until = min(due, default=math.inf)
+        if until == math.inf:
+            for node in self.node_by_id.values():
+                node.resume()
+        else:
+            self.now = max(self.now + _TICK_S, until)
+        self.spin()
+
     def run_dry(self) -> None:
         """Deliver everything in order, and let a few seconds pass."""
         for _ in range(200):
@@ -360,8 +395,3 @@
 @contextlib.asynccontextmanager
 async def _slot(timeout_s: float) -> AsyncIterator[bool]:
     yield True
-
-
-async def _spin() -> None:
-    for _ in range(SPINS):
-        await asyncio.sleep(0)
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -9,7 +9,7 @@
 import result
 from aiosonic import connectors, exceptions, pools, timeout
 
-from chivepond.errors import unreachable
+from chivepond.errors import not_connected, unreachable
 from chivepond.transport import (
     address,
     checked_connection,
@@ -24,6 +24,7 @@
     EOFError,
     ValueError,
 )
+_NOT_CONNECTED = (ConnectionRefusedError, exceptions.ConnectTimeout)
 _CONNECT_S = 2
 _IDLE_MS = 60000
 
@@ -160,6 +161,8 @@
                 return result.Ok(
                     await self._whole(method, path, body, headers),
                 )
+        except _NOT_CONNECTED as refused:
+            return result.Err(self._not_connected(path, _text(refused)))
         except TimeoutError:
             await self.distrust_idle()
             return result.Err(self._failed(path, 'no whole reply in time'))
@@ -196,6 +199,20 @@
             if pending:
                 yield pending
 
+    def _not_connected(
+        self,
+        path: str,
+        why: str,
+    ) -> not_connected.NotConnected:
+        """Return the error for a request of which nothing was sent.
+
+        Only a connect is refused: one that is open breaks in other ways.
+        """
+        return not_connected.NotConnected(
+            message=f'{self._base}{path}: {why}',
+            remedy='see whether that process runs and can be reached',
+        )
+
     def _failed(self, path: str, why: str) -> unreachable.Unreachable:
         return unreachable.Unreachable(
             message=f'{self._base}{path}: {why}',
