The machine's searchers reply in groups of lines, as the client now gives them

Cause: after the merge its fake had the old method, so that no reply came and the machine passed without showing anything. Change: the method, and a check at the end that batches were begun.

--- a/chivepond/tests/test_snapshot_machine.py
+++ b/chivepond/tests/test_snapshot_machine.py
@@ -80,7 +80,7 @@
         """Park each batch in ``fleet``."""
         self._fleet = fleet
 
-    async def lines(
+    async def line_groups(
         self,
         path: str,
         body: bytes,
@@ -90,6 +90,7 @@
         told = codec.decode(query_batch.QueryBatch, body).unwrap()
         batch = _Batch(told.entries, asyncio.Queue(), self._fleet.now, set())
         self._fleet.batches.append(batch)
+        self._fleet.begun += 1
         try:
             async with asyncio.timeout(timeout_s):
                 line = await batch.lines.get()
@@ -121,6 +122,7 @@
         self.batches: list[_Batch] = []
         self.running: list[_Search] = []
         self.count = 0
+        self.begun = 0
         self.version = 0
         self.oldest = 1
         self.is_standing = False
@@ -186,7 +188,7 @@
             self._note(asked, how)
         batch.replied.add(_ref(asked))
         for _ in range(times):
-            batch.lines.put_nowait(result.Ok(codec.encode(told)))
+            batch.lines.put_nowait(result.Ok([codec.encode(told)]))
         self._settle()
 
     @stateful.precondition(lambda one: one.batches)
@@ -209,7 +211,7 @@
             case 'shard':
                 told.shard = '9-of-9-9'
         raw = b'{' if change == 'garbage' else codec.encode(told)
-        batch.lines.put_nowait(result.Ok(raw))
+        batch.lines.put_nowait(result.Ok([raw]))
         self._settle()
 
     @stateful.precondition(lambda one: one.batches)
@@ -246,6 +248,7 @@
         self.wait(_DEADLINE_S + _MARGIN_S)
         try:
             assert not self.running
+            assert bool(self.begun) == bool(self.count)
         finally:
             self._close()
 
