--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -113,7 +113,7 @@
             loop.call_at(now + self._hedge_delay.delay_s, self._hedge, call),
         )
         try:
-            return await call.answer()
+            return self._with_news(query, await call.answer())
         finally:
             for timer in timers:
                 timer.cancel()
@@ -130,6 +130,19 @@
         """Bring the queues up to date with what is known at ``now``."""
         await self._queues.look(now)
 
+    def _with_news(
+        self,
+        query: owner_query.OwnerQuery,
+        answer: owner_answer.OwnerAnswer,
+    ) -> owner_answer.OwnerAnswer:
+        """Tell the entry which of the searchers it named drain."""
+        asked = {one for entry in query.shards for one in entry.searchers}
+        for one in sorted(asked):
+            queue = self._queues.opened(one)
+            if queue is not None and queue.is_leaving:
+                answer.draining.append(one)
+        return answer
+
     async def _look_always(self) -> None:
         while True:
             await asyncio.sleep(_LOOK_S)
--- a/chivepond/tests/command_bench.py
+++ b/chivepond/tests/command_bench.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import types
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
@@ -13,7 +14,7 @@
 import result
 
 from chivepond.control import claim_store, shard_index, view
-from chivepond.entry import claim_sweeper, commands
+from chivepond.entry import claim_sweeper, commands, drain_news
 from chivepond.errors import unreachable
 from chivepond.owner import command_runner
 from chivepond.platform import client as platform_client
@@ -36,7 +37,8 @@
 )
 #: A group that `n0` finds to be owned by `n1`.
 GROUP = 'g3'
-SPINS = 25
+_TICK_S = 0.001
+_MOST_TURNS = 2000
 STARTED_S = 1_700_000_000
 
 LOST = result.Err(unreachable.Unreachable(message='lost', remedy='none'))
@@ -48,6 +50,23 @@
     bench: 'Bench'
     slept_s = float(0)
 
+    def settle(self) -> None:
+        """Run until nothing is left to do at this time."""
+        for _ in range(_MOST_TURNS):
+            self.call_soon(self.stop)
+            self.run_forever()
+            due = self._scheduled and self._scheduled[0].when() <= self.time()
+            if not self._ready and not due:
+                return
+        raise AssertionError(f'goes on for ever: {self._ready}')
+
+    @property
+    def due_at(self) -> float:
+        """When the next timer is due, by the time of the bench."""
+        if not self._scheduled:
+            return math.inf
+        return self._scheduled[0].when() + self.slept_s
+
     def time(self) -> float:
         """Return the bench's time, less what a suspended host slept."""
         return self.bench.now - self.slept_s
@@ -70,6 +89,8 @@
 class Line:
     """A client of the transport whose messages wait to be delivered."""
 
+    is_away = False
+
     def __init__(
         self,
         bench: 'Bench',
@@ -109,6 +130,7 @@
         self.loop.bench = bench
         self.tasks: list[asyncio.Task[object]] = []
         line = Line(bench, 'platform', bench.serve_platform)
+        self.platform_line = line
         with mock.patch.object(
             platform_client.counted_client,
             'CountedClient',
@@ -135,7 +157,10 @@
             bench.configured,
             types.SimpleNamespace(current=lambda _: index),
             hosts,
-            types.SimpleNamespace(post=bench.post_peer),
+            types.SimpleNamespace(
+                post=bench.post_peer,
+                drains=drain_news.DrainNews(),
+            ),
             claims,
             self.runner,
             types.SimpleNamespace(command_done=lambda *_: None),
@@ -167,7 +192,7 @@
     def spin(self) -> None:
         """Let the node go on until it waits for messages or for time."""
         if not self.is_paused:
-            self.loop.run_until_complete(_spin())
+            self.loop.settle()
 
     def close(self) -> None:
         """End all work of the node."""
@@ -244,6 +269,21 @@
         while self.parked and self.parked[0].what != what:
             self.deliver()
 
+    def jump(self) -> None:
+        """Let time pass until some node has something to do, or wakes."""
+        due = [
+            node.loop.due_at
+            for node in self.node_by_id.values()
+            if not node.is_paused
+        ]
+        until = min(due, default=math.inf)
+        if until == math.inf:
+            for node in self.node_by_id.values():
+                node.resume()
+        else:
+            self.now = max(self.now + _TICK_S, until)
+        self.spin()
+
     def run_dry(self) -> None:
         """Deliver everything in order, and let a few seconds pass."""
         for _ in range(200):
@@ -357,8 +397,3 @@
 @contextlib.asynccontextmanager
 async def _slot(timeout_s: float) -> AsyncIterator[bool]:
     yield True
-
-
-async def _spin() -> None:
-    for _ in range(SPINS):
-        await asyncio.sleep(0)
--- a/chivepond/tests/test_commands.py
+++ b/chivepond/tests/test_commands.py
@@ -189,7 +189,7 @@
 )
 
 
-class TestAtMostOnceAndNotRun(CommandMachine.TestCase):
+class Test_at_most_once_and_not_run(CommandMachine.TestCase):
     """Runs the machine."""
 
 
--- a/chivepond/tests/test_connections.py
+++ b/chivepond/tests/test_connections.py
@@ -6,6 +6,7 @@
 
 import result
 
+from chivepond.errors import not_connected
 from chivepond.tests import support
 from chivepond.transport import address, client
 
@@ -139,3 +140,32 @@
             assert told.is_ok()
             assert echo.opened == before + 1
             assert echo.most_open <= _CAP
+
+
+def test_not_run_by_a_refused_connect_only() -> None:
+    """A process is gone, and another breaks a connection after it read.
+
+    Of the first nothing was sent, which may be told as not run; of the
+    second nobody knows, and it must never be told so.
+    """
+    support.run(_refused_and_broken())
+
+
+async def _refused_and_broken() -> None:
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    target = address.Address(*server.sockets[0].getsockname())
+    async with server:
+        async with client.Client(target, _CAP) as to:
+            broken = await to.post_fresh('/', b'x', support.TIMEOUT_S)
+    async with client.Client(target, _CAP) as to:
+        refused = await to.post_fresh('/', b'x', support.TIMEOUT_S)
+    kind = not_connected.NotConnected
+    assert isinstance(refused.unwrap_err(), kind)
+    assert not isinstance(broken.unwrap_err(), kind)
--- /dev/null
+++ b/chivepond/tests/test_snapshot_machine.py
@@ -0,0 +1,403 @@
+"""Snapshots and coverage from the caller down to the searchers' replies."""
+
+import asyncio
+import dataclasses
+import random
+import types
+from collections.abc import AsyncIterator
+from typing import Any
+from unittest import mock
+
+import hypothesis
+import result
+from hypothesis import stateful, strategies
+
+from chivepond.control import catalog, object_cache, view
+from chivepond.entry import drain_news, searches
+from chivepond.errors import unreachable
+from chivepond.owner import batch_sender, owner
+from chivepond.settings import capacity_service, search_service
+from chivepond.tests import command_bench
+from chivepond.wire import (
+    codec,
+    hit,
+    host,
+    index_record,
+    notice,
+    query_batch,
+    search_answer,
+    search_request,
+    shard_entry,
+    shard_map,
+    sub_query,
+    sub_reply,
+)
+
+_SERVICE = 'logbooks'
+_SEARCHERS = ('s0', 's1', 's2')
+_DEADLINE_S = 0.25
+#: What the entry keeps of the time for the way to its owner.
+_MARGIN_S = 0.006
+#: From when on a queue may shed by itself, as it stands.
+_STANDS_S = 0.2
+_MAX_SEARCHES = 6
+_MAX_VERSIONS = 4
+_TOLD_AS = types.MappingProxyType(
+    {
+        'draining': 'no_replica',
+        'cold': 'no_replica',
+        'cancelled': 'late',
+        'old': 'withdrawn',
+    },
+)
+_LOST = result.Err(unreachable.Unreachable(message='lost', remedy='none'))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Batch:
+    """A batch at a searcher, whose reply is still open."""
+
+    entries: list[sub_query.SubQuery]
+    lines: 'asyncio.Queue[object]'
+    begun_at: float
+    replied: set[tuple[str, int, str]]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Search:
+    """A search on its way, by the id that its caller gave."""
+
+    request_id: str
+    began_at: float
+    task: Any
+    ended_at: float = 0
+
+
+class _Line:
+    """The connections to one searcher; replies come as the machine likes."""
+
+    def __init__(self, fleet: 'SnapshotMachine') -> None:
+        """Park each batch in ``fleet``."""
+        self._fleet = fleet
+
+    async def line_groups(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> AsyncIterator[object]:
+        """Yield lines as they are given, until the end or the time-out."""
+        told = codec.decode(query_batch.QueryBatch, body).unwrap()
+        batch = _Batch(told.entries, asyncio.Queue(), self._fleet.now, set())
+        self._fleet.batches.append(batch)
+        self._fleet.begun += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                line = await batch.lines.get()
+                while line is not None:
+                    yield line
+                    line = await batch.lines.get()
+        except TimeoutError:
+            yield _LOST
+        finally:
+            self._fleet.end(batch)
+
+    async def post(self, *told: object) -> object:
+        """Take a cancellation."""
+        return result.Ok(None)
+
+
+class SnapshotMachine(stateful.RuleBasedStateMachine):
+    """Indexes are repartitioned while searches run and replies go astray.
+
+    A coordinator must see one version in an answer, each of its shards
+    either covered, by a reply to this very search, or named with why it is
+    not; and "late" only when the time had run out.
+    """
+
+    def __init__(self) -> None:
+        """Publish a first version."""
+        super().__init__()
+        self.now = float(0)
+        self.batches: list[_Batch] = []
+        self.running: list[_Search] = []
+        self.count = 0
+        self.begun = 0
+        self.version = 0
+        self.oldest = 1
+        self.is_standing = False
+        self.shards_by_version: dict[int, set[str]] = {}
+        self.served: set[tuple[str, int, str]] = set()
+        self.told: set[tuple[str, str, str]] = set()
+        self.states: set[str] = set()
+        self.loop = command_bench.Loop()
+        self.loop.bench = self
+        self._patch = mock.patch.object(
+            batch_sender,
+            '_client',
+            lambda *_: _Line(self),
+        )
+        self._patch.start()
+        self._cache = object_cache.ObjectCache()
+        self.searches = self._build(catalog.Catalog(self._cache))
+        self.publish()
+
+    @stateful.precondition(lambda one: one.version < _MAX_VERSIONS)
+    @stateful.rule()
+    def publish(self) -> None:
+        """Publish the next version, with other shards."""
+        self.version += 1
+        self._offer()
+
+    @stateful.precondition(lambda one: one.oldest < one.version)
+    @stateful.rule()
+    def withdraw(self) -> None:
+        """Withdraw the oldest version, and take it off the searchers."""
+        self.oldest += 1
+        self._offer()
+
+    @stateful.precondition(lambda one: one.count < _MAX_SEARCHES)
+    @stateful.rule()
+    def search(self) -> None:
+        """Begin a search."""
+        self.count += 1
+        request = search_request.SearchRequest(
+            _SERVICE, 'q', 'c', limit=100, request_id=f'r{self.count}'
+        )
+        task = self.loop.create_task(self.searches.search(request))
+        self.running.append(_Search(request.request_id, self.now, task))
+        self._settle()
+
+    @stateful.precondition(lambda one: one.batches)
+    @stateful.rule(
+        place=strategies.integers(0, 9),
+        entry=strategies.integers(0, 9),
+        how=strategies.sampled_from(
+            ('ok', 'ok', 'ok', 'shed', 'draining', 'cold', 'cancelled', 'old'),
+        ),
+        times=strategies.integers(1, 2),
+    )
+    def reply(self, place: int, entry: int, how: str, times: int) -> None:
+        """Let a searcher reply to one entry, maybe twice."""
+        batch = self.batches[place % len(self.batches)]
+        asked = batch.entries[entry % len(batch.entries)]
+        if asked.index_version < self.oldest and how == 'ok':
+            how = 'withdrawn'
+        told = _reply(asked, how)
+        if _ref(asked) not in batch.replied:
+            self._note(asked, how)
+        batch.replied.add(_ref(asked))
+        for _ in range(times):
+            batch.lines.put_nowait(result.Ok([codec.encode(told)]))
+        self._settle()
+
+    @stateful.precondition(lambda one: one.batches)
+    @stateful.rule(
+        place=strategies.integers(0, 9),
+        change=strategies.sampled_from(
+            ('request_id', 'attempt', 'shard', 'garbage'),
+        ),
+    )
+    def reply_astray(self, place: int, change: str) -> None:
+        """Let a reply come that answers nothing asked there."""
+        batch = self.batches[place % len(self.batches)]
+        told = _reply(batch.entries[0], 'ok')
+        told.hits = [hit.Hit('astray', 9, told.shard)]
+        match change:
+            case 'request_id':
+                told.request_id = 'r0'
+            case 'attempt':
+                told.attempt += 7
+            case 'shard':
+                told.shard = '9-of-9-9'
+        raw = b'{' if change == 'garbage' else codec.encode(told)
+        batch.lines.put_nowait(result.Ok([raw]))
+        self._settle()
+
+    @stateful.precondition(lambda one: one.batches)
+    @stateful.rule(
+        place=strategies.integers(0, 9), breaks=strategies.booleans()
+    )
+    def finish(self, place: int, *, breaks: bool) -> None:
+        """End the reply to a batch, or break its connection."""
+        batch = self.batches[place % len(self.batches)]
+        if breaks:
+            batch.lines.put_nowait(_LOST)
+        batch.lines.put_nowait(None)
+        self._settle()
+
+    @stateful.rule(seconds=strategies.sampled_from((0.005, 0.06, 0.15)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self.loop.due_at < until:
+            self.now = max(self.now, self.loop.due_at)
+            self._settle()
+        self.now = until
+        self._settle()
+
+    def end(self, batch: _Batch) -> None:
+        """Note what a batch that is over left without a reply."""
+        self.batches.remove(batch)
+        for asked in batch.entries:
+            if _ref(asked) not in batch.replied:
+                self._note(asked, 'unreachable')
+
+    def teardown(self) -> None:
+        """Let the deadlines pass; every caller has its answer by then."""
+        self.wait(_DEADLINE_S + _MARGIN_S)
+        try:
+            assert not self.running
+            assert bool(self.begun) == bool(self.count)
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.settle()
+        self.loop.close()
+        self._patch.stop()
+
+    def _build(self, indexes: catalog.Catalog) -> searches.Searches:
+        hosts = [
+            host.Host(one, 'searcher', 'dc', 'r', '127.0.0.1:1')
+            for one in _SEARCHERS
+        ]
+        seen = types.SimpleNamespace(
+            view=view.View(
+                {},
+                {one.host_id: one for one in hosts},
+                {'dc': ['n']},
+            ),
+            round_trip_s=lambda _: 0,
+        )
+        configured = types.SimpleNamespace(
+            service=lambda _: search_service.SearchService(
+                deadline_ms=_DEADLINE_S * 1000,
+            ),
+            capacity=lambda _: capacity_service.CapacityService(max_batch=3),
+        )
+        return searches.Searches(
+            types.SimpleNamespace(node_id='n', data_centre='dc', region='r'),
+            configured,
+            indexes,
+            seen,
+            types.SimpleNamespace(drains=drain_news.DrainNews()),
+            owner.Owner(configured, seen, random.Random(1)),
+            types.SimpleNamespace(search_done=lambda *_: None),
+        )
+
+    def _offer(self) -> None:
+        maps = [_map(one) for one in range(self.oldest, self.version + 1)]
+        told = index_record.IndexRecord(_SERVICE, 'i', self.version, maps)
+        for one in maps:
+            names = {entry.shard for entry in one.shards}
+            self.shards_by_version[one.version] = names
+        self._cache.offer(
+            notice.Notice(
+                f'index/{_SERVICE}',
+                self.version * 9 + self.oldest,
+                codec.to_raw(told),
+            ),
+        )
+
+    def _note(self, asked: sub_query.SubQuery, how: str) -> None:
+        root = asked.request_id.partition('.')[0]
+        self.states.add(how)
+        if how == 'ok':
+            self.served.add((root, asked.index_version, asked.shard))
+        else:
+            told = _TOLD_AS.get(how, how)
+            self.told.add((root, asked.shard, told))
+
+    def _settle(self) -> None:
+        self.loop.settle()
+        if any(self.now - one.begun_at > _STANDS_S for one in self.batches):
+            self.is_standing = True
+        ended = [one for one in self.running if one.task.done()]
+        for one in ended:
+            self.running.remove(one)
+            self._check(one, one.task.result())
+
+    def _check(self, one: _Search, told: result.Result[Any, Any]) -> None:
+        """Check an answer against the replies that there were."""
+        if told.is_err():
+            assert told.unwrap_err().kind == 'shed'
+            return
+        given: search_answer.SearchAnswer = told.unwrap()
+        version = given.snapshot.version
+        everything = self.shards_by_version[version]
+        missing = {lost.shard: lost.reason for lost in given.coverage.missing}
+        covered = everything - missing.keys()
+        counted = (given.coverage.total, given.coverage.covered)
+        assert missing.keys() <= everything
+        assert counted == (len(everything), len(covered))
+        assert {(one.request_id, version, shard) for shard in covered} <= (
+            self.served
+        )
+        assert sorted(found.record_id for found in given.hits) == sorted(
+            f'{shard} v{version}' for shard in covered
+        )
+        for shard, reason in missing.items():
+            self._check_reason(one, shard, reason)
+
+    def _check_reason(self, one: _Search, shard: str, reason: str) -> None:
+        is_over = self.now >= one.began_at + _DEADLINE_S - _MARGIN_S
+        may_be = {
+            'late': is_over,
+            'shed': self.is_standing,
+            'no_replica': bool(self.states & {'draining', 'cold'}),
+        }
+        is_told = (one.request_id, shard, reason) in self.told
+        assert is_told or may_be.get(reason), (shard, reason)
+
+
+def _ref(asked: sub_query.SubQuery) -> tuple[str, int, str]:
+    return asked.request_id, asked.attempt, asked.shard
+
+
+def _map(version: int) -> shard_map.ShardMap:
+    """Return a version of two to four shards, on two searchers each."""
+    count = 2 + version % 3
+    return shard_map.ShardMap(
+        version=version,
+        shards=[
+            shard_entry.ShardEntry(
+                shard=f'{number}-of-{count}',
+                searchers=[
+                    _SEARCHERS[number % 3],
+                    _SEARCHERS[(number + version) % 3],
+                ],
+            )
+            for number in range(count)
+        ],
+    )
+
+
+def _reply(asked: sub_query.SubQuery, how: str) -> sub_reply.SubReply:
+    version = asked.index_version
+    told = sub_reply.SubReply(
+        request_id=asked.request_id,
+        attempt=asked.attempt,
+        shard=asked.shard,
+        index_version=version,
+        outcome='ok' if how == 'old' else how,
+        hits=[],
+    )
+    if how == 'old':
+        told.index_version -= 1
+    if told.outcome == 'ok':
+        found = f'{asked.shard} v{told.index_version}'
+        told.hits = [hit.Hit(found, 1, asked.shard)]
+    return told
+
+
+class Test_snapshot_and_coverage(SnapshotMachine.TestCase):  # noqa: N801
+    """Runs the machine."""
+
+    settings = hypothesis.settings(
+        max_examples=150,
+        stateful_step_count=40,
+        phases=(hypothesis.Phase.generate, hypothesis.Phase.shrink),
+    )
