--- a/chivepond/decisions/admission.py
+++ b/chivepond/decisions/admission.py
@@ -29,6 +29,7 @@
 
 ALPHA = 4
 _NEWCOMERS_ONE_IN = 8
+_NEWCOMERS_LEAST = 3
 
 
 class Admission:
@@ -54,6 +55,11 @@
         self._in_flight_by_caller: dict[str, int] = {}
         self._in_flight_by_class: dict[str, int] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """How many searches have a place."""
+        return self._in_flight
+
     @property
     def tracked_callers(self) -> int:
         """How many callers take memory."""
@@ -71,14 +77,18 @@
         is_class_full = share < 1 and of_class >= threshold
         if of_caller >= threshold or is_class_full:
             return False
-        reserved = self._limit.current // _NEWCOMERS_ONE_IN if of_caller else 0
-        if free <= reserved:
+        if free <= (self._reserved if of_caller else 0):
             return False
         self._in_flight += 1
         self._in_flight_by_caller[caller] = of_caller + 1
         self._in_flight_by_class[request_class] = of_class + 1
         return True
 
+    @property
+    def _reserved(self) -> int:
+        share = self._limit.current // _NEWCOMERS_ONE_IN
+        return max(share, min(_NEWCOMERS_LEAST, self._limit.current // 2))
+
     def release(self, caller: str, request_class: str) -> None:
         """Give the place of an admitted search back."""
         self._in_flight -= 1
--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -1,52 +1,71 @@
-"""How many searches a node carries at once.
+"""How many searches of one service a node carries at once.
 
 Load pattern: saturation. Without a limit every search is let in, each waits
 longer, and in the end all miss their deadlines while the searchers are busy
-with work that nobody wants any more.
-
-The limit is learned by additive increase and multiplicative decrease. What
-speaks of overload is the share of shards that owners shed because their
-queues stood; a late shard does not, since a slow or lost searcher makes
-shards late at any load and fewer searches would not mend it. A quarter is
-asked for, so that one searcher in trouble does not shrink the whole node. A
-decrease comes at most once in ``_EPOCH_S``, the time that a standing queue
-takes to show, as all searches in flight tell of the same overload. The
-limit rises only while it is in use, or a quiet night would lift it beyond
-all bounds. The floor keeps a node of use when its signal misleads it.
+with work that nobody wants any more. A limit that learns only when searches
+fail learns a deadline too late, when the queues hold more than can be done.
+
+So what is learned from is the wait: owners say of how many shards of a search
+the sub-query waited long, or was given up in the queue. Every search so
+marked takes ``_DECREASE`` of a place away, and every one that was not adds
+what makes up for one more place each round trip. A round trip full of marks
+therefore halves the limit, a few marks hold it where the queues stand a
+little but not long, and each answer counts once, so that one overload is not
+paid for twice. This is the rule of DCTCP, taken for each answer.
+
+A quarter of the shards must have waited, so that one searcher in trouble
+does not shrink the service. Until the first mark the limit doubles each
+round trip (slow start). It rises only while it is in use or turns somebody
+away, or a quiet night would lift it beyond all bounds.
+
+The limit is of one service: another one's searchers may stand idle. It
+starts low, since what it lets in too much before the first mark comes back
+must all be served or lost; the floor is one search, since at the planned
+size a node has about ten searches in flight, and in a small deployment ten
+are what all nodes together can carry.
 """
 
-_INITIAL = 256
-_FLOOR = 16
+_INITIAL = 8
+_FLOOR = 1
 _CEILING = 4096
-_DECREASE = 0.8
-_EPOCH_S = 0.1
-_OVERLOAD_SHARE = 0.25
+_DECREASE = 0.25
+_MARKED_SHARE = 0.25
 _IN_USE_SHARE = 0.5
 
 
 class AdmissionLimit:
-    """Follows what the searchers carry; times are seconds of one clock."""
+    """Follows what the searchers of a service carry."""
 
-    __slots__ = ('_decreased_at', '_exact')
+    __slots__ = ('_exact', '_is_slow_start', '_was_refused')
 
     def __init__(self, initial: float = _INITIAL) -> None:
         """Start at ``initial`` searches at once."""
         self._exact = float(initial)
-        self._decreased_at = -_EPOCH_S
+        self._is_slow_start = True
+        self._was_refused = False
 
     @property
     def current(self) -> int:
         """The number of searches let in at once."""
         return int(self._exact)
 
-    def finished(self, shed_share: float, in_flight: int, now: float) -> None:
-        """Take the end of a search, and the share of its shards shed."""
-        if shed_share > _OVERLOAD_SHARE:
-            self._decrease(now)
-        elif in_flight > self._exact * _IN_USE_SHARE and not shed_share:
-            self._exact = min(_CEILING, self._exact + 1 / self._exact)
-
-    def _decrease(self, now: float) -> None:
-        if now - self._decreased_at >= _EPOCH_S:
-            self._exact = max(_FLOOR, self._exact * _DECREASE)
-            self._decreased_at = now
+    def refused(self) -> None:
+        """Take that a search was turned away at this limit."""
+        self._was_refused = True
+
+    def finished(self, waited_share: float, in_flight: int) -> None:
+        """Take the end of a search with the share of its shards that waited.
+
+        ``in_flight`` counts the searches at that moment, this one as well.
+        """
+        if waited_share >= _MARKED_SHARE:
+            self._is_slow_start = False
+            self._exact = max(_FLOOR, self._exact - _DECREASE)
+            return
+        if self._was_refused or in_flight > self._exact * _IN_USE_SHARE:
+            self._was_refused = False
+            self._increase()
+
+    def _increase(self) -> None:
+        more = 1 if self._is_slow_start else 1 / self._exact
+        self._exact = min(_CEILING, self._exact + more)
--- a/chivepond/entry/admission_gate.py
+++ b/chivepond/entry/admission_gate.py
@@ -1,25 +1,37 @@
 """The gate of one node: lets searches in, or turns them away at once."""
 
-import asyncio
 import random
 
 from chivepond.decisions import admission, admission_limit, come_back
 from chivepond.errors import quoting, shed
 from chivepond.settings import search_service
-from chivepond.wire import search_answer, search_request, shard_outcome
+from chivepond.wire import search_request
+
+
+class _ServiceGate:
+    """Admission to one service of the node."""
+
+    __slots__ = ('admission', 'come_back', 'limit')
+
+    def __init__(self, rng: random.Random) -> None:
+        self.limit = admission_limit.AdmissionLimit()
+        self.admission = admission.Admission(self.limit)
+        self.come_back = come_back.ComeBack(rng)
 
 
 class AdmissionGate:
-    """Keeps one admission for all services of the node."""
+    """Keeps one admission for each service of the node.
 
-    __slots__ = ('_admission', '_come_back', '_in_flight', '_limit')
+    Guards against an overload of one service that turns away searches of
+    another, whose searchers stand idle.
+    """
+
+    __slots__ = ('_gate_by_service', '_random')
 
     def __init__(self, rng: random.Random) -> None:
         """Start with nothing in flight."""
-        self._limit = admission_limit.AdmissionLimit()
-        self._admission = admission.Admission(self._limit)
-        self._come_back = come_back.ComeBack(rng)
-        self._in_flight = 0
+        self._random = rng
+        self._gate_by_service: dict[str, _ServiceGate] = {}
 
     def enter(
         self,
@@ -30,12 +42,16 @@
 
         Who got no refusal calls ``leave`` once, however the search ends.
         """
+        gate = self._gate_by_service.get(request.service)
+        if gate is None:
+            gate = _ServiceGate(self._random)
+            self._gate_by_service[request.service] = gate
         share = _share(request.request_class, service)
-        if self._admission.admit(request.caller, request.request_class, share):
-            self._in_flight += 1
-            self._come_back.admitted()
+        if gate.admission.admit(request.caller, request.request_class, share):
+            gate.come_back.admitted()
             return None
-        wait_ms = self._come_back.refused_ms()
+        gate.limit.refused()
+        wait_ms = gate.come_back.refused_ms()
         return shed.Shed(
             message=f'{quoting.quoted(request.caller)} is over its share',
             remedy=f'not run; send it again in {wait_ms} ms',
@@ -45,17 +61,17 @@
     def leave(
         self,
         request: search_request.SearchRequest,
-        answer: search_answer.SearchAnswer | None,
+        waited_share: float | None,
     ) -> None:
-        """Give the place back, and learn from the answer if there is one."""
-        if answer is not None:
-            self._limit.finished(
-                _shed_share(answer),
-                self._in_flight,
-                asyncio.get_running_loop().time(),
-            )
-        self._in_flight -= 1
-        self._admission.release(request.caller, request.request_class)
+        """Give the place back.
+
+        ``waited_share`` is the share of the search's shards whose work
+        waited long; nothing is learned when there is none.
+        """
+        gate = self._gate_by_service[request.service]
+        if waited_share is not None:
+            gate.limit.finished(waited_share, gate.admission.in_flight)
+        gate.admission.release(request.caller, request.request_class)
 
 
 def _share(
@@ -68,9 +84,3 @@
         return 1
     weight = weights.get(request_class, min(weights.values()))
     return weight / max(weights.values())
-
-
-def _shed_share(answer: search_answer.SearchAnswer) -> float:
-    coverage = answer.coverage
-    lost = [one for one in coverage.missing if one.reason == shard_outcome.SHED]
-    return len(lost) / max(1, coverage.total)
--- a/chivepond/entry/search_state.py
+++ b/chivepond/entry/search_state.py
@@ -33,6 +33,7 @@
     )
     hits: list[hit.Hit] = dataclasses.field(default_factory=list)
     attempts: int = 0
+    waited: int = 0
 
     def absorb(self, answer: owner_answer.OwnerAnswer) -> None:
         """Take an owner's answer, unless it is for another version.
@@ -42,6 +43,7 @@
         standby answered.
         """
         self.attempts += answer.attempts
+        self.waited += answer.waited
         if answer.index_version != self.index.version:
             return
         fresh = set(answer.covered) - self.covered
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -136,7 +136,8 @@
         try:
             answer = await self._run_traced(state, service, page, trace)
         finally:
-            self._gate.leave(state.request, answer)
+            waited = trace.waited_share if answer is not None else None
+            self._gate.leave(state.request, waited)
         return result.Ok(answer)
 
     async def _run_traced(
@@ -153,6 +154,7 @@
             bool(page.version),
         )
         trace.attempts = state.attempts
+        trace.waited_share = state.waited / max(1, len(state.index.searchers_by_shard))
         trace.snapshot = f'{state.index.index}@{state.index.version}'
         return _merge(state, page)
 
--- a/chivepond/owner/owner_call.py
+++ b/chivepond/owner/owner_call.py
@@ -13,6 +13,11 @@
     sub_reply,
 )
 
+#: The share of its time that the work of a search may wait before it counts
+#: as waiting long: half of what the queue itself allows, so that entry hosts
+#: let fewer in before anything has to be given up.
+_MARK_SHARE = 0.1
+
 
 class OwnerCall:
     """Collects replies; each shard counts once, whoever answers first."""
@@ -27,6 +32,8 @@
         'pending',
         'query',
         'started_at',
+        'waited',
+        '_mark_s',
     )
 
     def __init__(
@@ -40,6 +47,8 @@
         self.started_at = started_at
         self.deadline = deadline
         self.attempts = 0
+        self.waited: set[str] = set()
+        self._mark_s = (deadline - started_at) * _MARK_SHARE
         self.pending: dict[str, shard_progress.ShardProgress] = {}
         self.covered: list[str] = []
         self.missing: list[missing_shard.MissingShard] = []
@@ -51,6 +60,11 @@
         """Whether the answer was given."""
         return self._done.done()
 
+    def left_queue(self, shard: str, waited_s: float) -> None:
+        """Take that work waited so long in a queue."""
+        if waited_s > self._mark_s:
+            self.waited.add(shard)
+
     def cover(self, reply: sub_reply.SubReply) -> None:
         """Take the hits of one shard."""
         self.pending.pop(reply.shard)
@@ -82,6 +96,7 @@
             missing=self.missing,
             hits=best(self._hits, self.query.limit),
             attempts=self.attempts,
+            waited=len(self.waited),
         )
 
     def _finish_if_complete(self) -> None:
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -234,7 +234,9 @@
     def _sweep(self) -> None:
         self._sweeper = None
         for lost in self._waiting.give_up(_loop().time()):
-            self._on_reply(lost.attempt, _failed(lost.attempt, lost.outcome))
+            one = lost.attempt
+            one.call.waited.add(one.sub_query.shard)
+            self._on_reply(one, _failed(one, lost.outcome))
         self._dispatch()
 
     def _hand_back(self) -> None:
@@ -356,6 +358,7 @@
 def _encoded(batch: list[attempt.Attempt], now: float) -> bytes:
     for one in batch:
         left_s = max(0, one.deadline - now)
+        one.call.left_queue(one.sub_query.shard, now - one.created_at)
         one.sub_query.remaining_ms = int(left_s * _MS_PER_S)
     entries = [one.sub_query for one in batch]
     return codec.encode(query_batch.QueryBatch(entries))
--- a/chivepond/wire/owner_answer.py
+++ b/chivepond/wire/owner_answer.py
@@ -10,7 +10,8 @@
 class OwnerAnswer:
     """Merged hits, the shards searched, and the rest with reasons.
 
-    ``attempts`` counts the sub-queries sent, hedges and retries included.
+    ``attempts`` counts the sub-queries sent, hedges and retries included;
+    ``waited`` the shards whose work waited long in a queue.
     """
 
     request_id: str
@@ -19,3 +20,4 @@
     missing: list[missing_shard.MissingShard]
     hits: list[hit.Hit]
     attempts: int = 0
+    waited: int = 0
