--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -102,6 +102,7 @@
             self.configuration,
             self.directory,
             self.peers,
+            rng,
         )
         self.relay = relay.Relay(
             settings,
@@ -113,7 +114,8 @@
         self.acceptor = acceptor.Acceptor(
             self.platform,
             self.cache,
-            self.configuration,
+            lambda: self.relay.is_relay,
+            rng,
         )
         callers = entry_application.EntryApplication(
             self.searches,
@@ -192,8 +194,7 @@
         """
         journal.log(events.NODE_STOPPING, node=self.settings.node_id)
         self._is_leaving = True
-        self.heartbeats.is_leaving = True
-        await self.heartbeats.beat()
+        await self.heartbeats.leave()
         await asyncio.sleep(self.settings.balancer_lag_ms / _MS_PER_S)
         for loop in self._loops:
             loop.cancel()
--- a/chivepond/owner/owner_call.py
+++ b/chivepond/owner/owner_call.py
@@ -13,10 +13,9 @@
     sub_reply,
 )
 
-#: The share of its time that the work of a search may wait before it counts
-#: as waiting long: half of what the queue itself allows, so that entry hosts
-#: let fewer in before anything has to be given up.
-_MARK_SHARE = 0.1
+#: Work counts as waiting long at half of what a queue that stands allows, so
+#: that entry hosts let fewer in before anything has to be given up.
+_MARK_SHARE = 0.5
 
 
 class OwnerCall:
@@ -25,6 +24,7 @@
     __slots__ = (
         '_done',
         '_hits',
+        '_mark_s',
         'attempts',
         'covered',
         'deadline',
@@ -32,8 +32,8 @@
         'pending',
         'query',
         'started_at',
+        'wait_share',
         'waited',
-        '_mark_s',
     )
 
     def __init__(
@@ -41,14 +41,20 @@
         query: owner_query.OwnerQuery,
         started_at: float,
         deadline: float,
+        wait_share: float,
     ) -> None:
-        """Run from ``started_at`` to ``deadline``, seconds of the loop."""
+        """Run from ``started_at`` to ``deadline``, seconds of the loop.
+
+        ``wait_share`` is the share of that time that work may wait in a
+        queue that stands.
+        """
+        self.wait_share = wait_share
         self.query = query
         self.started_at = started_at
         self.deadline = deadline
         self.attempts = 0
         self.waited: set[str] = set()
-        self._mark_s = (deadline - started_at) * _MARK_SHARE
+        self._mark_s = (deadline - started_at) * wait_share * _MARK_SHARE
         self.pending: dict[str, shard_progress.ShardProgress] = {}
         self.covered: list[str] = []
         self.missing: list[missing_shard.MissingShard] = []
--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -116,6 +116,7 @@
         '_folder',
         '_stack',
         'address_by_id',
+        'listens_by_id',
         'node_by_id',
         'plan',
         'platform',
@@ -134,6 +135,7 @@
         self.node_by_id: dict[str, Program] = {}
         self.searcher_by_id: dict[str, Program] = {}
         self.address_by_id: dict[str, address.Address] = {}
+        self.listens_by_id: dict[str, dict[str, str]] = {}
         self.platform: client.Client
 
     async def __aenter__(self) -> Self:
@@ -151,7 +153,7 @@
         told = []
         for where in self.plan.data_centres:
             for number in range(self.plan.nodes_per_data_centre):
-                told.append(await self._start_node(f'{where}-{number}', where))
+                told.append(await self.start_node(f'{where}-{number}', where))
         await self._publish_hosts(told)
         for node_id in self.node_by_id:
             await self.wait_ready(node_id)
@@ -170,6 +172,11 @@
         """Return a client that calls a node."""
         return client.Client(self.address_by_id[node_id], _CONNECTIONS)
 
+    def operator_client(self, node_id: str) -> client.Client:
+        """Return a client of a node's side for operators."""
+        told = self.listens_by_id[node_id]['operators']
+        return client.Client(address.parse(told).unwrap(), _CONNECTIONS)
+
     async def write(self, kind: str, name: str, message: object) -> None:
         """Create an object on the platform."""
         write = {'expect': 0, 'token': '', 'body': message}
@@ -186,30 +193,13 @@
                 await asyncio.sleep(_READY_POLL_S)
         raise AssertionError(f'{node_id} is not ready')
 
-    async def _start(self, *arguments: str) -> Program:
-        return await self._stack.enter_async_context(Program(*arguments))
-
-    async def _start_platform(self) -> None:
-        started = await self._start('chivepond-standin', 'platform')
-        listen = await started.line_with('127.0.0.1:')
-        target = address.parse(listen).unwrap()
-        self.address_by_id['platform'] = target
-        self.platform = client.Client(target, _CONNECTIONS)
-
-    async def _start_searcher(self, searcher_id: str, profile: object) -> None:
-        path = self._folder / f'{searcher_id}.yaml'
-        path.write_bytes(msgspec.yaml.encode(profile))
-        started = await self._start(
-            'chivepond-standin',
-            'searcher',
-            '--profile',
-            str(path),
-        )
-        listen = await started.line_with('127.0.0.1:')
-        self.searcher_by_id[searcher_id] = started
-        self.address_by_id[searcher_id] = address.parse(listen).unwrap()
-
-    async def _start_node(self, node_id: str, where: str) -> host.Host:
+    async def start_node(
+        self,
+        node_id: str,
+        where: str,
+        settings: dict[str, object] | None = None,
+    ) -> host.Host:
+        """Start a node with some settings of its own."""
         told = {
             'node_id': node_id,
             'data_centre': where,
@@ -222,11 +212,16 @@
             'log_format': 'json',
         }
         path = self._folder / f'{node_id}.yaml'
-        path.write_bytes(msgspec.yaml.encode(told | self.plan.node))
+        path.write_bytes(
+            msgspec.yaml.encode(
+                told | self.plan.node | (settings or {}),
+            )
+        )
         started = await self._start('chivepondd', '--settings', str(path))
         self.node_by_id[node_id] = started
         line = await started.line_with('node started')
         listens = msgspec.json.decode(line)
+        self.listens_by_id[node_id] = listens
         self.address_by_id[node_id] = address.parse(
             listens['callers'],
         ).unwrap()
@@ -238,6 +233,29 @@
             address=listens['peers'],
         )
 
+    async def _start(self, *arguments: str) -> Program:
+        return await self._stack.enter_async_context(Program(*arguments))
+
+    async def _start_platform(self) -> None:
+        started = await self._start('chivepond-standin', 'platform')
+        listen = await started.line_with('127.0.0.1:')
+        target = address.parse(listen).unwrap()
+        self.address_by_id['platform'] = target
+        self.platform = client.Client(target, _CONNECTIONS)
+
+    async def _start_searcher(self, searcher_id: str, profile: object) -> None:
+        path = self._folder / f'{searcher_id}.yaml'
+        path.write_bytes(msgspec.yaml.encode(profile))
+        started = await self._start(
+            'chivepond-standin',
+            'searcher',
+            '--profile',
+            str(path),
+        )
+        listen = await started.line_with('127.0.0.1:')
+        self.searcher_by_id[searcher_id] = started
+        self.address_by_id[searcher_id] = address.parse(listen).unwrap()
+
     async def _publish_hosts(self, nodes: list[host.Host]) -> None:
         listed = list(nodes)
         for service in self.plan.services:
