--- a/chivepond/decisions/admission.py
+++ b/chivepond/decisions/admission.py
@@ -25,7 +25,7 @@
 16 against a hot caller; docs/design/admission.md has its figures.
 """
 
-from chivepond.decisions import admission_limit
+from chivepond.decisions import admission_limit, recent_callers
 
 ALPHA = 4
 _NEWCOMERS_ONE_IN = 8
@@ -41,6 +41,7 @@
         '_in_flight_by_caller',
         '_in_flight_by_class',
         '_limit',
+        '_recent',
     )
 
     def __init__(
@@ -52,6 +53,7 @@
         self._limit = limit
         self._alpha = alpha
         self._in_flight = 0
+        self._recent = recent_callers.RecentCallers()
         self._in_flight_by_caller: dict[str, int] = {}
         self._in_flight_by_class: dict[str, int] = {}
 
@@ -77,8 +79,10 @@
         is_class_full = share < 1 and of_class >= threshold
         if of_caller >= threshold or is_class_full:
             return False
-        if free <= (self._reserved if of_caller else 0):
+        is_newcomer = not of_caller and not self._recent.is_hot(caller)
+        if free <= (0 if is_newcomer else self._reserved):
             return False
+        self._recent.admitted(caller)
         self._in_flight += 1
         self._in_flight_by_caller[caller] = of_caller + 1
         self._in_flight_by_class[request_class] = of_class + 1
@@ -87,7 +91,7 @@
     @property
     def _reserved(self) -> int:
         share = self._limit.current // _NEWCOMERS_ONE_IN
-        return max(share, min(_NEWCOMERS_LEAST, self._limit.current // 2))
+        return max(share, min(_NEWCOMERS_LEAST, self._limit.current - 1))
 
     def release(self, caller: str, request_class: str) -> None:
         """Give the place of an admitted search back."""
--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -28,7 +28,7 @@
 _INITIAL = 8
 _FLOOR = 1
 _CEILING = 4096
-_DECREASE = 0.25
+_DECREASE = 0.5
 _MARKED_SHARE = 0.25
 _IN_USE_SHARE = 0.5
 
