Admission by service, learned from how long work waits

Change: owners tell in each answer how many shards waited over half of what a standing queue allows; each service has a limit of its own, that each marked answer lowers by a quarter of a place; hot callers leave up to three places.

--- a/chivepond/decisions/admission.py
+++ b/chivepond/decisions/admission.py
@@ -17,6 +17,13 @@
 while fewer callers than that are hot, a quiet one always gets in. (A
 property test found the gap: three hot callers shut a fourth out.)
 
+With a few places an eighth is none. So at least three places, where there
+are that many, are for newcomers, and a caller that had most of the last
+searches counts as none even while it has nothing in flight
+(``recent_callers``). Without it a hot caller took each place that freed:
+with three or four places a node, 28 in 100 searches of the others were
+turned away, with it 8 to 14 (trials; docs/design/admission.md).
+
 A class below the heaviest gets that threshold times its share of the
 heaviest weight, for each caller and for the class as a whole; many callers
 of a light class therefore can not crowd out the heavy one together.
@@ -79,8 +86,9 @@
         is_class_full = share < 1 and of_class >= threshold
         if of_caller >= threshold or is_class_full:
             return False
-        is_newcomer = not of_caller and not self._recent.is_hot(caller)
-        if free <= (0 if is_newcomer else self._reserved):
+        is_hot = of_caller or self._is_hot(caller)
+        reserved = self._reserved if is_hot else 0
+        if free <= reserved:
             return False
         self._recent.admitted(caller)
         self._in_flight += 1
@@ -88,17 +96,21 @@
         self._in_flight_by_class[request_class] = of_class + 1
         return True
 
-    @property
-    def _reserved(self) -> int:
-        share = self._limit.current // _NEWCOMERS_ONE_IN
-        return max(share, min(_NEWCOMERS_LEAST, self._limit.current - 1))
-
     def release(self, caller: str, request_class: str) -> None:
         """Give the place of an admitted search back."""
         self._in_flight -= 1
         _count_down(self._in_flight_by_caller, caller)
         _count_down(self._in_flight_by_class, request_class)
 
+    def _is_hot(self, caller: str) -> bool:
+        few = _NEWCOMERS_LEAST * _NEWCOMERS_ONE_IN
+        return self._limit.current < few and self._recent.is_hot(caller)
+
+    @property
+    def _reserved(self) -> int:
+        share = self._limit.current // _NEWCOMERS_ONE_IN
+        return max(share, min(_NEWCOMERS_LEAST, self._limit.current - 1))
+
 
 def _count_down(in_flight_by_name: dict[str, int], name: str) -> None:
     in_flight = in_flight_by_name.pop(name) - 1
--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -6,12 +6,15 @@
 fail learns a deadline too late, when the queues hold more than can be done.
 
 So what is learned from is the wait: owners say of how many shards of a search
-the sub-query waited long, or was given up in the queue. Every search so
-marked takes ``_DECREASE`` of a place away, and every one that was not adds
-what makes up for one more place each round trip. A round trip full of marks
-therefore halves the limit, a few marks hold it where the queues stand a
-little but not long, and each answer counts once, so that one overload is not
-paid for twice. This is the rule of DCTCP, taken for each answer.
+the work waited long, or was given up in the queue. Every search so marked
+takes ``_DECREASE`` of a place away, and every one that was not adds what
+makes up for ``_INCREASE`` of a place each round trip. A round trip full of
+marks takes a quarter of the limit, some marks hold it where the queues stand
+a little but not long, and each answer counts once, so that one overload is
+not paid for twice. It is the idea of DCTCP, applied to each answer. Twice
+both steps served as much, but at three or four places a node it turned away
+14 in 100 of the quiet callers beside a hot one in place of 8 (trials;
+docs/design/admission.md).
 
 A quarter of the shards must have waited, so that one searcher in trouble
 does not shrink the service. Until the first mark the limit doubles each
@@ -28,7 +31,8 @@
 _INITIAL = 8
 _FLOOR = 1
 _CEILING = 4096
-_DECREASE = 0.5
+_DECREASE = 0.25
+_INCREASE = 0.5
 _MARKED_SHARE = 0.25
 _IN_USE_SHARE = 0.5
 
@@ -67,5 +71,5 @@
             self._increase()
 
     def _increase(self) -> None:
-        more = 1 if self._is_slow_start else 1 / self._exact
+        more = 1 if self._is_slow_start else _INCREASE / self._exact
         self._exact = min(_CEILING, self._exact + more)
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -136,7 +136,7 @@
         try:
             answer = await self._run_traced(state, service, page, trace)
         finally:
-            waited = trace.waited_share if answer is not None else None
+            waited = None if answer is None else trace.waited_share
             self._gate.leave(state.request, waited)
         return result.Ok(answer)
 
@@ -154,7 +154,9 @@
             bool(page.version),
         )
         trace.attempts = state.attempts
-        trace.waited_share = state.waited / max(1, len(state.index.searchers_by_shard))
+        trace.waited_share = state.waited / max(
+            1, len(state.index.searchers_by_shard)
+        )
         trace.snapshot = f'{state.index.index}@{state.index.version}'
         return _merge(state, page)
 
