--- a/chivepond/entry/admission_gate.py
+++ b/chivepond/entry/admission_gate.py
@@ -1,11 +1,15 @@
-"""The gate of one node: lets searches in, or turns them away at once."""
+"""The gate of one node: lets requests in, or turns them away at once."""
 
 import random
 
 from chivepond.decisions import admission, admission_limit, come_back
 from chivepond.errors import quoting, shed
 from chivepond.settings import search_service
-from chivepond.wire import search_request
+from chivepond.wire import command_request, search_request
+
+_COMMAND = 'command'
+_COMMAND_SHARE = 1
+_COMMANDS_AT_ONCE = 256
 
 
 class _ServiceGate:
@@ -13,9 +17,13 @@
 
     __slots__ = ('admission', 'come_back', 'limit')
 
-    def __init__(self, rng: random.Random) -> None:
-        self.limit = admission_limit.AdmissionLimit()
-        self.admission = admission.Admission(self.limit)
+    def __init__(
+        self,
+        rng: random.Random,
+        limit: admission_limit.AdmissionLimit,
+    ) -> None:
+        self.limit = limit
+        self.admission = admission.Admission(limit)
         self.come_back = come_back.ComeBack(rng)
 
 
@@ -23,14 +31,20 @@
     """Keeps one admission for each service of the node.
 
     Guards against an overload of one service that turns away searches of
-    another, whose searchers stand idle.
+    another, whose searchers stand idle. Commands have one of their own, at a
+    fixed size: a slow platform holds them long, which says nothing of the
+    searchers.
     """
 
-    __slots__ = ('_gate_by_service', '_random')
+    __slots__ = ('_commands', '_gate_by_service', '_random')
 
     def __init__(self, rng: random.Random) -> None:
         """Start with nothing in flight."""
         self._random = rng
+        self._commands = _ServiceGate(
+            rng,
+            admission_limit.AdmissionLimit(_COMMANDS_AT_ONCE),
+        )
         self._gate_by_service: dict[str, _ServiceGate] = {}
 
     def enter(
@@ -44,7 +58,10 @@
         """
         gate = self._gate_by_service.get(request.service)
         if gate is None:
-            gate = _ServiceGate(self._random)
+            gate = _ServiceGate(
+                self._random,
+                admission_limit.AdmissionLimit(),
+            )
             self._gate_by_service[request.service] = gate
         share = _share(request.request_class, service)
         if gate.admission.admit(request.caller, request.request_class, share):
@@ -73,6 +90,32 @@
             gate.limit.finished(waited_share, gate.admission.in_flight)
         gate.admission.release(request.caller, request.request_class)
 
+    def enter_command(
+        self,
+        request: command_request.CommandRequest,
+    ) -> shed.Shed | None:
+        """Take a place for a command, or return its refusal.
+
+        Commands weigh as much as the heaviest class of searches: a guest
+        stands at the desk for each. Who got no refusal calls
+        ``leave_command`` once.
+        """
+        caller = request.caller
+        gate = self._commands
+        if gate.admission.admit(caller, _COMMAND, _COMMAND_SHARE):
+            gate.come_back.admitted()
+            return None
+        wait_ms = gate.come_back.refused_ms()
+        return shed.Shed(
+            message=f'{quoting.quoted(caller)} is over its share',
+            remedy=f'not run; send it again, same key, in {wait_ms} ms',
+            retry_after_ms=wait_ms,
+        )
+
+    def leave_command(self, request: command_request.CommandRequest) -> None:
+        """Give the place of a command back."""
+        self._commands.admission.release(request.caller, _COMMAND)
+
 
 def _share(
     request_class: str,
