--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -22,7 +22,13 @@
 )
 from chivepond.control import application as operator_application
 from chivepond.entry import application as entry_application
-from chivepond.entry import admitted_commands, commands, peers, searches
+from chivepond.entry import (
+    admitted_commands,
+    claim_sweeper,
+    commands,
+    peers,
+    searches,
+)
 from chivepond.observe import (
     burn,
     events,
@@ -47,6 +53,7 @@
 from chivepond.wire import codec, node_burn, node_status
 
 _MS_PER_S = 1000
+_GRACE_MARGIN_S = 1
 
 
 class Node:
@@ -77,6 +84,13 @@
         self.peers = self._make_peers()
         self.owner = owner.Owner(self.configuration, self.directory, rng)
         runner = command_runner.CommandRunner(self.owner, claims)
+        self._runner = runner
+        self._sweeper = claim_sweeper.ClaimSweeper(
+            settings,
+            self.configuration,
+            self.directory,
+            claims,
+        )
         self.searches = searches.Searches(
             settings,
             self.configuration,
@@ -164,7 +178,7 @@
 
     async def __aenter__(self) -> Self:
         """Start to serve and to follow the platform and the peers."""
-        for part in (self.platform, self.peers, self.owner):
+        for part in (self.platform, self.peers, self.owner, self._runner):
             await self._stack.enter_async_context(part)
         await self._stack.enter_async_context(self.peer_server)
         await self._stack.enter_async_context(self.operator_server)
@@ -173,6 +187,7 @@
             asyncio.create_task(self.relay.run()),
             asyncio.create_task(self.heartbeats.run()),
             asyncio.create_task(self.acceptor.run()),
+            asyncio.create_task(self._sweeper.run()),
         ]
         journal.log(
             events.NODE_STARTED,
@@ -203,6 +218,7 @@
         for loop in self._loops:
             loop.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
+        self._allow_work_in_flight()
         await self._stack.aclose()
         journal.log(events.NODE_STOPPED, node=self.settings.node_id)
 
@@ -259,6 +275,30 @@
             platform_calls_by_result=dict(self.platform.calls_by_result),
         )
 
+    def _allow_work_in_flight(self) -> None:
+        """Let the servers wait for the longest deadline in flight.
+
+        Guards against a grace that is shorter than the work: it shows as a
+        command cut by a planned stop, of which nobody knows whether it ran.
+        """
+        latest = max(
+            self.commands.latest_deadline,
+            self._runner.latest_deadline,
+        )
+        document = self.configuration.document
+        services = document.search.by_service.values()
+        longest_ms = max((one.deadline_ms for one in services), default=0)
+        left_s = max(
+            latest - asyncio.get_running_loop().time(),
+            longest_ms / _MS_PER_S,
+        )
+        for server_in_use in (
+            self.caller_server,
+            self.peer_server,
+            self.operator_server,
+        ):
+            server_in_use.allow(left_s + _GRACE_MARGIN_S)
+
     def _make_peers(self) -> peers.Peers:
         return peers.Peers(
             self.directory,
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -241,7 +241,7 @@
                     searcher_id=searcher_id,
                     outstanding=found.outstanding,
                     latency_s=found.latency_s,
-                    weight=found.state.weight(now),
+                    weight=found.state.weight(now) * found.trust.weight(now),
                 )
                 for searcher_id, found in queue_by_id.items()
             ],
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -9,7 +9,12 @@
 
 import result
 
-from chivepond.decisions import batch_window, concurrency_limit, work_rate
+from chivepond.decisions import (
+    batch_window,
+    concurrency_limit,
+    replica_trust,
+    work_rate,
+)
 from chivepond.owner import (
     attempt,
     searcher_state,
@@ -65,6 +70,7 @@
         'latency_s',
         'limit',
         'state',
+        'trust',
     )
 
     def __init__(
@@ -77,6 +83,7 @@
         """Serve one searcher; each attempt gets one call of ``on_reply``."""
         self.host = searcher
         self.latency_s = _FIRST_LATENCY_S
+        self.trust = replica_trust.ReplicaTrust()
         self.limit = concurrency_limit.ConcurrencyLimit(capacity.slots)
         self._capacity = capacity
         self._client = _client(target, capacity)
@@ -283,6 +290,7 @@
         async for line in lines:
             outcomes.add(self._take_line(line, by_ref, now))
         self._learn(outcomes, len(batch), now)
+        self._weigh(outcomes, has_lost=bool(by_ref))
         for ref, one in by_ref.items():
             self._by_ref.pop(ref, None)
             self._on_reply(one, _failed(one, shard_outcome.UNREACHABLE))
@@ -320,6 +328,13 @@
             self._rate.observe(size, taken_s)
             self.limit.succeeded(size, taken_s)
 
+    def _weigh(self, outcomes: set[str], *, has_lost: bool) -> None:
+        """Take whether a batch failed, for the choice of replicas."""
+        if has_lost or shard_outcome.SHED in outcomes:
+            self.trust.failed(_loop().time())
+        elif shard_outcome.OK in outcomes:
+            self.trust.succeeded(_loop().time())
+
     def _send_cancelled(self) -> None:
         refs = self._cancelled
         self._cancelled = []
