--- a/chivepond/entry/search_state.py
+++ b/chivepond/entry/search_state.py
@@ -58,12 +58,9 @@
         though nobody asked for it.
         """
         self.attempts += answer.attempts
-<<<<<<< HEAD
-        self.waited += answer.waited
-=======
         if answer.request_id != self.request_id:
             return
->>>>>>> main
+        self.waited += answer.waited
         if answer.index_version != self.index.version:
             return
         fresh = set(shards).intersection(answer.covered) - self.covered
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -290,7 +290,8 @@
         async for line in lines:
             outcomes.add(self._take_line(line, by_ref, now))
         self._learn(outcomes, len(batch), now)
-        self._weigh(outcomes, has_lost=bool(by_ref))
+        if by_ref:
+            self.trust.failed(_loop().time())
         for ref, one in by_ref.items():
             self._by_ref.pop(ref, None)
             self._on_reply(one, _failed(one, shard_outcome.UNREACHABLE))
@@ -321,20 +322,16 @@
 
     def _learn(self, outcomes: set[str], size: int, sent_at: float) -> None:
         """Count a batch once, however many of its replies say the same."""
-        taken_s = _loop().time() - sent_at
+        now = _loop().time()
+        taken_s = now - sent_at
         if shard_outcome.SHED in outcomes:
+            self.trust.failed(now)
             self.limit.refused()
         elif shard_outcome.OK in outcomes:
+            self.trust.succeeded(now)
             self._rate.observe(size, taken_s)
             self.limit.succeeded(size, taken_s)
 
-    def _weigh(self, outcomes: set[str], *, has_lost: bool) -> None:
-        """Take whether a batch failed, for the choice of replicas."""
-        if has_lost or shard_outcome.SHED in outcomes:
-            self.trust.failed(_loop().time())
-        elif shard_outcome.OK in outcomes:
-            self.trust.succeeded(_loop().time())
-
     def _send_cancelled(self) -> None:
         refs = self._cancelled
         self._cancelled = []
