A replica that failed lately is chosen less, and the owner tells of waits

Cause: a searcher that sheds all, or answers nothing, looks idle and drew most of the work; retries ran out, and shards went missing that its sibling had. Ejection never fires in groups of one or two at an owner.

--- a/chivepond/decisions/replica_trust.py
+++ b/chivepond/decisions/replica_trust.py
@@ -6,17 +6,20 @@
 budget for those is spent, shards go missing that the sibling would have
 covered. Ejection does not help in small groups, where it never fires.
 
-The weight halves with each batch that failed and regains a tenth of what is
-missing with each that did not: a searcher that refuses one batch in 20 keeps
-most of its work. It never falls below ``_LEAST``, and what is missing halves
-every ``_HALF_LIFE_S``, so a searcher that is well again is soon found out
-about. A fault that all replicas share leaves them alike, since only weights
-of siblings are compared.
+Each batch that failed takes nine tenths of the weight, and each that did not
+regains a tenth of what is missing: a searcher that refuses one batch in
+20 keeps most of its work. With time the weight rises by itself, its logarithm
+halving every ``_HALF_LIFE_S``: from ``_LEAST`` it takes about three seconds
+until a sibling with one piece of work is passed over for it, so one that is
+well again is soon found out about, and one that is not costs a retry in some
+seconds. (A weight that rose evenly in time was tried ten times a second.) A
+fault that all replicas share leaves them alike, since only weights of
+siblings are compared.
 """
 
-_FAILED_FACTOR = 0.5
+_FAILED_FACTOR = 0.1
 _REGAIN = 0.1
-_LEAST = 0.01
+_LEAST = 0.001
 _HALF_LIFE_S = 1.0
 
 
@@ -32,8 +35,8 @@
 
     def weight(self, now: float) -> float:
         """Return a weight for the choice of replicas, at most 1."""
-        missing = 1 - self._weight
-        return 1 - missing * 2 ** ((self._at - now) / _HALF_LIFE_S)
+        remaining = 2 ** ((self._at - now) / _HALF_LIFE_S)
+        return self._weight**remaining
 
     def failed(self, now: float) -> None:
         """Take a batch that was refused, or not answered whole."""
--- a/chivepond/tests/test_decisions.py
+++ b/chivepond/tests/test_decisions.py
@@ -16,6 +16,7 @@
     concurrency_limit,
     ejection,
     replica_choice,
+    replica_trust,
     slow_start,
     standing_queue,
     token_budget,
@@ -289,3 +290,47 @@
 def test_batching_costs_little_of_the_deadline(configured_s, left_s):
     window_s = batch_window.window_s(configured_s, left_s)
     assert 0 <= window_s <= max(left_s, 0) / 49.99
+
+
+def test_replica_that_refuses_all_gets_little_and_is_found_when_well():
+    """It refuses at once, so it looks idle, and its sibling never gets work.
+
+    Each refusal costs a retry; when those are spent, shards go missing that
+    the sibling would have covered.
+    """
+    trust = replica_trust.ReplicaTrust()
+    tries = _choices(trust, range(0, 1000), is_well=False)
+    assert 1 <= tries <= 10
+    assert _choices(trust, range(5000, 6000), is_well=True) > 300
+
+
+def test_replica_that_refuses_some_batches_keeps_most_work():
+    trust = replica_trust.ReplicaTrust()
+    weights = []
+    for number in range(1000):
+        if number % 20:
+            trust.succeeded(number / 1000)
+        else:
+            trust.failed(number / 1000)
+        weights.append(trust.weight(number / 1000))
+    assert sum(weights[500:]) > 300
+
+
+def _choices(trust, at_ms, *, is_well):
+    """Count how often the replica is chosen; its sibling has one in flight."""
+    rng = random.Random(1)
+    chosen = 0
+    for number in at_ms:
+        now = number / 1000
+        found = replica_choice.choose(
+            [
+                replica_choice.Candidate('x', 0, 0.01, trust.weight(now)),
+                replica_choice.Candidate('y', rng.randrange(3), 0.01),
+            ],
+            rng,
+        )
+        if found.searcher_id == 'x':
+            chosen += 1
+            told = trust.succeeded if is_well else trust.failed
+            told(now)
+    return chosen
--- a/chivepond/tests/test_owner_decisions.py
+++ b/chivepond/tests/test_owner_decisions.py
@@ -347,3 +347,42 @@
 
 def _search(caller):
     return search_request.SearchRequest('name', 'ann', caller)
+
+
+async def test_searcher_that_sheds_all_is_covered_by_its_sibling():
+    """One of two replicas refuses everything, at once, while it looks idle.
+
+    It drew most of the work; each piece cost a retry, and when those were
+    spent, shards went missing that the other replica would have covered.
+    """
+    async with Bench() as bench:
+        bad = await bench.start('a')
+        await bench.start('b')
+        bad.apply_faults(searcher_faults.SearcherFaults(shedding=True))
+        owned = await bench.owner()
+        for _ in range(60):
+            answer = await owned.answer(_query(['a', 'b'], 5))
+            assert len(answer.covered) == 5
+
+
+def test_overload_of_one_service_turns_away_nothing_of_another():
+    gate = admission_gate.AdmissionGate(random.Random(1))
+    service = search_service.SearchService()
+    refusals = [gate.enter(_search('hot'), service) for _ in range(1000)]
+    assert refusals[-1]
+    other = search_request.SearchRequest('other', 'ann', 'hot')
+    assert not gate.enter(other, service)
+
+
+async def test_owner_tells_how_many_shards_waited_long():
+    """Entry hosts learn of an overload only when shards were lost.
+
+    Of five shards on one slot the third waits two works long: over a tenth
+    of a second, but a trifle for a search that has half a minute.
+    """
+    async with Bench() as bench:
+        await bench.start('a', work_ms=60)
+        owned = await bench.owner()
+        bench.resize(1)
+        assert (await owned.answer(_query(['a'], 5))).waited >= 2
+        assert not (await owned.answer(_query(['a'], 5, 30_000))).waited
