--- a/chivepond/capacity/__main__.py
+++ b/chivepond/capacity/__main__.py
@@ -6,12 +6,14 @@
 
 from chivepond.capacity import (
     batch_probe,
+    entry_probe,
     exchange_probe,
     memory_probe,
     owner_probe,
     reading,
     stream_probe,
 )
+from chivepond.observe import journal
 
 
 async def measure() -> Sequence[reading.Reading]:
@@ -21,6 +23,7 @@
         await stream_probe.measure(),
         await batch_probe.measure(),
         await owner_probe.measure(),
+        await entry_probe.measure(),
         memory_probe.measure_index(),
     )
 
@@ -42,8 +45,9 @@
     """Write the table of slopes to standard output."""
     sys.stdout.write('| cost | grows with | points | line | unit |\n')
     sys.stdout.write('| --- | --- | --- | --- | --- |\n')
-    for one in asyncio.run(measure()):
-        sys.stdout.write(f'{show(one)}\n')
+    with journal.Journal('ERROR', 'text'):
+        for one in asyncio.run(measure()):
+            sys.stdout.write(f'{show(one)}\n')
 
 
 if __name__ == '__main__':
