--- a/chivepond/capacity/__main__.py
+++ b/chivepond/capacity/__main__.py
@@ -18,14 +18,14 @@
 
 async def measure() -> Sequence[reading.Reading]:
     """Return all readings, one after the other."""
-    return (
+    return [
         await exchange_probe.measure(),
         await stream_probe.measure(),
         await batch_probe.measure(),
         await owner_probe.measure(),
         await entry_probe.measure(),
         memory_probe.measure_index(),
-    )
+    ]
 
 
 def show(one: reading.Reading) -> str:
--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -16,7 +16,7 @@
 14 in 100 of the quiet callers beside a hot one in place of 8 (trials;
 docs/design/admission.md).
 
-A quarter of the shards must have waited, so that one searcher in trouble
+Over a quarter of the shards must have waited, so that one searcher in trouble
 does not shrink the service. Until the first mark the limit doubles each
 round trip (slow start). It rises only while it is in use or turns somebody
 away, or a quiet night would lift it beyond all bounds.
@@ -62,7 +62,7 @@
 
         ``in_flight`` counts the searches at that moment, this one as well.
         """
-        if waited_share >= _MARKED_SHARE:
+        if waited_share > _MARKED_SHARE:
             self._is_slow_start = False
             self._exact = max(_FLOOR, self._exact - _DECREASE)
             return
