--- a/chivepond/decisions/admission.py
+++ b/chivepond/decisions/admission.py
@@ -22,7 +22,7 @@
 searches counts as none even while it has nothing in flight
 (``recent_callers``). Without it a hot caller took each place that freed:
 with three or four places a node, 28 in 100 searches of the others were
-turned away, with it 8 to 14 (trials; docs/design/admission.md).
+turned away, with it 7 to 14 (trials; docs/design/admission.md).
 
 A class below the heaviest gets that threshold times its share of the
 heaviest weight, for each caller and for the class as a whole; many callers
--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -13,7 +13,7 @@
 a little but not long, and each answer counts once, so that one overload is
 not paid for twice. It is the idea of DCTCP, applied to each answer. Twice
 both steps served as much, but at three or four places a node it turned away
-14 in 100 of the quiet callers beside a hot one in place of 8 (trials;
+13 or 14 in 100 searches of quiet callers beside a hot one, not 7 (trials;
 docs/design/admission.md).
 
 Over a quarter of the shards must have waited, so that one searcher in trouble
