The daemon keeps its started heap out of full garbage collections

Trial: one embedded node with one searcher and the platform stand-in, 44,963 objects: a full pass took 14.9 ms (median of 7); after gc.freeze 0.0 ms. Its effect on the 99th percentile of a daemon was not measured.

--- a/chivepond/tools/daemon.py
+++ b/chivepond/tools/daemon.py
@@ -1,6 +1,7 @@
 """chivepondd: runs one node until it is told to stop."""
 
 import asyncio
+import gc
 import pathlib
 import signal
 import sys
@@ -87,10 +88,22 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, stopping)
     async with node.Node(settings):
+        _freeze_heap()
         await stopping.wait()
     return exit_code.ExitCode.OK
 
 
+def _freeze_heap() -> None:
+    """Keep what a started node holds for good out of full collections.
+
+    Guards against pauses of the one loop, which show as latencies that no
+    searcher explains: a full pass walks all modules and parts of the node
+    each time, and none of them ever becomes garbage.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def _on_signal(stopping: asyncio.Event) -> None:
     if stopping.is_set():
         sys.exit(exit_code.ExitCode.FAILED)
