--- a/chivepond/decisions/admission_limit.py
+++ b/chivepond/decisions/admission_limit.py
@@ -18,9 +18,7 @@
 
 Over a quarter of the shards must have waited, so that one searcher in trouble
 does not shrink the service. Until the first mark the limit doubles each
-round trip (slow start); that mark halves it, since it tells of a round trip
-ago. Without that the first two seconds of a surge were served a second late
-and half lost. It rises only while it is in use or turns somebody
+round trip (slow start). It rises only while it is in use or turns somebody
 away, or a quiet night would lift it beyond all bounds.
 
 The limit is of one service: another one's searchers may stand idle. It
@@ -65,17 +63,13 @@
         ``in_flight`` counts the searches at that moment, this one as well.
         """
         if waited_share > _MARKED_SHARE:
-            self._decrease()
+            self._is_slow_start = False
+            self._exact = max(_FLOOR, self._exact - _DECREASE)
             return
         if self._was_refused or in_flight > self._exact * _IN_USE_SHARE:
             self._was_refused = False
             self._increase()
 
-    def _decrease(self) -> None:
-        cut = self._exact / 2 if self._is_slow_start else _DECREASE
-        self._is_slow_start = False
-        self._exact = max(_FLOOR, self._exact - cut)
-
     def _increase(self) -> None:
         more = 1 if self._is_slow_start else _INCREASE / self._exact
         self._exact = min(_CEILING, self._exact + more)
