--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -126,6 +126,13 @@
         """Return the queue of a searcher of this data centre, if known."""
         return self._queues.queue(searcher_id)
 
+    def state_by_searcher(self) -> dict[str, str]:
+        """Return the states of the searchers that have a queue here."""
+        return {
+            searcher_id: found.state.state
+            for searcher_id, found in self._queue_by_searcher.items()
+        }
+
     async def look(self, now: float) -> None:
         """Bring the queues up to date with what is known at ``now``."""
         await self._queues.look(now)
