--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -128,10 +128,7 @@
 
     def state_by_searcher(self) -> dict[str, str]:
         """Return the states of the searchers that have a queue here."""
-        return {
-            searcher_id: found.state.state
-            for searcher_id, found in self._queue_by_searcher.items()
-        }
+        return self._queues.state_by_searcher()
 
     async def look(self, now: float) -> None:
         """Bring the queues up to date with what is known at ``now``."""
--- a/chivepond/owner/searcher_queues.py
+++ b/chivepond/owner/searcher_queues.py
@@ -53,6 +53,13 @@
         """Return a queue as it is, if it was opened and is still there."""
         return self._queue_by_searcher.get(searcher_id)
 
+    def state_by_searcher(self) -> dict[str, str]:
+        """Return the states of the searchers that have a queue here."""
+        return {
+            searcher_id: found.state.state
+            for searcher_id, found in self._queue_by_searcher.items()
+        }
+
     def queue(self, searcher_id: str) -> searcher_queue.SearcherQueue | None:
         """Return the queue of a searcher of this data centre, if known."""
         found = self._queue_by_searcher.get(searcher_id)
