--- a/chivepond/decisions/admission.py
+++ b/chivepond/decisions/admission.py
@@ -17,6 +17,13 @@
 while fewer callers than that are hot, a quiet one always gets in. (A
 property test found the gap: three hot callers shut a fourth out.)
 
+With a few places an eighth is none. So at least three places, where there
+are that many, are for newcomers, and a caller that had most of the last
+searches counts as none even while it has nothing in flight
+(``recent_callers``). Without it a hot caller took each place that freed:
+with three or four places a node, 28 in 100 searches of the others were
+turned away, with it 7 to 14 (trials; docs/design/admission.md).
+
 A class below the heaviest gets that threshold times its share of the
 heaviest weight, for each caller and for the class as a whole; many callers
 of a light class therefore can not crowd out the heavy one together.
@@ -25,10 +32,11 @@
 16 against a hot caller; docs/design/admission.md has its figures.
 """
 
-from chivepond.decisions import admission_limit
+from chivepond.decisions import admission_limit, recent_callers
 
 ALPHA = 4
 _NEWCOMERS_ONE_IN = 8
+_NEWCOMERS_LEAST = 3
 
 
 class Admission:
@@ -40,6 +48,7 @@
         '_in_flight_by_caller',
         '_in_flight_by_class',
         '_limit',
+        '_recent',
     )
 
     def __init__(
@@ -51,9 +60,15 @@
         self._limit = limit
         self._alpha = alpha
         self._in_flight = 0
+        self._recent = recent_callers.RecentCallers()
         self._in_flight_by_caller: dict[str, int] = {}
         self._in_flight_by_class: dict[str, int] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """How many searches have a place."""
+        return self._in_flight
+
     @property
     def tracked_callers(self) -> int:
         """How many callers take memory."""
@@ -71,9 +86,11 @@
         is_class_full = share < 1 and of_class >= threshold
         if of_caller >= threshold or is_class_full:
             return False
-        reserved = self._limit.current // _NEWCOMERS_ONE_IN if of_caller else 0
+        is_hot = of_caller or self._is_hot(caller)
+        reserved = self._reserved if is_hot else 0
         if free <= reserved:
             return False
+        self._recent.admitted(caller)
         self._in_flight += 1
         self._in_flight_by_caller[caller] = of_caller + 1
         self._in_flight_by_class[request_class] = of_class + 1
@@ -85,6 +102,15 @@
         _count_down(self._in_flight_by_caller, caller)
         _count_down(self._in_flight_by_class, request_class)
 
+    def _is_hot(self, caller: str) -> bool:
+        few = _NEWCOMERS_LEAST * _NEWCOMERS_ONE_IN
+        return self._limit.current < few and self._recent.is_hot(caller)
+
+    @property
+    def _reserved(self) -> int:
+        share = self._limit.current // _NEWCOMERS_ONE_IN
+        return max(share, min(_NEWCOMERS_LEAST, self._limit.current - 1))
+
 
 def _count_down(in_flight_by_name: dict[str, int], name: str) -> None:
     in_flight = in_flight_by_name.pop(name) - 1
--- a/chivepond/entry/search_state.py
+++ b/chivepond/entry/search_state.py
@@ -55,6 +55,7 @@
     )
     hits: list[hit.Hit] = dataclasses.field(default_factory=list)
     attempts: int = 0
+    waited: int = 0
 
     def absorb(
         self,
@@ -71,6 +72,7 @@
         self.attempts += answer.attempts
         if answer.request_id != self.request_id:
             return
+        self.waited += answer.waited
         if answer.index_version != self.index.version:
             return
         fresh = set(shards).intersection(answer.covered) - self.covered
--- a/chivepond/entry/searches.py
+++ b/chivepond/entry/searches.py
@@ -119,7 +119,8 @@
         try:
             answer = await self._run_traced(state, service, page, trace)
         finally:
-            self._gate.leave(state.request, answer)
+            waited = None if answer is None else trace.waited_share
+            self._gate.leave(state.request, waited)
         return result.Ok(answer)
 
     async def _run_traced(
@@ -136,6 +137,9 @@
             bool(page.version),
         )
         trace.attempts = state.attempts
+        trace.waited_share = state.waited / max(
+            1, len(state.index.searchers_by_shard)
+        )
         trace.snapshot = f'{state.index.index}@{state.index.version}'
         return search_merge.merge(state, page)
 
--- a/chivepond/owner/batch_sender.py
+++ b/chivepond/owner/batch_sender.py
@@ -6,7 +6,7 @@
 
 import result
 
-from chivepond.decisions import concurrency_limit, work_rate
+from chivepond.decisions import concurrency_limit, replica_trust, work_rate
 from chivepond.owner import attempt, failed_reply
 from chivepond.settings import capacity_service
 from chivepond.transport import address, client
@@ -50,6 +50,7 @@
         'limit',
         'rate',
         'replied_at',
+        'trust',
     )
 
     def __init__(
@@ -66,6 +67,7 @@
         self.limit = concurrency_limit.ConcurrencyLimit(capacity.slots)
         self.rate = work_rate.WorkRate()
         self.replied_at = now
+        self.trust = replica_trust.ReplicaTrust()
         self._cancelled: list[attempt.Attempt] = []
         self._on_reply = on_reply
         self._tasks: set[asyncio.Task[None]] = set()
@@ -154,7 +156,10 @@
         return outcomes
 
     def _lose(self, lost: list[attempt.Attempt]) -> None:
+        if not lost:
+            return
         now = _now()
+        self.trust.failed(now)
         for one in lost:
             self._end(one)
             told = failed_reply.of(one, shard_outcome.UNREACHABLE)
@@ -166,10 +171,13 @@
 
     def _learn(self, outcomes: set[str], size: int, sent_at: float) -> None:
         """Count a batch once, however many of its replies say the same."""
-        taken_s = _now() - sent_at
+        now = _now()
+        taken_s = now - sent_at
         if shard_outcome.SHED in outcomes:
+            self.trust.failed(now)
             self.limit.refused()
         elif shard_outcome.OK in outcomes:
+            self.trust.succeeded(now)
             self.rate.observe(size, taken_s)
             self.limit.succeeded(size, taken_s)
 
@@ -223,6 +231,7 @@
 def _encoded(batch: list[attempt.Attempt], now: float) -> bytes:
     for one in batch:
         left_s = max(0, one.deadline - now)
+        one.call.left_queue(one.sub_query.shard, now - one.created_at)
         one.sub_query.remaining_ms = int(left_s * _MS_PER_S)
     entries = [one.sub_query for one in batch]
     return codec.encode(query_batch.QueryBatch(entries))
--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -66,8 +66,12 @@
         )
         self._looks: asyncio.Task[None] | None = None
         self._hedge_delay = hedge_delay.HedgeDelay(_FIRST_HEDGE_DELAY_S)
-        self._hedge_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
-        self._retry_budget = token_budget.TokenBudget(0, _BUDGET_CAP)
+        self._hedge_budget = token_budget.TokenBudget(0, _BUDGET_CAP, 0)
+        self._retry_budget = token_budget.TokenBudget(
+            0,
+            _BUDGET_CAP,
+            _BUDGET_CAP,
+        )
 
     async def __aenter__(self) -> Self:
         """Return the owner; queues open when they are needed."""
--- a/chivepond/owner/owner_call.py
+++ b/chivepond/owner/owner_call.py
@@ -13,6 +13,10 @@
     sub_reply,
 )
 
+#: Work counts as waiting long at half of what a queue that stands allows, so
+#: that entry hosts let fewer in before anything has to be given up.
+_MARK_SHARE = 0.5
+
 
 class OwnerCall:
     """Collects replies; each shard counts once, whoever answers first."""
@@ -20,6 +24,7 @@
     __slots__ = (
         '_done',
         '_hits',
+        '_mark_s',
         'attempts',
         'covered',
         'deadline',
@@ -28,6 +33,7 @@
         'query',
         'started_at',
         'wait_share',
+        'waited',
     )
 
     def __init__(
@@ -47,6 +53,8 @@
         self.started_at = started_at
         self.deadline = deadline
         self.attempts = 0
+        self.waited: set[str] = set()
+        self._mark_s = (deadline - started_at) * wait_share * _MARK_SHARE
         self.pending: dict[str, shard_progress.ShardProgress] = {}
         self.covered: list[str] = []
         self.missing: list[missing_shard.MissingShard] = []
@@ -58,6 +66,11 @@
         """Whether the answer was given."""
         return self._done.done()
 
+    def left_queue(self, shard: str, waited_s: float) -> None:
+        """Take that work waited so long in a queue."""
+        if waited_s > self._mark_s:
+            self.waited.add(shard)
+
     def cover(self, reply: sub_reply.SubReply) -> None:
         """Take the hits of one shard."""
         self.pending.pop(reply.shard)
@@ -89,6 +102,7 @@
             missing=self.missing,
             hits=best(self._hits, self.query.limit),
             attempts=self.attempts,
+            waited=len(self.waited),
         )
 
     def _finish_if_complete(self) -> None:
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -41,6 +41,7 @@
         '_waiting',
         'host',
         'state',
+        'trust',
         'weight',
     )
 
@@ -66,6 +67,7 @@
             on_reply,
             self._last_used_at,
         )
+        self.trust = self._sender.trust
         self._waiting = waiting_work.WaitingWork(self._last_used_at)
         self._sweeper: asyncio.TimerHandle | None = None
         self.state = searcher_state.SearcherState(
--- a/chivepond/owner/searcher_queues.py
+++ b/chivepond/owner/searcher_queues.py
@@ -85,7 +85,7 @@
             found = self.queue(searcher_id)
             is_new = searcher_id not in tried
             if found is not None and is_new and not found.is_leaving:
-                found.weight = found.state.weight(now)
+                found.weight = found.state.weight(now) * found.trust.weight(now)
                 serving.append(found)
         return _without_ejected(serving)
 
--- a/chivepond/owner/waiting_work.py
+++ b/chivepond/owner/waiting_work.py
@@ -81,6 +81,8 @@
             else:
                 kept.append(entry)
         self._heap = kept
+        for gone in lost:
+            gone.attempt.call.waited.add(gone.attempt.sub_query.shard)
         return lost
 
     def _is_over(
--- a/chivepond/wire/owner_answer.py
+++ b/chivepond/wire/owner_answer.py
@@ -10,9 +10,10 @@
 class OwnerAnswer:
     """Merged hits, the shards searched, and the rest with reasons.
 
-    ``attempts`` counts the sub-queries sent, hedges and retries included.
     ``draining`` names those of the searchers asked for that say of
     themselves that they drain.
+    ``attempts`` counts the sub-queries sent, hedges and retries included;
+    ``waited`` the shards whose work waited long in a queue.
     """
 
     request_id: str
@@ -22,3 +23,4 @@
     hits: list[hit.Hit]
     attempts: int = 0
     draining: list[str] = dataclasses.field(default_factory=list)
+    waited: int = 0
