A command that is turned away is no longer told as not run

A gate refusal said not_run; a repeat of a key that ran through another node would be told so as well, and its caller would issue the next key. Ruled out: reading the claim first (a first send under way elsewhere may still claim it afterwards); a mark by the caller that this is the first send (a balancer that repeats a request makes it false). Change: outcome_unknown with the same remedy and time to come back. Proofs of commands now carry node and revision and are written in one place. The programs' beginnings (flags, help, errors) stand once. Conclusion: not_run for a command is said of a cancelled claim only.

--- a/chivepond/capacity/node_load.py
+++ b/chivepond/capacity/node_load.py
@@ -10,7 +10,11 @@
     size: fleet.Fleet,
     reading_by_name: dict[str, reading.Reading],
 ) -> list[share.Share]:
-    """Return the data path's work on one node."""
+    """Return the data path's work on one node.
+
+    A sub-query is counted by the slope of the owner's whole path, a batch
+    by what it costs before its first sub-query.
+    """
     searches = size.searches_a_node
     messages = size.owner_messages_a_node
     entry = reading_by_name['entry'].slope()
@@ -38,7 +42,7 @@
     entries: int,
 ) -> share.Share:
     return share.Share(
-        f'batches of {entries} sub-queries, to searchers and back',
+        f'batches of {entries}, besides their sub-queries',
         size.batches_a_node(entries),
-        reading_by_name['batch'].slope().at(entries),
+        reading_by_name['batch'].slope().fixed,
     )
--- a/chivepond/entry/admission_gate.py
+++ b/chivepond/entry/admission_gate.py
@@ -108,7 +108,7 @@
         wait_ms = gate.come_back.refused_ms()
         return shed.Shed(
             message=f'{quoting.quoted(caller)} is over its share',
-            remedy=f'not run; send it again, same key, in {wait_ms} ms',
+            remedy=f'send it again, under the same key, in {wait_ms} ms',
             retry_after_ms=wait_ms,
         )
 
--- a/chivepond/entry/admitted_commands.py
+++ b/chivepond/entry/admitted_commands.py
@@ -3,8 +3,8 @@
 import result
 
 from chivepond.entry import admission_gate, commands
-from chivepond.errors import problem
-from chivepond.observe import events, journal, telemetry
+from chivepond.errors import outcome_unknown, problem
+from chivepond.observe import telemetry
 from chivepond.wire import command_answer, command_request
 
 _Answer = result.Result[command_answer.CommandAnswer, problem.Problem]
@@ -29,11 +29,11 @@
     async def run(self, request: command_request.CommandRequest) -> _Answer:
         """Run a command at most once, or turn it away.
 
-        Guards against a command that is turned away and runs all the same:
-        it shows as a stamp billed twice, once for the refused key and once
-        for the next. A refusal is given before the key is claimed, so no
-        node knows of anything that it could run. It asks for the same key
-        again, since an earlier request may have run under it.
+        Guards against "not run" for a key that ran: it shows as a stamp
+        billed twice, as the caller goes on to the next key. A refusal is
+        given before the key is claimed, so this send runs nothing; but it
+        may repeat a key that ran through another node. So it says that
+        the outcome is unknown, and asks for the same key again.
         """
         refusal = self._gate.enter_command(request)
         if refusal is not None:
@@ -52,11 +52,13 @@
         request: command_request.CommandRequest,
         refusal: problem.Problem,
     ) -> _Answer:
-        answer: _Answer = result.Err(refusal)
-        self._telemetry.command_done(request, answer)
-        journal.log(
-            events.COMMAND_REFUSED,
-            key=request.key,
-            kind=refusal.kind,
+        answer: _Answer = result.Err(
+            outcome_unknown.OutcomeUnknown(
+                message=f'{refusal.message}; not sent now, an earlier send'
+                ' of the key may have run',
+                remedy=refusal.remedy,
+                retry_after_ms=refusal.retry_after_ms,
+            ),
         )
+        self._telemetry.command_done(request, answer)
         return answer
--- a/chivepond/entry/commands.py
+++ b/chivepond/entry/commands.py
@@ -24,7 +24,7 @@
     problem,
     quoting,
 )
-from chivepond.observe import events, journal, telemetry
+from chivepond.observe import telemetry
 from chivepond.owner import command_runner
 from chivepond.settings import node_settings
 from chivepond.wire import (
@@ -92,20 +92,6 @@
         """Run a command at most once, or say how its key stands."""
         answer = await self._run(request)
         self._telemetry.command_done(request, answer)
-        match answer:
-            case result.Ok(given):
-                journal.log(
-                    events.COMMAND_ANSWERED,
-                    key=request.key,
-                    outcome=given.outcome,
-                    replayed=given.replayed,
-                )
-            case result.Err(trouble):
-                journal.log(
-                    events.COMMAND_REFUSED,
-                    key=request.key,
-                    kind=trouble.kind,
-                )
         return answer
 
     async def standing(self, key: str) -> _Answer:
--- a/chivepond/observe/telemetry.py
+++ b/chivepond/observe/telemetry.py
@@ -31,6 +31,7 @@
 
 _MAX_NAMED = 20
 _MAX_ID = 64
+_MAX_KEY = 80
 _S_PER_MS = 0.001
 _DIGEST_CHARS = 32
 
@@ -103,13 +104,28 @@
         request: command_request.CommandRequest,
         answer: CommandOutcome,
     ) -> None:
-        """Count a non-idempotent request that has its outcome."""
+        """Count a non-idempotent request, and write its proof."""
         counts = self._counts(request.service)
+        told: dict[str, object] = {
+            'key': request.key[:_MAX_KEY],
+            'service': request.service[:_MAX_ID],
+            'node': self._settings.node_id,
+            'revision': self._configuration.revision,
+        }
         match answer:
-            case result.Ok(_):
+            case result.Ok(given):
                 self._count_answer(counts, COMMAND)
+                journal.log(
+                    events.COMMAND_ANSWERED,
+                    **told
+                    | {'outcome': given.outcome, 'replayed': given.replayed},
+                )
             case result.Err(trouble):
                 self._count_refusal(counts, COMMAND, trouble, COMMAND)
+                journal.log(
+                    events.COMMAND_REFUSED,
+                    **told | {'kind': trouble.kind},
+                )
 
     def _counts(self, service: str) -> service_counts.ServiceCounts:
         """Return the counts of a service, one for all unknown names.
--- a/chivepond/soak/__main__.py
+++ b/chivepond/soak/__main__.py
@@ -25,12 +25,9 @@
     program = program_flags.ProgramFlags(_USAGE)
     program.number('seed', 1, 'draws faults, queries and keys')
     program.number('seconds', _SECONDS, f'how long, at most {_MOST_SECONDS}')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
-    if program.flags.help:
-        program.show_help()
-        return exit_code.ExitCode.OK
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     with journal.Journal('ERROR', 'text'):
         return asyncio.run(
             _play(
--- a/chivepond/tools/daemon.py
+++ b/chivepond/tools/daemon.py
@@ -36,12 +36,9 @@
     program = program_flags.ProgramFlags(_USAGE)
     program.text('settings', '', 'the YAML file with the node settings')
     program.switch('check', 'check the settings and exit')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
-    if program.flags.help:
-        program.show_help()
-        return exit_code.ExitCode.OK
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     if program.words:
         return console.complain(_too_much(program.words))
     loaded = loader.load(
--- a/chivepond/tools/heartbeat_cost.py
+++ b/chivepond/tools/heartbeat_cost.py
@@ -153,9 +153,9 @@
     """Print the costs; return the exit code."""
     program = program_flags.ProgramFlags(_USAGE)
     program.number('nodes', _NODES, 'size of the fleet')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     asyncio.run(_Pair(program.flags.nodes).exchange(_EXCHANGES))
     return exit_code.ExitCode.OK
 
--- a/chivepond/tools/load.py
+++ b/chivepond/tools/load.py
@@ -43,12 +43,9 @@
     program.text('callers', '', 'ip:port of entry hosts, with commas')
     program.text('pids', '', 'processes to count besides, with commas')
     program.text('out', 'reports', 'the folder for reports')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
-    if program.flags.help:
-        program.show_help()
-        return exit_code.ExitCode.OK
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     loaded = _load(program)
     if loaded.is_err():
         return console.complain(loaded.unwrap_err())
--- a/chivepond/tools/membership_cost.py
+++ b/chivepond/tools/membership_cost.py
@@ -65,9 +65,9 @@
     """Print one line for each size; return the exit code."""
     program = program_flags.ProgramFlags(_USAGE)
     program.text('nodes', '10,40,160,600', 'sizes of the fleet, with commas')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     console.say('| nodes | % of a core | body bytes/s | messages/s | KB |')
     console.say('| --- | --- | --- | --- | --- |')
     for size in program.flags.nodes.split(','):
--- a/chivepond/tools/operator_cli.py
+++ b/chivepond/tools/operator_cli.py
@@ -11,7 +11,6 @@
     config_commands,
     console,
     demo,
-    exit_code,
     program_flags,
     request_commands,
     status_commands,
@@ -67,12 +66,9 @@
 def main(arguments: list[str]) -> int:
     """Return the exit code."""
     program = _flags()
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
-    if program.flags.help:
-        program.show_help()
-        return exit_code.ExitCode.OK
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     token = program.read_token('token_file')
     if token.is_err():
         return console.complain(token.unwrap_err())
--- a/chivepond/tools/program_flags.py
+++ b/chivepond/tools/program_flags.py
@@ -7,6 +7,7 @@
 from absl import flags
 
 from chivepond.errors import invalid
+from chivepond.tools import console, exit_code
 
 
 class ProgramFlags:
@@ -52,6 +53,19 @@
             flag_values=self.flags,
         )
 
+    def begin(self, arguments: list[str]) -> exit_code.ExitCode | None:
+        """Parse; return an exit code where there is nothing more to do.
+
+        Wrong flags are told with their remedy, and help is shown.
+        """
+        parsed = self.parse(arguments)
+        if parsed.is_err():
+            return console.complain(parsed.unwrap_err())
+        if self.flags.help:
+            self.show_help()
+            return exit_code.ExitCode.OK
+        return None
+
     def parse(
         self,
         arguments: list[str],
--- a/chivepond/tools/standin.py
+++ b/chivepond/tools/standin.py
@@ -37,12 +37,9 @@
     program.text('listen', '127.0.0.1:0', 'ip:port to listen on')
     program.text('profile', '', 'the YAML file with a searcher profile')
     program.text('versions', '1', 'index versions held, with commas')
-    parsed = program.parse(arguments)
-    if parsed.is_err():
-        return console.complain(parsed.unwrap_err())
-    if program.flags.help:
-        program.show_help()
-        return exit_code.ExitCode.OK
+    ended = program.begin(arguments)
+    if ended is not None:
+        return ended
     made = _make(program)
     if made.is_err():
         return console.complain(made.unwrap_err())
