--- a/chivepond/tests/test_snapshots.py
+++ b/chivepond/tests/test_snapshots.py
@@ -24,7 +24,7 @@
     search_answer,
     search_request,
 )
-from chivepond.tests import support
+from chivepond.tests import virtual_time
 from chivepond.wire import codec, index_record, shard_entry, shard_map
 
 _NODES = ('n1', 'n2')
@@ -257,7 +257,7 @@
     must be of one version, name every shard that it lacks, and claim none
     that no owner served for it.
     """
-    support.run(_search(_Fleet(shards, script)))
+    virtual_time.run(_search(_Fleet(shards, script)))
 
 
 async def _search(fleet: _Fleet) -> None:
@@ -282,7 +282,7 @@
     fleet.publish()
     page = cursor.to_text(cursor.Cursor(version=version, offset=1))
 
-    support.run(_ask(fleet, page, kind))
+    virtual_time.run(_ask(fleet, page, kind))
 
 
 async def _ask(fleet: _Fleet, page: str, kind: str) -> None:
