--- a/chivepond/capacity/node_load.py
+++ b/chivepond/capacity/node_load.py
@@ -32,6 +32,11 @@
             messages * 2,
             stream.per_unit,
         ),
+        share.Share(
+            'sub-queries at their owner',
+            size.sub_queries_a_node,
+            reading_by_name['owner'].slope().per_unit,
+        ),
         *(_batches(size, reading_by_name, entries) for entries in _BATCH_SIZES),
     ]
 
