--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -24,6 +24,7 @@
 
     searcher_id: str
     standing: searcher_standing.SearcherStanding
+    data_centre: str
     is_in_data_centre: bool
     is_in_region: bool
     #: Whether its registration says that it leaves, or is gone.
--- a/chivepond/decisions/second_send_budget.py
+++ b/chivepond/decisions/second_send_budget.py
@@ -32,11 +32,11 @@
 class SecondSendBudget:
     """The budget of one service at one gateway."""
 
-    __slots__ = ('_extras', '_limits', '_requests')
+    __slots__ = ('_extras', '_requests', 'limits')
 
     def __init__(self, limits: BudgetLimits) -> None:
         """Start with nothing counted."""
-        self._limits = limits
+        self.limits = limits
         self._requests = recent_count.RecentCount(limits.span_s)
         self._extras = recent_count.RecentCount(limits.span_s)
 
@@ -46,8 +46,8 @@
 
     def left(self, now: float, gateways: int) -> float:
         """Return how many second sends are left, one of ``gateways``."""
-        allowed = self._limits.share * self._requests.read(now)
-        allowed += self._limits.burst / max(1, gateways)
+        allowed = self.limits.share * self._requests.read(now)
+        allowed += self.limits.burst / max(1, gateways)
         return _SPENT_PART * allowed - self._extras.read(now)
 
     def spend(self, now: float, gateways: int) -> bool:
--- a/chivepond/gateway/answer.py
+++ b/chivepond/gateway/answer.py
@@ -15,6 +15,10 @@
     is_last: bool = False
     #: The length to state where no body is sent, as for HEAD.
     stated_length: bytes | None = None
+    #: Why, for the log; empty for an ordinary success.
+    reason: str = ''
+    #: Why each shard is missing that a gathered answer leaves out.
+    reason_by_shard: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def encode(self, *, keep_alive: bool, has_body: bool) -> bytes:
         """Return the bytes of the answer; ``has_body`` is false for HEAD."""
@@ -54,4 +58,4 @@
     told = [(b'Content-Type', b'text/plain')]
     if retry_after_s is not None:
         told.append((b'Retry-After', b'%.2f' % retry_after_s))
-    return Answer(status, told, f'{text}\n'.encode())
+    return Answer(status, told, f'{text}\n'.encode(), reason=text)
--- a/chivepond/gateway/budgets.py
+++ b/chivepond/gateway/budgets.py
@@ -3,26 +3,33 @@
 import asyncio
 
 from chivepond.decisions import second_send_budget
+from chivepond.gateway import peers
 
 
 class Budgets:
     """Budgets by service, and how many gateways share them."""
 
-    __slots__ = ('_budget_by_service', '_limits', '_loop', 'gateways')
+    __slots__ = ('_budget_by_service', '_limits', '_loop', '_peers')
 
     def __init__(
         self,
         limits: second_send_budget.BudgetLimits,
-        gateways: int,
+        others: peers.Peers,
     ) -> None:
-        """Share the burst among ``gateways``."""
+        """Share the burst among all gateways that are registered."""
         self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._budget_by_service: dict[
             str,
             second_send_budget.SecondSendBudget,
         ] = {}
-        self.gateways = gateways
+        self._peers = others
+
+    def change(self, limits: second_send_budget.BudgetLimits) -> None:
+        """Take other limits; what was spent still counts."""
+        self._limits = limits
+        for budget in self._budget_by_service.values():
+            budget.limits = limits
 
     def count_request(self, service: str) -> None:
         """Count a request for a service."""
@@ -30,11 +37,11 @@
 
     def spend(self, service: str) -> bool:
         """Take one second send; tell whether there was one."""
-        return self._of(service).spend(self._loop.time(), self.gateways)
+        return self._of(service).spend(self._loop.time(), self._peers.gateways)
 
     def left(self, service: str) -> float:
         """Return how many second sends are left."""
-        return self._of(service).left(self._loop.time(), self.gateways)
+        return self._of(service).left(self._loop.time(), self._peers.gateways)
 
     def _of(self, service: str) -> second_send_budget.SecondSendBudget:
         known = self._budget_by_service.get(service)
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -1,5 +1,7 @@
 """A caller's request in the form in which searchers get it."""
 
+from typing import Self
+
 from chivepond.gateway import caller_request
 from chivepond.platform import headers
 
@@ -14,12 +16,25 @@
 class ForwardedRequest:
     """Method, path and body unchanged; fields of this one hop are new."""
 
-    __slots__ = ('_body', '_head', 'is_head', 'request_id')
+    __slots__ = ('body', 'head', 'is_head', 'request_id')
+
+    def __init__(
+        self,
+        request_id: bytes,
+        head: bytes,
+        body: bytes,
+        *,
+        is_head: bool,
+    ) -> None:
+        """Take the lines that are the same for each searcher."""
+        self.request_id = request_id
+        self.head = head
+        self.body = body
+        self.is_head = is_head
 
-    def __init__(self, request: caller_request.CallerRequest) -> None:
-        """Encode what is the same for each searcher."""
-        self.request_id = request.request_id
-        self.is_head = request.method == b'HEAD'
+    @classmethod
+    def of(cls, request: caller_request.CallerRequest) -> Self:
+        """Return the form of a caller's request."""
         lines = [b'%s %s HTTP/1.1\r\n' % (request.method, request.target)]
         lines.extend(
             b'%s: %s\r\n' % pair
@@ -27,17 +42,20 @@
         )
         if request.body or request.headers.get(b'content-length') is not None:
             lines.append(b'Content-Length: %d\r\n' % len(request.body))
-        self._head = b''.join(lines)
-        self._body = request.body
+        return cls(
+            request.request_id,
+            b''.join(lines),
+            request.body,
+            is_head=request.method == b'HEAD',
+        )
 
-    def encode(self, searcher_id: str, left_s: float) -> bytes:
+    def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for one searcher, which has ``left_s`` seconds."""
         return b''.join(
             (
-                self._head,
-                b'%s: %s\r\n'
-                % (headers.EXPECTED_SEARCHER, searcher_id.encode()),
+                self.head,
+                b'%s: %s\r\n' % (headers.EXPECTED_SEARCHER, receiver.encode()),
                 b'%s: %d\r\n\r\n' % (headers.TIME_LEFT_MS, left_s * _MS_PER_S),
-                self._body,
+                self.body,
             ),
         )
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -5,8 +5,6 @@
 import types
 from typing import Self
 
-import result
-
 from chivepond.decisions import second_send_budget
 from chivepond.gateway import (
     answer,
@@ -15,20 +13,26 @@
     caller_request,
     kind_reader,
     listener,
+    metrics_page,
+    news,
+    peer_registry,
+    peer_service,
+    peers,
     requests_way,
     routing_table,
     searchers,
     service_ask,
     stragglers,
+    telemetry,
 )
-from chivepond.platform import configuration_codec, searcher_codec, store_calls
+from chivepond.observe import events
+from chivepond.platform import store_calls
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
+from chivepond.wire import gateway_entry
 
 _OK = 200
 _UNAVAILABLE = 503
-#: How many gateways share the caps while it is not known how many there are.
-_ASSUMED_GATEWAYS = 10
 #: How long after the signal new connections still come, in seconds: the
 #: balancer asks once a second, and two answers in a row take a gateway out.
 _BALANCER_LAG_S = 3.0
@@ -42,14 +46,18 @@
 
     __slots__ = (
         '_front',
-        '_has_searchers',
         '_is_stopping',
+        '_news',
         '_open',
+        '_peer_listener',
+        '_peers',
         '_readers',
         '_readiness',
         '_searchers',
         '_settings',
+        '_telemetry',
         '_tools',
+        '_was_ready',
         '_way',
     )
 
@@ -58,52 +66,57 @@
         self._settings = settings
         self._open = contextlib.AsyncExitStack()
         self._is_stopping = False
-        self._has_searchers = False
+        self._was_ready = False
+        self._telemetry = telemetry.Telemetry()
+        self._peers = peers.Peers(settings.node_id, self._telemetry)
         self._searchers = searchers.Searchers(
             settings.data_centre,
             settings.region_by_data_centre,
+            self._peers,
+            self._telemetry,
         )
         self._tools = service_ask.AskTools(
             searchers=self._searchers,
-            budgets=budgets.Budgets(
-                second_send_budget.BudgetLimits(
-                    share=settings.second_send_share,
-                    burst=settings.second_send_burst,
-                    span_s=settings.second_send_span_s,
-                ),
-                _ASSUMED_GATEWAYS,
-            ),
+            budgets=budgets.Budgets(_budget_limits(settings), self._peers),
             stragglers=stragglers.Stragglers(),
+            telemetry=self._telemetry,
+        )
+        self._way = requests_way.RequestsWay(self._tools, self._peers)
+        self._news = news.News(
+            self._searchers,
+            self._way,
+            self._telemetry,
+            self._take_news,
         )
-        self._way = requests_way.RequestsWay(self._tools)
         self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
+        self._peer_listener = self._listener(
+            str(self._on_own_ip(settings.peer_ports[0])),
+            peer_service.PeerService(self._tools, self._tell_stopping).serve,
+        )
         self._readers: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Self:
         """Listen, and begin to read the store."""
         self._open.enter_context(self._searchers)
         self._open.enter_context(self._tools.stragglers)
-        await self._open.enter_async_context(self._front)
-        await self._open.enter_async_context(self._readiness)
-        store = address.parse(self._settings.store).unwrap()
+        self._open.enter_context(self._peers)
+        for one in (
+            self._peer_listener,
+            self._front,
+            self._readiness,
+            self._metrics(),
+        ):
+            await self._open.enter_async_context(one)
         self._readers = [
-            asyncio.create_task(reader.run())
-            for reader in (
-                kind_reader.KindReader(
-                    store_calls.SEARCHERS,
-                    store,
-                    self._take_searchers,
-                    self._take_searcher_change,
-                ),
-                kind_reader.KindReader(
-                    store_calls.CONFIGURATION,
-                    store,
-                    self._take_configurations,
-                    self._take_configuration_change,
-                ),
-            )
+            asyncio.create_task(reader.run()) for reader in self._make_readers()
         ]
+        self._telemetry.tell(
+            events.GATEWAY_STARTED,
+            node=self._settings.node_id,
+            data_centre=self._settings.data_centre,
+            callers=self._settings.callers,
+        )
         return self
 
     async def __aexit__(
@@ -120,8 +133,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer shall send callers here."""
-        is_informed = self._way.table is not None and self._has_searchers
-        return is_informed and not self._is_stopping
+        return self._news.is_informed and not self._is_stopping
 
     async def stop(self) -> None:
         """Stop as planned: no request that was read is cut.
@@ -133,6 +145,11 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._is_stopping = True
+        self._telemetry.tell(
+            events.GATEWAY_STOPPING,
+            connections=self._front.connections,
+            working=self._front.working,
+        )
         await asyncio.sleep(_BALANCER_LAG_S)
         self._front.stop_listening()
         self._front.close_idle()
@@ -140,9 +157,77 @@
         while self._front.connections and loop.time() < ends_at:
             self._front.close_idle()
             await asyncio.sleep(_POLL_S)
+        self._telemetry.tell(
+            events.GATEWAY_STOPPED,
+            connections=self._front.connections,
+            working=self._front.working,
+        )
+
+    def reload(self, settings: gateway_settings.GatewaySettings) -> None:
+        """Take what may change while a gateway runs."""
+        self._settings = settings
+        self._searchers.region_by_data_centre = settings.region_by_data_centre
+        self._tools.budgets.change(_budget_limits(settings))
+
+    def _make_readers(
+        self,
+    ) -> tuple[kind_reader.KindReader | peer_registry.PeerRegistry, ...]:
+        store = address.parse(self._settings.store).unwrap()
+        entry = gateway_entry.GatewayEntry(
+            str(self._on_own_ip(self._settings.peer_ports[0])),
+            self._settings.data_centre,
+        )
+        return (
+            kind_reader.KindReader(
+                store_calls.SEARCHERS,
+                store,
+                kind_reader.Sink(
+                    self._news.take_searchers,
+                    self._news.take_searcher_change,
+                ),
+                self._telemetry,
+            ),
+            kind_reader.KindReader(
+                store_calls.CONFIGURATION,
+                store,
+                kind_reader.Sink(
+                    self._news.take_configurations,
+                    self._news.take_configuration_change,
+                ),
+                self._telemetry,
+            ),
+            peer_registry.PeerRegistry(
+                self._settings.node_id,
+                entry,
+                store,
+                self._peers,
+            ),
+        )
+
+    def _on_own_ip(self, port: int) -> address.Address:
+        own = address.parse(self._settings.callers).unwrap()
+        return address.Address(own.ip, port)
+
+    def _metrics(self) -> listener.Listener:
+        page = metrics_page.MetricsPage(self._telemetry, self._read_gauges)
+        return self._listener(
+            str(self._on_own_ip(self._settings.metrics_port)),
+            page.serve,
+        )
+
+    def _read_gauges(self) -> None:
+        told = self._telemetry
+        told.gauge('ready', int(self.is_ready))
+        told.gauge('caller_connections', self._front.connections)
+        told.gauge('requests_in_work', self._front.working)
+        told.gauge('gateways_known', self._peers.gateways)
+        told.gauge('searchers_known', self._searchers.count)
+        told.gauge('searcher_connections', self._searchers.connections)
 
     def _listener(
-        self, place: str, serve: caller_connection.Serve
+        self,
+        place: str,
+        serve: caller_connection.Serve,
     ) -> listener.Listener:
         return listener.Listener(
             address.parse(place).unwrap(),
@@ -162,6 +247,15 @@
     def _tell_stopping(self) -> bool:
         return self._is_stopping
 
+    def _take_news(self) -> None:
+        if self.is_ready and not self._was_ready:
+            self._was_ready = True
+            self._telemetry.tell(
+                events.GATEWAY_READY,
+                version=self._way.table.version,
+                searchers=self._searchers.count,
+            )
+
     async def _tell_ready(
         self,
         request: caller_request.CallerRequest,
@@ -170,42 +264,12 @@
             return answer.Answer(_OK, [], b'ready\n')
         return answer.refusal(_UNAVAILABLE, 'not ready')
 
-    def _take_searchers(self, found: list[store_calls.StoredObject]) -> None:
-        records = {}
-        for stored in found:
-            match searcher_codec.decode(stored.meta.name, stored.spec):
-                case result.Ok(record):
-                    records[record.searcher_id] = record
-        self._searchers.replace(records)
-        self._has_searchers = True
-
-    def _take_searcher_change(self, change: store_calls.Change) -> None:
-        name = change.object.meta.name
-        decoded = searcher_codec.decode(name, change.object.spec)
-        match decoded:
-            case result.Ok(record) if not change.deleted:
-                self._searchers.put(record)
-            case _:
-                self._searchers.vanish(name)
-
-    def _take_configurations(
-        self,
-        found: list[store_calls.StoredObject],
-    ) -> None:
-        for stored in found:
-            self._take_configuration(stored)
-
-    def _take_configuration_change(self, change: store_calls.Change) -> None:
-        if not change.deleted:
-            self._take_configuration(change.object)
-
-    def _take_configuration(self, stored: store_calls.StoredObject) -> None:
-        if stored.meta.name != store_calls.CONFIGURATION_NAME:
-            return
-        match configuration_codec.decode(stored.spec):
-            case result.Ok(table):
-                self._way.put_in_force(table)
-                self._searchers.share_caps(
-                    table.connection_cap_by_service,
-                    _ASSUMED_GATEWAYS,
-                )
+
+def _budget_limits(
+    settings: gateway_settings.GatewaySettings,
+) -> second_send_budget.BudgetLimits:
+    return second_send_budget.BudgetLimits(
+        share=settings.second_send_share,
+        burst=settings.second_send_burst,
+        span_s=settings.second_send_span_s,
+    )
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -3,174 +3,213 @@
 import asyncio
 import dataclasses
 
-from chivepond.decisions import gather_time, second_ask_time
+import msgspec
+
+from chivepond.decisions import gather_plan, gather_time, second_ask_time
 from chivepond.gateway import (
     answer,
     forwarded_request,
+    gather_asks,
+    gathering,
     merge,
     outcome,
+    peer_message,
+    peers,
+    request_trace,
     routing_table,
     service_ask,
     single_request,
 )
 from chivepond.platform import headers
+from chivepond.wire import gather_request
 
 _OK = 200
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
-
-Asking = asyncio.Task[outcome.Reply | service_ask.GaveUp]
+#: What is left between the other gateway's reply and the answer, in seconds.
+_PEER_MARGIN_S = 0.004
 
 
 @dataclasses.dataclass(slots=True)
-class Gathering:
-    """One gathered request, and what is in of its parts."""
+class Search:
+    """One gathered request; times are on the steady clock."""
 
     request: forwarded_request.ForwardedRequest
     route: routing_table.Route
     target: routing_table.AllShards
-    #: When the request came and when it must be answered, steady clock.
     came_at: float
     deadline: float
-    reply_by_shard: dict[str, outcome.Reply] = dataclasses.field(
-        default_factory=dict,
-    )
-    reason_by_shard: dict[str, str] = dataclasses.field(default_factory=dict)
-    has_run: bool = False
-
-
-async def serve(
-    gathering: Gathering,
-    tools: service_ask.AskTools,
-    late: second_ask_time.SecondAskTime,
-) -> answer.Answer:
-    """Return the merged answer, or why there are too few parts."""
-    coverage = gather_time.Coverage(
-        len(gathering.target.shards),
-        gathering.target.least_share,
-    )
-    held = _held_shards(gathering, tools)
-    if len(held) < coverage.needed:
-        return answer.refusal(
-            _UNAVAILABLE,
-            f'{len(held)} of {coverage.shards} shards have a searcher',
-            single_request.RETRY_AFTER_S,
+
+    @property
+    def answer_at(self) -> float:
+        """When to answer with what is in."""
+        at = gather_time.answer_at(self.came_at, self.route.target_latency_s)
+        return min(at, self.deadline)
+
+
+class GatheredRequest:
+    """Serves one search with the help of other gateways."""
+
+    __slots__ = ('_late', '_parts', '_peers', '_search', '_tools', '_trace')
+
+    def __init__(
+        self,
+        search: Search,
+        tools: service_ask.AskTools,
+        others: peers.Peers,
+        late: second_ask_time.SecondAskTime,
+        trace: request_trace.RequestTrace,
+    ) -> None:
+        """Ask nothing yet."""
+        self._trace = trace
+        self._search = search
+        self._tools = tools
+        self._peers = others
+        self._late = late
+        shards = search.target.shards
+        coverage = gather_time.Coverage(len(shards), search.target.least_share)
+        self._parts = gathering.Gathering(shards, coverage.needed)
+
+    async def serve(self) -> answer.Answer:
+        """Return the merged answer, or why there are too few parts."""
+        best_place_by_shard = self._tools.searchers.best_places(
+            self._search.target.shards,
         )
-    asks = {
-        shard: service_ask.ServiceAsk(
-            shard,
-            gathering.request,
-            gathering.route,
-            tools,
+        for shard in self._search.target.shards:
+            if shard not in best_place_by_shard:
+                reason = 'no searcher is registered'
+                self._parts.miss(shard, reason, has_run=False)
+        if self._parts.settled.is_set():
+            return self._answer()
+        made = gather_plan.plan(
+            best_place_by_shard,
+            self._tools.searchers.region_by_data_centre,
+            self._tools.searchers.here,
+            self._peers.helpers(),
         )
-        for shard in held
-    }
-    tasks = {
-        asyncio.create_task(ask.run(gathering.deadline, late)): shard
-        for shard, ask in asks.items()
-    }
-    try:
-        await _collect(gathering, tasks, coverage)
-    except asyncio.CancelledError:
-        _cancel(tasks)
-        raise
-    for ask in asks.values():
-        ask.leave_running()
-    _cancel(tasks)
-    return _answer(gathering, coverage)
-
-
-def _held_shards(
-    gathering: Gathering,
-    tools: service_ask.AskTools,
-) -> list[str]:
-    held = []
-    for shard in gathering.target.shards:
-        if any(tools.searchers.candidates(shard)):
-            held.append(shard)
-        else:
-            gathering.reason_by_shard[shard] = 'no searcher is registered'
-    return held
-
-
-async def _collect(
-    gathering: Gathering,
-    tasks: dict[Asking, str],
-    coverage: gather_time.Coverage,
-) -> None:
-    """Wait for all parts until the target latency, then for enough."""
-    loop = asyncio.get_running_loop()
-    answer_at = gather_time.answer_at(
-        gathering.came_at,
-        gathering.route.target_latency_s,
-    )
-    wait_s = min(answer_at, gathering.deadline) - loop.time()
-    done, pending = await asyncio.wait(tasks, timeout=max(0, wait_s))
-    _take(gathering, tasks, done)
-    while pending and len(gathering.reply_by_shard) < coverage.needed:
-        possible = len(gathering.reply_by_shard) + len(pending)
-        if possible < coverage.needed:
-            return
-        done, pending = await asyncio.wait(
-            pending,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        _take(gathering, tasks, done)
-
-
-def _take(
-    gathering: Gathering,
-    tasks: dict[Asking, str],
-    done: set[Asking],
-) -> None:
-    for task in done:
-        shard = tasks[task]
-        match task.result():
-            case outcome.Reply() as reply if _is_part(reply):
-                gathering.reply_by_shard[shard] = reply
-            case outcome.Reply(status=status):
-                gathering.has_run = True
-                gathering.reason_by_shard[shard] = f'a reply with {status}'
-            case service_ask.GaveUp(reason=reason, may_have_run=has_run):
-                gathering.has_run |= has_run
-                gathering.reason_by_shard[shard] = reason
-
-
-def _is_part(reply: outcome.Reply) -> bool:
-    return reply.is_success and bool(reply.headers.get(headers.SIGNATURE))
-
-
-def _cancel(tasks: dict[Asking, str]) -> None:
-    for task in tasks:
-        task.cancel()
-
-
-def _answer(
-    gathering: Gathering,
-    coverage: gather_time.Coverage,
-) -> answer.Answer:
-    replies = gathering.reply_by_shard.values()
-    missing = coverage.shards - len(replies)
-    if len(replies) >= coverage.needed:
-        signatures = b', '.join(
-            reply.headers.get(headers.SIGNATURE) or b'' for reply in replies
+        with gather_asks.GatherAsks(
+            self._parts,
+            self._search.route,
+            self._tools,
+            self._late,
+            self._trace,
+        ) as asks:
+            self._begin(made, asks)
+            await asks.wait_all(self._search.answer_at)
+            await asks.wait_enough(self._search.deadline)
+        return self._answer()
+
+    def _begin(
+        self,
+        made: gather_plan.GatherPlan,
+        asks: gather_asks.GatherAsks,
+    ) -> None:
+        asks.ask(made.direct, self._search.request, self._search.deadline)
+        for place, shards in made.shards_by_data_centre.items():
+            asks.add(asyncio.create_task(self._ask_peer(place, shards, asks)))
+
+    async def _ask_peer(
+        self,
+        place: str,
+        shards: list[str],
+        asks: gather_asks.GatherAsks,
+    ) -> None:
+        link = self._peers.choose(place)
+        ended: outcome.Outcome = outcome.NotSent('no gateway there')
+        if link is not None:
+            way_s = self._peers.way_s(link.end.name)
+            message = peer_message.PeerMessage(
+                self._gather_request(shards, way_s),
+            )
+            began = asyncio.get_running_loop().time()
+            self._trace.note(f'{len(shards)} shards: asked of {link.end.name}')
+            ended = await link.ask(message, self._search.answer_at)
+        match ended:
+            case outcome.Reply(status=status, body=body) if status == _OK:
+                reply = msgspec.msgpack.decode(
+                    body,
+                    type=gather_request.GatherReply,
+                )
+                took_s = asyncio.get_running_loop().time() - began
+                self._peers.learn_way(link.end.name, took_s - reply.took_s)
+                self._take_group(reply)
+            case outcome.Broken(reason=reason):
+                self._lose_group(shards, f'{link.end.name}: {reason}')
+            case _:
+                self._ask_instead(shards, asks)
+
+    def _gather_request(
+        self,
+        shards: list[str],
+        way_s: float,
+    ) -> gather_request.GatherRequest:
+        search = self._search
+        now = asyncio.get_running_loop().time()
+        return gather_request.GatherRequest(
+            request_id=search.request.request_id,
+            head=search.request.head,
+            body=search.request.body,
+            route=search.route.name,
+            shards=shards,
+            top_count=search.target.top_count,
+            max_attempts=search.route.max_attempts,
+            answer_in_s=search.answer_at - now - way_s - _PEER_MARGIN_S,
+            left_s=search.deadline - now,
+            target_latency_s=search.route.target_latency_s,
         )
+
+    def _take_group(
+        self,
+        reply: gather_request.GatherReply,
+    ) -> None:
+        self._parts.take_group(reply)
+        self._trace.note(f'a group came after {reply.took_s:.3f} s of work')
+
+    def _lose_group(self, shards: list[str], reason: str) -> None:
+        """Go without a group whose gateway fell silent.
+
+        Guards against more attempts than the route allows: the other gateway
+        may have asked two searchers for each shard before it fell silent,
+        and a third would run the request once too often.
+        """
+        self._trace.note(f'lost {len(shards)} shards: {reason}')
+        for shard in shards:
+            self._parts.miss(shard, reason, has_run=True)
+
+    def _ask_instead(
+        self,
+        shards: list[str],
+        asks: gather_asks.GatherAsks,
+    ) -> None:
+        asks.ask(shards, self._search.request, self._search.deadline)
+
+    def _answer(self) -> answer.Answer:
+        parts = self._parts
+        if parts.is_enough:
+            return self._success()
+        in_count = len(parts.signature_by_shard)
+        text = f'{in_count} of {len(parts.shards)} shards replied'
+        if asyncio.get_running_loop().time() >= self._search.deadline:
+            told = answer.refusal(_TIMED_OUT, text)
+        elif parts.has_run:
+            told = answer.refusal(_BAD_GATEWAY, text)
+        else:
+            retry_after_s = single_request.RETRY_AFTER_S
+            told = answer.refusal(_UNAVAILABLE, text, retry_after_s)
+        told.reason_by_shard = parts.why_missing()
+        return told
+
+    def _success(self) -> answer.Answer:
+        parts = self._parts
+        signatures = b', '.join(parts.signature_by_shard.values())
         return answer.Answer(
             status=_OK,
             headers=[
-                (headers.REQUEST_ID, gathering.request.request_id),
+                (headers.REQUEST_ID, self._search.request.request_id),
                 (headers.PART_SIGNATURES, signatures),
-                (headers.MISSING_SHARDS, b'%d' % missing),
+                (headers.MISSING_SHARDS, b'%d' % parts.missing),
             ],
-            body=merge.greatest(
-                (reply.body for reply in replies),
-                gathering.target.top_count,
-            ),
+            body=merge.greatest(parts.bodies, self._search.target.top_count),
+            reason_by_shard=parts.why_missing(),
         )
-    text = f'{len(replies)} of {coverage.shards} shards replied'
-    if asyncio.get_running_loop().time() >= gathering.deadline:
-        return answer.refusal(_TIMED_OUT, text)
-    if gathering.has_run or replies:
-        return answer.refusal(_BAD_GATEWAY, text)
-    return answer.refusal(_UNAVAILABLE, text, single_request.RETRY_AFTER_S)
--- /dev/null
+++ b/chivepond/gateway/gathering.py
@@ -0,0 +1,80 @@
+"""What is in of a gathered request's parts."""
+
+import asyncio
+
+from chivepond.gateway import outcome
+from chivepond.platform import headers
+from chivepond.wire import gather_request
+
+
+class Gathering:
+    """Takes parts, and tells when there are enough or can't be."""
+
+    __slots__ = (
+        '_needed',
+        'bodies',
+        'has_run',
+        'reason_by_shard',
+        'settled',
+        'shards',
+        'signature_by_shard',
+    )
+
+    def __init__(self, shards: tuple[str, ...], needed: int) -> None:
+        """Wait for ``needed`` parts of ``shards``."""
+        self.shards = shards
+        self._needed = needed
+        self.bodies: list[bytes] = []
+        self.signature_by_shard: dict[str, bytes] = {}
+        self.reason_by_shard: dict[str, str] = {}
+        self.has_run = False
+        #: Set once there are enough parts, or can't be any more.
+        self.settled = asyncio.Event()
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the parts make a success."""
+        return len(self.signature_by_shard) >= self._needed
+
+    @property
+    def missing(self) -> int:
+        """How many shards are left out."""
+        return len(self.shards) - len(self.signature_by_shard)
+
+    def why_missing(self) -> dict[str, str]:
+        """Return why each shard that is left out is missing."""
+        return {
+            shard: self.reason_by_shard.get(shard, 'late')
+            for shard in self.shards
+            if shard not in self.signature_by_shard
+        }
+
+    def take(self, shard: str, reply: outcome.Reply) -> None:
+        """Take one part, or a reply that is none."""
+        self.has_run = True
+        signature = reply.headers.get(headers.SIGNATURE)
+        if reply.is_success and signature:
+            self.signature_by_shard[shard] = signature
+            self.bodies.append(reply.body)
+        else:
+            self.reason_by_shard[shard] = f'a reply with {reply.status}'
+        self._settle()
+
+    def miss(self, shard: str, reason: str, *, has_run: bool) -> None:
+        """Take the news that a part won't come."""
+        self.has_run |= has_run
+        self.reason_by_shard[shard] = reason
+        self._settle()
+
+    def take_group(self, reply: gather_request.GatherReply) -> None:
+        """Take what another gateway gathered."""
+        self.has_run = True
+        self.bodies.append(reply.records)
+        self.signature_by_shard.update(reply.signature_by_shard)
+        self.reason_by_shard.update(reply.reason_by_shard)
+        self._settle()
+
+    def _settle(self) -> None:
+        lost = len(self.reason_by_shard)
+        if self.is_enough or len(self.shards) - lost < self._needed:
+            self.settled.set()
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -1,13 +1,15 @@
 """Keeps in step with one kind of object in the platform's store."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
-from chivepond.gateway import outcome, store_client
+from chivepond.gateway import outcome, store_client, telemetry
+from chivepond.observe import events
 from chivepond.platform import store_calls
 from chivepond.transport import address
 
@@ -28,23 +30,39 @@
 Told = TypeVar('Told')
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sink:
+    """Who takes what is read."""
+
+    on_list: Callable[[list[store_calls.StoredObject]], None]
+    on_change: Callable[[store_calls.Change], None]
+
+
 class KindReader:
     """Lists a kind once, then watches it; lists again where that fails."""
 
-    __slots__ = ('_client', '_kind', '_on_change', '_on_list', '_pause_s')
+    __slots__ = (
+        '_client',
+        '_is_lost',
+        '_kind',
+        '_pause_s',
+        '_sink',
+        '_telemetry',
+    )
 
     def __init__(
         self,
         kind: str,
         place: address.Address,
-        on_list: Callable[[list[store_calls.StoredObject]], None],
-        on_change: Callable[[store_calls.Change], None],
+        sink: Sink,
+        told: telemetry.Telemetry,
     ) -> None:
-        """Tell ``on_list`` of whole lists and ``on_change`` of changes."""
+        """Hand lists and changes to ``sink``."""
         self._kind = kind
         self._client = store_client.StoreClient(place)
-        self._on_list = on_list
-        self._on_change = on_change
+        self._sink = sink
+        self._telemetry = told
+        self._is_lost = False
         self._pause_s = _FIRST_PAUSE_S
 
     async def run(self) -> None:
@@ -70,7 +88,7 @@
             as_of = page.as_of if as_of is None else as_of
             found.extend(page.items)
             if not page.has_more or not page.items:
-                self._on_list(found)
+                self._sink.on_list(found)
                 return as_of
             after = page.items[-1].meta.name
 
@@ -88,7 +106,7 @@
             if changes is None:
                 return
             for change in changes.events:
-                self._on_change(change)
+                self._sink.on_change(change)
             revision = changes.as_of
             await asyncio.sleep(_GATHER_S)
 
@@ -99,18 +117,41 @@
         timeout_s: float,
     ) -> Told | None:
         told = None
-        match await self._client.get(path, timeout_s):
+        ended = await self._client.get(path, timeout_s)
+        match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
-                try:
-                    told = msgspec.json.decode(body, type=kind)
-                except msgspec.DecodeError:
-                    told = None
+                why, told = _decode(body, kind)
+            case outcome.Reply(status=status):
+                why = f'a reply with {status}'
+            case outcome.NotSent(reason=why) | outcome.Broken(reason=why):
+                told = None
         if told is None:
-            await self._pause()
+            self._telemetry.count('store_calls', f'{self._kind} {why}')
+            await self._lose(why)
             return None
-        self._pause_s = _FIRST_PAUSE_S
+        self._telemetry.count('store_calls', self._kind)
+        self._regain()
         return told
 
+    async def _lose(self, why: str) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._telemetry.tell(events.SOURCE_LOST, kind=self._kind, why=why)
+        await self._pause()
+
+    def _regain(self) -> None:
+        self._pause_s = _FIRST_PAUSE_S
+        if self._is_lost:
+            self._is_lost = False
+            self._telemetry.tell(events.SOURCE_REGAINED, kind=self._kind)
+
     async def _pause(self) -> None:
         await asyncio.sleep(self._pause_s * random.uniform(*_JITTER))
         self._pause_s = min(_LONGEST_PAUSE_S, 2 * self._pause_s)
+
+
+def _decode(body: bytes, kind: type[Told]) -> tuple[str, Told | None]:
+    try:
+        return ('', msgspec.json.decode(body, type=kind))
+    except msgspec.DecodeError as error:
+        return (f'a reply that is wrong: {error}', None)
--- a/chivepond/gateway/searcher_link.py
+++ b/chivepond/gateway/link.py
@@ -1,20 +1,17 @@
-"""The connections of this gateway to one searcher."""
+"""The connections of this gateway to one searcher or other gateway."""
 
 import asyncio
 import collections
+import dataclasses
 import itertools
 import re
 import types
-from typing import Self
+from typing import Protocol, Self
 
 from chivepond.decisions import searcher_standing
-from chivepond.gateway import (
-    forwarded_request,
-    http_connection,
-    outcome,
-    searcher_record,
-)
+from chivepond.gateway import http_connection, outcome
 from chivepond.platform import headers
+from chivepond.transport import address
 
 #: How long a new connection may take, in seconds. A first packet that is lost
 #: is sent again after a second; another searcher is asked by then.
@@ -29,7 +26,29 @@
 _attempts = itertools.count()
 
 
-class SearcherLink:
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkEnd:
+    """Who is at the other end of a link."""
+
+    name: str
+    address: address.Address
+    #: How many requests it works on at a time.
+    slots: int
+    #: How much longer it is slow after its start, in seconds.
+    warmup_s: float
+
+
+class Message(Protocol):
+    """What a link sends."""
+
+    request_id: bytes
+    is_head: bool
+
+    def encode(self, receiver: str, left_s: float) -> bytes:
+        """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
+
+
+class Link:
     """Sends requests within a cap of connections; a queue beyond it."""
 
     __slots__ = (
@@ -38,21 +57,21 @@
         '_idle_s',
         '_open',
         '_waiters',
-        'record',
+        'end',
         'standing',
     )
 
     def __init__(
         self,
-        record: searcher_record.SearcherRecord,
+        end: LinkEnd,
         cap: int,
     ) -> None:
         """Open at most ``cap`` connections, each when it is needed."""
         now = asyncio.get_running_loop().time()
-        self.record = record
+        self.end = end
         self.standing = searcher_standing.SearcherStanding(
-            record.slots,
-            now + record.warmup_s,
+            end.slots,
+            now + end.warmup_s,
         )
         self._cap = cap
         self._idle: list[http_connection.HttpConnection] = []
@@ -88,7 +107,7 @@
 
     async def ask(
         self,
-        request: forwarded_request.ForwardedRequest,
+        request: Message,
         deadline: float,
     ) -> outcome.Outcome:
         """Send a request and wait for its reply until ``deadline``.
@@ -112,7 +131,7 @@
 
     async def _exchange(
         self,
-        request: forwarded_request.ForwardedRequest,
+        request: Message,
         deadline: float,
     ) -> outcome.Outcome:
         loop = asyncio.get_running_loop()
@@ -120,7 +139,7 @@
         if connection is None:
             return outcome.NotSent('no connection')
         message = request.encode(
-            self.record.searcher_id,
+            self.end.name,
             deadline - loop.time(),
         )
         try:
@@ -170,7 +189,7 @@
             self._closed,
         )
         self._open.add(connection)
-        place = self.record.address
+        place = self.end.address
         try:
             async with asyncio.timeout(_CONNECT_S):
                 await asyncio.get_running_loop().create_connection(
--- /dev/null
+++ b/chivepond/gateway/metrics_page.py
@@ -0,0 +1,70 @@
+"""Serves counters, gauges and histograms in the form of Prometheus."""
+
+from collections.abc import Callable
+
+from chivepond.gateway import answer, caller_request, telemetry
+
+_OK = 200
+_NOT_FOUND = 404
+_PATH = b'/metrics'
+_TYPE = (b'Content-Type', b'text/plain; version=0.0.4; charset=utf-8')
+_PREFIX = 'chivepond_gateway'
+_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
+
+class MetricsPage:
+    """Renders what was counted when it is asked for.
+
+    The text is written here and not by aioprometheus: a page of a few dozen
+    lines is worth less than the megabyte that the library takes on each
+    small host, of which nothing else is used.
+    """
+
+    __slots__ = ('_read_gauges', '_telemetry')
+
+    def __init__(
+        self,
+        told: telemetry.Telemetry,
+        read_gauges: Callable[[], None],
+    ) -> None:
+        """Call ``read_gauges`` before each page."""
+        self._telemetry = told
+        self._read_gauges = read_gauges
+
+    async def serve(
+        self,
+        request: caller_request.CallerRequest,
+    ) -> answer.Answer:
+        """Return the page."""
+        if request.path != _PATH:
+            return answer.refusal(_NOT_FOUND, 'metrics are at /metrics')
+        self._read_gauges()
+        return answer.Answer(_OK, [_TYPE], self.render().encode())
+
+    def render(self) -> str:
+        """Return the lines of the page."""
+        lines: list[str] = []
+        for name, told in sorted(self._telemetry.gauge_by_name.items()):
+            lines.append(f'# TYPE {_PREFIX}_{name} gauge')
+            lines.append(f'{_PREFIX}_{name} {told}')
+        for name, counts in sorted(self._telemetry.counts_by_name.items()):
+            full = f'{_PREFIX}_{name}_total'
+            lines.append(f'# TYPE {full} counter')
+            lines.extend(
+                f'{full}{{of="{label.translate(_ESCAPES)}"}} {count}'
+                for label, count in sorted(counts.items())
+            )
+        lines.extend(self._histogram())
+        return '\n'.join([*lines, ''])
+
+    def _histogram(self) -> list[str]:
+        full = f'{_PREFIX}_request_duration_seconds'
+        lines = [f'# TYPE {full} histogram']
+        for route, latency in sorted(self._telemetry.latency_by_route.items()):
+            label = f'route="{route.translate(_ESCAPES)}"'
+            for bound, count in latency.up_to():
+                told = f'{full}_bucket{{{label},le="{bound}"}} {count}'
+                lines.append(told)
+            lines.append(f'{full}_sum{{{label}}} {latency.total_s}')
+            lines.append(f'{full}_count{{{label}}} {sum(latency.counts)}')
+        return lines
--- /dev/null
+++ b/chivepond/gateway/news.py
@@ -0,0 +1,112 @@
+"""Takes what the store tells of routes and searchers."""
+
+from collections.abc import Callable
+
+import result
+
+from chivepond.gateway import requests_way, searchers, telemetry
+from chivepond.observe import events
+from chivepond.platform import configuration_codec, searcher_codec, store_calls
+
+
+class News:
+    """Decodes objects and hands them on; what can't be read is logged."""
+
+    __slots__ = (
+        '_is_listed',
+        '_on_informed',
+        '_searchers',
+        '_telemetry',
+        '_way',
+    )
+
+    def __init__(
+        self,
+        known: searchers.Searchers,
+        way: requests_way.RequestsWay,
+        told: telemetry.Telemetry,
+        on_informed: Callable[[], None],
+    ) -> None:
+        """Call ``on_informed`` after each piece of news."""
+        self._searchers = known
+        self._way = way
+        self._telemetry = told
+        self._on_informed = on_informed
+        self._is_listed = False
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether both routes and searchers are known."""
+        return self._is_listed and self._way.table is not None
+
+    def take_searchers(self, found: list[store_calls.StoredObject]) -> None:
+        """Take the whole list of searchers."""
+        records = {}
+        for stored in found:
+            match searcher_codec.decode(stored.meta.name, stored.spec):
+                case result.Ok(record):
+                    records[record.searcher_id] = record
+                case wrong:
+                    self._refuse_entry(stored, str(wrong.unwrap_err()))
+        self._searchers.replace(records)
+        self._is_listed = True
+        self._on_informed()
+
+    def take_searcher_change(self, change: store_calls.Change) -> None:
+        """Take the news of one searcher."""
+        name = change.object.meta.name
+        if change.deleted:
+            self._searchers.vanish(name)
+            return
+        match searcher_codec.decode(name, change.object.spec):
+            case result.Ok(record):
+                self._searchers.put(record)
+            case wrong:
+                self._refuse_entry(change.object, str(wrong.unwrap_err()))
+                self._searchers.vanish(name)
+
+    def take_configurations(
+        self,
+        found: list[store_calls.StoredObject],
+    ) -> None:
+        """Take the whole list of configurations, which is one or none."""
+        for stored in found:
+            self._take_configuration(stored)
+
+    def take_configuration_change(self, change: store_calls.Change) -> None:
+        """Take a newer configuration; its removal changes nothing."""
+        if not change.deleted:
+            self._take_configuration(change.object)
+
+    def _take_configuration(self, stored: store_calls.StoredObject) -> None:
+        if stored.meta.name != store_calls.CONFIGURATION_NAME:
+            return
+        match configuration_codec.decode(stored.spec):
+            case result.Ok(table):
+                if self._way.put_in_force(table):
+                    self._searchers.share_caps(table.connection_cap_by_service)
+                    self._telemetry.gauge('routes_version', table.version)
+                    self._telemetry.tell(
+                        events.ROUTES_IN_FORCE,
+                        version=table.version,
+                        revision=stored.meta.revision,
+                    )
+                    self._on_informed()
+            case wrong:
+                self._telemetry.tell(
+                    events.ROUTES_REFUSED,
+                    revision=stored.meta.revision,
+                    why=str(wrong.unwrap_err()),
+                )
+
+    def _refuse_entry(
+        self,
+        stored: store_calls.StoredObject,
+        why: str,
+    ) -> None:
+        self._telemetry.tell(
+            events.SEARCHER_ENTRY_REFUSED,
+            searcher=stored.meta.name,
+            revision=stored.meta.revision,
+            why=why,
+        )
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -8,15 +8,20 @@
     caller_request,
     forwarded_request,
     gathered_request,
+    peers,
+    request_trace,
     routing_table,
     service_ask,
     single_request,
 )
+from chivepond.observe import event, events
 
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
-_TIMED_OUT = 504
+_SUCCESSES = range(200, 300)  # noqa: WPS432
+_REFUSALS = frozenset((_BAD_REQUEST, _NOT_FOUND, 408, 421, 429, _UNAVAILABLE))
+_MS_PER_S = 1000
 #: When to come back while no configuration is known, in seconds.
 _UNKNOWN_RETRY_S = 0.5
 #: How long before the caller's deadline the last word is said, in seconds:
@@ -27,11 +32,22 @@
 class RequestsWay:
     """Routes requests by the version in force when they come."""
 
-    __slots__ = ('_late_by_route', '_share_by_route', '_table', '_tools')
+    __slots__ = (
+        '_late_by_route',
+        '_peers',
+        '_share_by_route',
+        '_table',
+        '_tools',
+    )
 
-    def __init__(self, tools: service_ask.AskTools) -> None:
+    def __init__(
+        self,
+        tools: service_ask.AskTools,
+        others: peers.Peers,
+    ) -> None:
         """Know no configuration yet."""
         self._tools = tools
+        self._peers = others
         self._table: routing_table.RoutingTable | None = None
         self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
         self._share_by_route: dict[str, weighted_share.WeightedShare] = {}
@@ -41,56 +57,81 @@
         """The version in force."""
         return self._table
 
-    def put_in_force(self, table: routing_table.RoutingTable) -> None:
+    def put_in_force(self, table: routing_table.RoutingTable) -> bool:
         """Route by ``table`` from now on, unless a newer one is in force."""
-        if self._table is None or table.version > self._table.version:
-            self._table = table
+        if self._table is not None and table.version <= self._table.version:
+            return False
+        self._table = table
+        return True
 
     async def serve(
         self,
         request: caller_request.CallerRequest,
     ) -> answer.Answer:
-        """Return the answer to one request."""
+        """Return the answer to one request, and write what became of it."""
+        clock = asyncio.get_running_loop().time
+        trace = request_trace.RequestTrace(clock, request.came_at)
         table = self._table
+        route = table and table.find(request.host, request.path)
+        try:
+            told = await self._answer(request, table, route, trace)
+        except asyncio.CancelledError:
+            told = answer.refusal(0, 'the caller left')
+            raise
+        except Exception as error:
+            # Whatever a fault of ours is, the caller gets an answer now.
+            told = answer.refusal(500, 'a fault of the gateway')  # noqa: WPS432
+            self._tools.telemetry.tell(events.GATEWAY_FAULT, what=repr(error))
+        finally:
+            self._tell(request, route, told, trace)
+        return told
+
+    async def _answer(
+        self,
+        request: caller_request.CallerRequest,
+        table: routing_table.RoutingTable | None,
+        route: routing_table.Route | None,
+        trace: request_trace.RequestTrace,
+    ) -> answer.Answer:
         if table is None:
-            return answer.refusal(
-                _UNAVAILABLE,
-                'no configuration is known yet',
-                _UNKNOWN_RETRY_S,
-            )
-        route = table.find(request.host, request.path)
+            text = 'no configuration is known yet'
+            return answer.refusal(_UNAVAILABLE, text, _UNKNOWN_RETRY_S)
         if route is None:
             return answer.refusal(_NOT_FOUND, 'no route leads there')
         if not request.request_id:
             return answer.refusal(_BAD_REQUEST, 'the request has no identifier')
-        return await self._route(request, route)
+        return await self._route(request, route, trace)
 
     async def _route(
         self,
         request: caller_request.CallerRequest,
         route: routing_table.Route,
+        trace: request_trace.RequestTrace,
     ) -> answer.Answer:
         deadline = request.deadline(route.timeout_s) - _LAST_WORD_S
         if asyncio.get_running_loop().time() >= deadline:
             return answer.refusal(_UNAVAILABLE, 'the time is over', 0)
-        forwarded = forwarded_request.ForwardedRequest(request)
+        forwarded = forwarded_request.ForwardedRequest.of(request)
         late = self._late_by_route.setdefault(
             route.name,
             second_ask_time.SecondAskTime(),
         )
         match route.target:
             case routing_table.AllShards() as target:
-                return await gathered_request.serve(
-                    gathered_request.Gathering(
-                        forwarded,
-                        route,
-                        target,
-                        request.came_at,
-                        deadline,
-                    ),
+                search = gathered_request.Search(
+                    forwarded,
+                    route,
+                    target,
+                    request.came_at,
+                    deadline,
+                )
+                return await gathered_request.GatheredRequest(
+                    search,
                     self._tools,
+                    self._peers,
                     late,
-                )
+                    trace,
+                ).serve()
             case _:
                 return await single_request.serve(
                     self._service(route),
@@ -99,6 +140,7 @@
                     deadline,
                     self._tools,
                     late,
+                    trace,
                 )
 
     def _service(self, route: routing_table.Route) -> str:
@@ -113,3 +155,43 @@
                 return share.take()
             case _:
                 raise TypeError(route.target)
+
+    def _tell(
+        self,
+        request: caller_request.CallerRequest,
+        route: routing_table.Route | None,
+        told: answer.Answer,
+        trace: request_trace.RequestTrace,
+    ) -> None:
+        took_s = asyncio.get_running_loop().time() - request.came_at
+        kind = _kind(told)
+        label = route.name if route else 'none'
+        telemetry = self._tools.telemetry
+        telemetry.count('requests', f'{label} {kind.text}')
+        telemetry.took(label, took_s)
+        telemetry.tell(
+            kind,
+            is_ordinary=kind is events.REQUEST_ANSWERED and not trace.notes,
+            request=request.request_id.decode(errors='replace'),
+            route=label,
+            version=self._table.version if self._table else None,
+            status=told.status,
+            took_ms=round(took_s * _MS_PER_S),
+            reason=told.reason,
+            missing=told.reason_by_shard,
+            sends=trace.sends,
+            second_sends=trace.second_sends,
+            notes=trace.notes,
+        )
+
+
+def _kind(told: answer.Answer) -> event.Event:
+    if told.status in _SUCCESSES:
+        if told.reason_by_shard:
+            return events.REQUEST_ANSWERED_IN_PART
+        return events.REQUEST_ANSWERED
+    if not told.status:
+        return events.REQUEST_ABANDONED
+    if told.status in _REFUSALS:
+        return events.REQUEST_REFUSED
+    return events.REQUEST_UNANSWERED
--- a/chivepond/gateway/routing_table.py
+++ b/chivepond/gateway/routing_table.py
@@ -61,12 +61,15 @@
     idle_timeout_s: float
 
 
+_HEADER_BYTES = 16384
+_BODY_BYTES = 262144
+_IDLE_S = 15
 #: Bounds until a configuration is known, those of the usual deployments.
 DEFAULT_LIMITS = CallerLimits(
-    header_bytes=16384,
-    body_bytes=262144,
+    header_bytes=_HEADER_BYTES,
+    body_bytes=_BODY_BYTES,
     header_timeout_s=3,
-    idle_timeout_s=15,
+    idle_timeout_s=_IDLE_S,
 )
 
 
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -1,47 +1,70 @@
 """The searchers that are registered, and what is believed of each."""
 
 import asyncio
+import dataclasses
 import types
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Self
 
 from chivepond.decisions import searcher_choice
-from chivepond.gateway import searcher_link, searcher_record
+from chivepond.gateway import link as links
+from chivepond.gateway import peers, searcher_record, telemetry
+from chivepond.observe import events
+from chivepond.transport import address
 
+#: Gateways that share a cap while fewer are known: more may start.
+_FEWEST_GATEWAYS = 10
 #: How long a searcher whose entry vanished stays the last choice, in
 #: seconds: entries that lapse while the store is away are back within two
 #: seconds, and one that left serves for longer than that.
 _HOLD_S = 2.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Registered:
+    """A searcher and the connections to it."""
+
+    record: searcher_record.SearcherRecord
+    link: links.Link
+
+
 class Searchers:
     """Links by searcher, kept in step with the list of the store."""
 
     __slots__ = (
         '_caps',
-        '_gateways',
-        '_here',
+        'here',
+        '_id_by_address',
         '_ids_by_service',
-        '_link_by_id',
+        '_known_by_id',
         '_loop',
-        '_region_by_data_centre',
+        '_misdirected',
+        'region_by_data_centre',
+        '_peers',
         '_removal_by_id',
+        '_telemetry',
     )
 
     def __init__(
         self,
         here: str,
         region_by_data_centre: Mapping[str, str],
+        others: peers.Peers,
+        told: telemetry.Telemetry,
     ) -> None:
         """Start empty, in the data centre ``here``."""
-        self._here = here
-        self._region_by_data_centre = region_by_data_centre
+        self.here = here
+        self.region_by_data_centre = region_by_data_centre
         self._loop = asyncio.get_running_loop()
-        self._link_by_id: dict[str, searcher_link.SearcherLink] = {}
+        self._known_by_id: dict[str, _Registered] = {}
         self._ids_by_service: dict[str, set[str]] = {}
         self._removal_by_id: dict[str, asyncio.TimerHandle] = {}
+        self._id_by_address: dict[address.Address, str] = {}
+        #: Lives of searchers at whose address another one replied.
+        self._misdirected: set[tuple[str, int]] = set()
         self._caps: Mapping[str, int] = {}
-        self._gateways = 1
+        self._peers = others
+        self._telemetry = told
 
     def __enter__(self) -> Self:
         """Return the searchers."""
@@ -54,22 +77,31 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Close all links."""
-        for searcher_id in list(self._link_by_id):
+        for searcher_id in list(self._known_by_id):
             self._remove(searcher_id)
 
-    def share_caps(self, caps: Mapping[str, int], gateways: int) -> None:
-        """Share the caps of services out among ``gateways``."""
+    @property
+    def count(self) -> int:
+        """How many searchers are known."""
+        return len(self._known_by_id)
+
+    @property
+    def connections(self) -> int:
+        """How many connections to searchers are open."""
+        return sum(one.link.connections for one in self._known_by_id.values())
+
+    def share_caps(self, caps: Mapping[str, int]) -> None:
+        """Share the caps of services out among all gateways."""
         self._caps = caps
-        self._gateways = gateways
-        for link in self._link_by_id.values():
-            link.limit(self._cap(link.record))
+        for known in self._known_by_id.values():
+            known.link.limit(self._cap(known.record))
 
     def replace(
         self,
         record_by_id: Mapping[str, searcher_record.SearcherRecord],
     ) -> None:
         """Take a whole list."""
-        for searcher_id in list(self._link_by_id):
+        for searcher_id in list(self._known_by_id):
             if searcher_id not in record_by_id:
                 self.vanish(searcher_id)
         for record in record_by_id.values():
@@ -81,12 +113,15 @@
         Guards against a report of an earlier life that lands after the
         searcher has started again: it would take a sound searcher out.
         """
-        known = self._link_by_id.get(record.searcher_id)
+        if record.life in self._misdirected or self._is_superseded(record):
+            return
+        known = self._known_by_id.get(record.searcher_id)
         if known is not None:
             if _order(record) < _order(known.record):
                 return
             if record.life == known.record.life and _same_place(record, known):
                 self._keep(record.searcher_id)
+                self._tell_leaving(known.record, record)
                 known.record = record
                 return
             self._remove(record.searcher_id)
@@ -94,7 +129,10 @@
 
     def vanish(self, searcher_id: str) -> None:
         """Take the news that an entry is gone."""
-        known = self._link_by_id.get(searcher_id)
+        self._misdirected = {
+            life for life in self._misdirected if life[0] != searcher_id
+        }
+        known = self._known_by_id.get(searcher_id)
         if known is None or searcher_id in self._removal_by_id:
             return
         if known.record.is_leaving:
@@ -106,34 +144,61 @@
             searcher_id,
         )
 
-    def link(self, searcher_id: str) -> searcher_link.SearcherLink | None:
-        """Return the link of one searcher."""
-        return self._link_by_id.get(searcher_id)
+    def drop_misdirected(self, searcher_id: str) -> None:
+        """Take the news that another searcher runs at its address.
+
+        Guards against asking again at an address that was given to another
+        searcher: each ask arrives at that one's service, turned away, and
+        uses up the second sends of a service that has no part in it. 152
+        such asks of one dead searcher were seen in ten seconds.
+        """
+        known = self._known_by_id.get(searcher_id)
+        if known is not None:
+            self._misdirected.add(known.record.life)
+            self._remove(searcher_id)
 
     def candidates(self, service: str) -> Iterator[searcher_choice.Candidate]:
         """Return the searchers of a service that may be asked."""
-        region = self._region_by_data_centre.get(self._here)
+        region = self.region_by_data_centre.get(self.here)
         for searcher_id in self._ids_by_service.get(service, ()):
-            link = self._link_by_id[searcher_id]
-            record = link.record
+            known = self._known_by_id[searcher_id]
+            record = known.record
             if record.is_leaving:
                 continue
-            its_region = self._region_by_data_centre.get(record.data_centre)
+            its_region = self.region_by_data_centre.get(record.data_centre)
             yield searcher_choice.Candidate(
                 searcher_id=searcher_id,
-                standing=link.standing,
-                is_in_data_centre=record.data_centre == self._here,
+                standing=known.link.standing,
+                data_centre=record.data_centre,
+                is_in_data_centre=record.data_centre == self.here,
                 is_in_region=its_region == region,
                 is_last_choice=searcher_id in self._removal_by_id,
             )
 
+    def best_places(self, services: Iterable[str]) -> dict[str, str]:
+        """Return the data centre of the best searcher of each service.
+
+        Services without a searcher are left out.
+        """
+        now = self._loop.time()
+        found = {}
+        for service in services:
+            best = searcher_choice.choose(
+                self.candidates(service),
+                now,
+                is_idempotent=True,
+            )
+            if best is not None:
+                found[service] = best.data_centre
+        return found
+
     def choose(
         self,
         service: str,
         tried: set[str],
         *,
         is_idempotent: bool,
-    ) -> searcher_link.SearcherLink | None:
+    ) -> links.Link | None:
         """Return the best searcher that was not tried yet."""
         chosen = searcher_choice.choose(
             (
@@ -144,23 +209,66 @@
             self._loop.time(),
             is_idempotent=is_idempotent,
         )
-        return chosen and self._link_by_id[chosen.searcher_id]
+        return chosen and self._known_by_id[chosen.searcher_id].link
+
+    def _is_superseded(self, record: searcher_record.SearcherRecord) -> bool:
+        """Tell whether a later searcher has the address; drop earlier ones."""
+        holder = self._id_by_address.get(record.address, record.searcher_id)
+        known = self._known_by_id.get(holder)
+        if known is None or holder == record.searcher_id:
+            return False
+        if known.record.born_ms > record.born_ms:
+            return True
+        self._remove(holder)
+        return False
 
     def _add(self, record: searcher_record.SearcherRecord) -> None:
-        link = searcher_link.SearcherLink(record, self._cap(record))
-        self._link_by_id[record.searcher_id] = link
+        self._known_by_id[record.searcher_id] = _Registered(
+            record,
+            links.Link(_end(record), self._cap(record)),
+        )
+        self._id_by_address[record.address] = record.searcher_id
+        self._telemetry.tell(
+            events.SEARCHER_LEARNED,
+            searcher=record.searcher_id,
+            service=record.service,
+            address=str(record.address),
+            data_centre=record.data_centre,
+            is_leaving=record.is_leaving,
+            born_ms=record.born_ms,
+        )
         same = self._ids_by_service.setdefault(record.service, set())
         same.add(record.searcher_id)
 
     def _remove(self, searcher_id: str) -> None:
         self._keep(searcher_id)
-        link = self._link_by_id.pop(searcher_id)
-        link.__exit__(None, None, None)
-        service = link.record.service
+        known = self._known_by_id.pop(searcher_id)
+        known.link.__exit__(None, None, None)
+        self._telemetry.tell(
+            events.SEARCHER_GONE,
+            searcher=searcher_id,
+            service=known.record.service,
+            in_flight=known.link.standing.in_flight,
+        )
+        self._id_by_address.pop(known.record.address)
+        service = known.record.service
         self._ids_by_service[service].discard(searcher_id)
         if not self._ids_by_service[service]:
             self._ids_by_service.pop(service)
 
+    def _tell_leaving(
+        self,
+        before: searcher_record.SearcherRecord,
+        record: searcher_record.SearcherRecord,
+    ) -> None:
+        if record.is_leaving and not before.is_leaving:
+            self._telemetry.tell(
+                events.SEARCHER_LEAVING,
+                searcher=record.searcher_id,
+                service=record.service,
+                sequence=record.sequence,
+            )
+
     def _keep(self, searcher_id: str) -> None:
         removal = self._removal_by_id.pop(searcher_id, None)
         if removal is not None:
@@ -168,7 +276,8 @@
 
     def _cap(self, record: searcher_record.SearcherRecord) -> int:
         cap = self._caps.get(record.service, 1)
-        return max(1, cap // self._gateways)
+        gateways = max(_FEWEST_GATEWAYS, self._peers.gateways)
+        return max(1, cap // gateways)
 
 
 def _order(record: searcher_record.SearcherRecord) -> tuple[int, int]:
@@ -177,7 +286,16 @@
 
 def _same_place(
     record: searcher_record.SearcherRecord,
-    known: searcher_link.SearcherLink,
+    known: _Registered,
 ) -> bool:
     here = (record.address, record.service)
     return here == (known.record.address, known.record.service)
+
+
+def _end(record: searcher_record.SearcherRecord) -> links.LinkEnd:
+    return links.LinkEnd(
+        name=record.searcher_id,
+        address=record.address,
+        slots=record.slots,
+        warmup_s=record.warmup_s,
+    )
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -4,14 +4,16 @@
 import dataclasses
 
 from chivepond.decisions import second_ask_time
+from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
     forwarded_request,
     outcome,
+    request_trace,
     routing_table,
-    searcher_link,
     searchers,
     stragglers,
+    telemetry,
 )
 from chivepond.platform import headers
 
@@ -29,6 +31,7 @@
     searchers: searchers.Searchers
     budgets: budgets.Budgets
     stragglers: stragglers.Stragglers
+    telemetry: telemetry.Telemetry
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,6 +63,7 @@
         '_second_at',
         '_sends',
         '_tools',
+        '_trace',
         '_tried',
         '_unsent',
         'service',
@@ -71,13 +75,15 @@
         request: forwarded_request.ForwardedRequest,
         route: routing_table.Route,
         tools: AskTools,
+        trace: request_trace.RequestTrace,
     ) -> None:
         """Ask nothing yet."""
+        self._trace = trace
         self.service = service
         self._request = request
         self._route = route
         self._tools = tools
-        self._running: dict[Attempt, searcher_link.SearcherLink] = {}
+        self._running: dict[Attempt, links.Link] = {}
         self._tried: set[str] = set()
         self._sends = 0
         self._unsent = 0
@@ -131,10 +137,13 @@
                 self._second_at = None
                 self._send_again()
             for attempt in done:
-                self._running.pop(attempt)
-                found = self._take(attempt.result())
+                link = self._running.pop(attempt)
+                found = self._take(link.end.name, attempt.result())
                 if found is not None:
                     return found
+                self._trace.note(
+                    f'{self.service}: {link.end.name}: {self._reason}',
+                )
         return None
 
     def _until_second(self) -> float | None:
@@ -142,7 +151,11 @@
             return None
         return max(0, self._second_at - asyncio.get_running_loop().time())
 
-    def _take(self, ended: outcome.Outcome) -> outcome.Reply | None:
+    def _take(
+        self,
+        searcher_id: str,
+        ended: outcome.Outcome,
+    ) -> outcome.Reply | None:
         match ended:
             case outcome.NotSent(reason=reason):
                 self._sends -= 1
@@ -154,6 +167,8 @@
             case outcome.Reply():
                 if self._is_final(ended):
                     return ended
+                if ended.status == _MISDIRECTED:
+                    self._tools.searchers.drop_misdirected(searcher_id)
         self._send_after_failure(ended)
         return None
 
@@ -187,7 +202,11 @@
         if not self._other_exists():
             return
         if self._tools.budgets.spend(self.service):
+            self._tools.telemetry.count('second_sends', 'sent')
             self._send()
+        else:
+            self._tools.telemetry.count('second_sends', 'over budget')
+            self._trace.note(f'{self.service}: no budget to send again')
 
     def _other_exists(self) -> bool:
         return any(
@@ -203,8 +222,13 @@
         )
         if link is None:
             return
-        self._tried.add(link.record.searcher_id)
+        self._tried.add(link.end.name)
         self._sends += 1
+        self._trace.send(
+            self.service,
+            link.end.name,
+            is_second=len(self._tried) > 1,
+        )
         attempt = asyncio.create_task(link.ask(self._request, self._deadline))
         self._running[attempt] = link
 
--- a/chivepond/gateway/single_request.py
+++ b/chivepond/gateway/single_request.py
@@ -1,16 +1,20 @@
 """The way of a request that one searcher answers."""
 
+import asyncio
+
 from chivepond.decisions import second_ask_time
 from chivepond.gateway import (
     answer,
     forwarded_request,
     outcome,
+    request_trace,
     routing_table,
     service_ask,
 )
 
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
+_TIMED_OUT = 504
 #: When to come back after a refusal, in seconds: a turn of the list of
 #: searchers or a reconnect is over by then.
 RETRY_AFTER_S = 0.2
@@ -24,16 +28,21 @@
     deadline: float,
     tools: service_ask.AskTools,
     late: second_ask_time.SecondAskTime,
+    trace: request_trace.RequestTrace,
 ) -> answer.Answer:
     """Return the searcher's answer as it is, or a failure of our own."""
-    ask = service_ask.ServiceAsk(service, request, route, tools)
+    ask = service_ask.ServiceAsk(service, request, route, tools, trace)
     match await ask.run(deadline, late):
         case outcome.Reply() as reply:
             return _forwarded(reply, is_head=request.is_head)
         case service_ask.GaveUp(reply=outcome.Reply() as reply):
             return _forwarded(reply, is_head=request.is_head)
         case service_ask.GaveUp(reason=reason, may_have_run=True):
-            return answer.refusal(_BAD_GATEWAY, reason)
+            is_late = asyncio.get_running_loop().time() >= deadline
+            return answer.refusal(
+                _TIMED_OUT if is_late else _BAD_GATEWAY,
+                reason,
+            )
         case service_ask.GaveUp(reason=reason):
             return answer.refusal(_UNAVAILABLE, reason, RETRY_AFTER_S)
 
--- /dev/null
+++ b/chivepond/gateway/telemetry.py
@@ -0,0 +1,92 @@
+"""Counts what the gateway does, and writes its events within bounds."""
+
+import asyncio
+import bisect
+import collections
+import itertools
+import math
+
+from chivepond.decisions import log_limit
+from chivepond.observe import event, journal
+
+#: Upper bounds of the latency histogram, in seconds: steps of about two
+#: thirds around the usual target latencies.
+BUCKETS_S = (
+    *(0.01, 0.025, 0.05, 0.1),
+    *(0.15, 0.2, 0.3, 0.5),
+    *(1, 2.5, 5, 10),
+)
+
+
+class Latency:
+    """A histogram with fixed buckets, the last of them without bound."""
+
+    __slots__ = ('counts', 'total_s')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.counts = [0 for _ in (*BUCKETS_S, math.inf)]
+        self.total_s: float = 0
+
+    def add(self, took_s: float) -> None:
+        """Count one time, in seconds."""
+        self.counts[bisect.bisect_left(BUCKETS_S, took_s)] += 1
+        self.total_s += took_s
+
+    def up_to(self) -> list[tuple[str, int]]:
+        """Return bounds, as text, with the count of times up to each."""
+        bounds = (*map(str, BUCKETS_S), '+Inf')
+        sums = itertools.accumulate(self.counts)
+        return list(zip(bounds, sums, strict=True))
+
+
+class Telemetry:
+    """Counters and histograms by name and label, and the log."""
+
+    __slots__ = (
+        '_limit',
+        'counts_by_name',
+        'gauge_by_name',
+        'latency_by_route',
+    )
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._limit = log_limit.LogLimit()
+        #: Counters by name, each by its label.
+        self.counts_by_name: dict[str, collections.Counter[str]] = {}
+        self.gauge_by_name: dict[str, float] = {}
+        self.latency_by_route: dict[str, Latency] = {}
+
+    def count(self, name: str, label: str) -> None:
+        """Add one to a counter."""
+        self.counts_by_name.setdefault(name, collections.Counter())[label] += 1
+
+    def gauge(self, name: str, told: float) -> None:
+        """Set a gauge."""
+        self.gauge_by_name[name] = told
+
+    def took(self, route: str, took_s: float) -> None:
+        """Count the time of one answer."""
+        self.latency_by_route.setdefault(route, Latency()).add(took_s)
+
+    def tell(
+        self,
+        kind: event.Event,
+        /,
+        *,
+        is_ordinary: bool = False,
+        **told: object,
+    ) -> None:
+        """Write an event, unless its allowance is used up."""
+        per_s = log_limit.NOTABLE_PER_S
+        if is_ordinary:
+            per_s = log_limit.ORDINARY_PER_S
+        now = asyncio.get_running_loop().time()
+        left_out = self._limit.take(kind.number, per_s, now)
+        if left_out is None:
+            self.count('log_lines_left_out', str(kind.number))
+            return
+        if left_out:
+            told['left_out_before'] = left_out
+        journal.log(kind, **told)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -123,3 +123,159 @@
     'message between nodes refused',
     'Its signature is missing, wrong, too old, or was seen before.',
 )
+GATEWAY_STARTED = event.Event(
+    6001,
+    'INFO',
+    'gateway started',
+    'A gateway listens on its addresses; it is not ready yet.',
+)
+GATEWAY_READY = event.Event(
+    6002,
+    'INFO',
+    'gateway ready',
+    'A gateway knows a configuration and the searchers, and takes requests.',
+)
+GATEWAY_STOPPING = event.Event(
+    6003,
+    'INFO',
+    'gateway stopping',
+    'A planned stop has begun; requests in flight will end.',
+)
+GATEWAY_STOPPED = event.Event(
+    6004,
+    'INFO',
+    'gateway stopped',
+    'A planned stop is complete; says what was still open.',
+)
+SETTINGS_RELOADED = event.Event(
+    6005,
+    'INFO',
+    'settings reloaded',
+    'The settings file was read again; says which settings changed.',
+)
+SETTINGS_REFUSED = event.Event(
+    6006,
+    'WARNING',
+    'settings refused',
+    'The settings file is wrong; the settings before it hold.',
+)
+GATEWAY_FAULT = event.Event(
+    6007,
+    'ERROR',
+    'fault of the program',
+    'A request or a task met a fault of the program; please report it.',
+)
+GATEWAY_WOKE = event.Event(
+    6008,
+    'WARNING',
+    'gateway woke from a pause',
+    'The process stood still; its news and connections are taken anew.',
+)
+ROUTES_IN_FORCE = event.Event(
+    6010,
+    'INFO',
+    'routes in force',
+    'A newer version of the routes is in force; says who told it.',
+)
+ROUTES_REFUSED = event.Event(
+    6011,
+    'WARNING',
+    'routes refused',
+    'A version of the routes could not be read; the one before stays.',
+)
+SOURCE_LOST = event.Event(
+    6012,
+    'WARNING',
+    'source lost',
+    'The store or a gateway that hands on its news can not be read.',
+)
+SOURCE_REGAINED = event.Event(
+    6013,
+    'INFO',
+    'source regained',
+    'The store or a gateway that hands on its news is read again.',
+)
+SEARCHER_LEARNED = event.Event(
+    6020,
+    'INFO',
+    'searcher learned',
+    'A searcher is registered, or has started again.',
+)
+SEARCHER_LEAVING = event.Event(
+    6021,
+    'INFO',
+    'searcher leaving',
+    'A searcher said that it stops; it gets no new requests.',
+)
+SEARCHER_GONE = event.Event(
+    6022,
+    'INFO',
+    'searcher gone',
+    'The entry of a searcher vanished and did not come back.',
+)
+SEARCHER_ENTRY_REFUSED = event.Event(
+    6023,
+    'WARNING',
+    'searcher entry refused',
+    'An entry of the list names no searcher that can be used.',
+)
+SEARCHER_DISTRUSTED = event.Event(
+    6024,
+    'WARNING',
+    'searcher distrusted',
+    'A searcher failed a few times in a row; others are asked first.',
+)
+SEARCHER_TRUSTED = event.Event(
+    6025,
+    'INFO',
+    'searcher trusted',
+    'A searcher that was distrusted gave a good reply.',
+)
+PEER_LEARNED = event.Event(
+    6030,
+    'INFO',
+    'peer learned',
+    'Another gateway is registered.',
+)
+PEER_GONE = event.Event(
+    6031,
+    'INFO',
+    'peer gone',
+    'Another gateway is registered no more, or elsewhere.',
+)
+REQUEST_ANSWERED = event.Event(
+    6100,
+    'INFO',
+    'request answered',
+    'A request got its answer; ordinary ones are sampled.',
+)
+REQUEST_ANSWERED_IN_PART = event.Event(
+    6101,
+    'INFO',
+    'request answered in part',
+    'A gathered answer lacks shards; says which, and why each.',
+)
+REQUEST_REFUSED = event.Event(
+    6102,
+    'INFO',
+    'request refused',
+    'A request was turned away and has not run.',
+)
+REQUEST_UNANSWERED = event.Event(
+    6103,
+    'WARNING',
+    'request failed at the searchers',
+    'No searcher gave a good reply, or not in time; it may have run.',
+)
+REQUEST_ABANDONED = event.Event(
+    6104,
+    'INFO',
+    'request abandoned',
+    'The caller left before the answer; searchers were told.',
+)
+GATHER_SERVED = event.Event(
+    6110,
+    'INFO',
+    'gather served',
+    'Shards were gathered for another gateway; says what is missing.',
+)
--- a/chivepond/observe/journal.py
+++ b/chivepond/observe/journal.py
@@ -3,6 +3,7 @@
 import json
 import re
 import sys
+from typing import Protocol
 
 import logbook
 import msgspec
@@ -13,16 +14,31 @@
 _logger = logbook.Logger('chivepond')
 
 
+class TextStream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str) -> object:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Hand on what is held."""
+
+
 class Journal:
     """The log of one process, as lines for people or as JSON."""
 
     __slots__ = ('_output', '_is_json')
 
-    def __init__(self, level: str, log_format: str) -> None:
-        """Write events of ``level`` and above to standard error."""
+    def __init__(
+        self,
+        level: str,
+        log_format: str,
+        stream: TextStream | None = None,
+    ) -> None:
+        """Write events of ``level`` and above, to standard error at first."""
         self._is_json = log_format == 'json'
         self._output = logbook.StreamHandler(
-            sys.stderr,
+            stream or sys.stderr,
             level=level,
             format_string='{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.message}',
         )
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -1,11 +1,13 @@
 """Calls on the platform's store, and the form of its replies."""
 
-from urllib import parse
+from urllib import parse as urls
 from typing import Any
 
 import msgspec
 
 _ROOT = '/api/objects'
+#: The kind under which gateways register themselves, one of our own.
+GATEWAYS = 'chivepond-gateways'
 #: The kind under which searchers register themselves.
 SEARCHERS = 'servers'
 #: The kind that holds the routing configuration, and its one name.
@@ -52,11 +54,16 @@
     as_of: int
 
 
+def kind_path(kind: str) -> str:
+    """Return the path on which objects of a kind are created."""
+    return f'{_ROOT}/{kind}'
+
+
 def list_path(kind: str, after: str = '') -> str:
     """Return the path of one page of a list."""
     if not after:
-        return f'{_ROOT}/{kind}'
-    return f'{_ROOT}/{kind}?{parse.urlencode({"after": after})}'
+        return kind_path(kind)
+    return f'{_ROOT}/{kind}?{urls.urlencode({"after": after})}'
 
 
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
@@ -66,7 +73,7 @@
 
 def object_path(kind: str, name: str) -> str:
     """Return the path of one object."""
-    return f'{_ROOT}/{kind}/{parse.quote(name, safe="")}'
+    return f'{_ROOT}/{kind}/{urls.quote(name, safe="")}'
 
 
 def new_object(name: str, spec: Any) -> bytes:
--- a/chivepond/tools/gateway_daemon.py
+++ b/chivepond/tools/gateway_daemon.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from chivepond.gateway import gateway
+from chivepond.observe import bounded_output, journal
 from chivepond.settings import gateway_settings, loader
 from chivepond.tools import console, exit_code, program_flags
 
@@ -46,11 +47,19 @@
             if program.flags.check:
                 console.say('the settings are right')
                 return exit_code.ExitCode.OK
-            return uvloop.run(_serve(settings))
+            return _start(settings)
         case _:
             return console.complain(loaded.unwrap_err())
 
 
+def _start(settings: gateway_settings.GatewaySettings) -> int:
+    output = bounded_output.BoundedOutput(sys.stdout.fileno())
+    with journal.Journal(settings.log_level, 'json', output):
+        code = uvloop.run(_serve(settings))
+    output.drain()
+    return code
+
+
 async def _serve(settings: gateway_settings.GatewaySettings) -> int:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/chivepond/wire/gateway_entry.py
@@ -0,0 +1,10 @@
+"""What a gateway registers of itself."""
+
+import msgspec
+
+
+class GatewayEntry(msgspec.Struct):
+    """Where other gateways reach it."""
+
+    address: str
+    data_centre: str
--- /dev/null
+++ b/chivepond/wire/gather_request.py
@@ -0,0 +1,32 @@
+"""What a gateway asks another one to gather near the searchers."""
+
+import msgspec
+
+
+class GatherRequest(msgspec.Struct, array_like=True):
+    """A caller's request, and the shards to gather it from."""
+
+    request_id: bytes
+    #: The request line and the fields, as searchers get them.
+    head: bytes
+    body: bytes
+    route: str
+    shards: list[str]
+    #: How many of the greatest records are wanted.
+    top_count: int
+    max_attempts: int
+    #: Seconds within which the reply is useful.
+    answer_in_s: float
+    #: Seconds until the caller stops waiting.
+    left_s: float
+    target_latency_s: float
+
+
+class GatherReply(msgspec.Struct, array_like=True):
+    """The greatest records of the parts that are in."""
+
+    records: bytes
+    signature_by_shard: dict[str, bytes]
+    reason_by_shard: dict[str, str]
+    #: Seconds from the request to this reply.
+    took_s: float
