SIGHUP reads the settings again and cuts nothing

Change: the signal and a changed file lead to a reload; wrong settings are logged and change nothing.

--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -163,8 +163,20 @@
             working=self._front.working,
         )
 
-    def reload(self, settings: gateway_settings.GatewaySettings) -> None:
-        """Take what may change while a gateway runs."""
+    def refuse_settings(self, why: str) -> None:
+        """Take the news that the settings file is wrong."""
+        self._telemetry.tell(events.SETTINGS_REFUSED, why=why)
+
+    def reload(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        changes: list[str],
+    ) -> None:
+        """Take what may change while a gateway runs.
+
+        Addresses are taken at the next start; nothing here cuts a request.
+        """
+        self._telemetry.tell(events.SETTINGS_RELOADED, changes=changes)
         self._settings = settings
         self._searchers.region_by_data_centre = settings.region_by_data_centre
         self._tools.budgets.change(_budget_limits(settings))
--- a/chivepond/tools/gateway_daemon.py
+++ b/chivepond/tools/gateway_daemon.py
@@ -9,7 +9,7 @@
 import result
 import uvloop
 
-from chivepond.gateway import gateway
+from chivepond.gateway import gateway, settings_watch
 from chivepond.observe import bounded_output, journal
 from chivepond.settings import gateway_settings, loader
 from chivepond.tools import console, exit_code, program_flags
@@ -21,7 +21,7 @@
   chivepond-gateway --settings gateway.yaml --check
 
 SIGTERM or SIGINT stops it without cutting a request; a second one stops it
-at once.
+at once. SIGHUP reads the settings again; a changed file is also seen without.
 """
 
 
@@ -38,38 +38,46 @@
     ended = program.begin(arguments)
     if ended is not None:
         return ended
-    loaded = loader.load(
-        gateway_settings.GatewaySettings,
-        pathlib.Path(program.flags.settings),
-    )
-    match loaded:
+    path = pathlib.Path(program.flags.settings)
+    match loader.load(gateway_settings.GatewaySettings, path):
         case result.Ok(settings):
             if program.flags.check:
                 console.say('the settings are right')
                 return exit_code.ExitCode.OK
-            return _start(settings)
-        case _:
-            return console.complain(loaded.unwrap_err())
+            return _start(settings, path)
+        case wrong:
+            return console.complain(wrong.unwrap_err())
 
 
-def _start(settings: gateway_settings.GatewaySettings) -> int:
+def _start(
+    settings: gateway_settings.GatewaySettings,
+    path: pathlib.Path,
+) -> int:
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     with journal.Journal(settings.log_level, 'json', output):
-        code = uvloop.run(_serve(settings))
+        code = uvloop.run(_serve(settings, path))
     output.drain()
     return code
 
 
-async def _serve(settings: gateway_settings.GatewaySettings) -> int:
+async def _serve(
+    settings: gateway_settings.GatewaySettings,
+    path: pathlib.Path,
+) -> int:
     stopping = asyncio.Event()
+    changed = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, stopping)
     async with gateway.Gateway(settings) as running:
+        watch = settings_watch.SettingsWatch(path, settings, running, changed)
+        watching = asyncio.create_task(watch.run())
         gc.collect()
         gc.freeze()
         await stopping.wait()
         await running.stop()
+        watching.cancel()
     return exit_code.ExitCode.OK
 
 
