--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -13,6 +13,9 @@
 #: Weight of the newest exchange in the averages. Ten exchanges forget a
 #: fault, which is a second of one gateway's requests to a searcher.
 _NEWEST = 0.2
+#: A reply counts as no slower than this many times the usual one, so that a
+#: single pause moves nothing to another region, and two slow replies do.
+_SLOWEST_FACTOR = 3.0
 #: The latency that is believed before the first exchange, in seconds.
 _FIRST_LATENCY_S = 0.03
 #: A reply that is overdue by this factor of the usual latency, and by this
@@ -20,8 +23,9 @@
 #: replies takes twice the usual time.
 _OVERDUE_FACTOR = 2.5
 _OVERDUE_S = 0.05
-#: Failures in a row after which a searcher is distrusted.
-_FAILURES = 2
+#: Failures in a row after which a searcher is distrusted. One alone is as
+#: likely a reply that was lost on the way.
+USUAL_FAILURES = 2
 #: How long a searcher is distrusted at first and at the most, in seconds.
 _DISTRUST_S = 0.5
 _LONGEST_DISTRUST_S = 4.0
@@ -53,6 +57,7 @@
         '_cold_until',
         '_distrusted_until',
         '_failure_share',
+        '_failures',
         '_failures_in_row',
         '_latency_s',
         '_sent_at_by_attempt',
@@ -60,8 +65,17 @@
         '_told_at',
     )
 
-    def __init__(self, slots: int, cold_until: float) -> None:
-        """Believe the best of a searcher with ``slots`` slots."""
+    def __init__(
+        self,
+        slots: int,
+        cold_until: float,
+        failures: int = USUAL_FAILURES,
+    ) -> None:
+        """Believe the best of a searcher with ``slots`` slots.
+
+        Distrust it after ``failures`` in a row.
+        """
+        self._failures = failures
         self._slots = slots
         self._cold_until = cold_until
         self._latency_s = _FIRST_LATENCY_S
@@ -88,7 +102,8 @@
         """Count a good reply."""
         sent_at = self._sent_at_by_attempt.pop(attempt, now)
         usual_s = self._usual_s(now)
-        self._latency_s = usual_s + _NEWEST * (now - sent_at - usual_s)
+        took_s = min(now - sent_at, _SLOWEST_FACTOR * usual_s)
+        self._latency_s = usual_s + _NEWEST * (took_s - usual_s)
         self._failure_share = (1 - _NEWEST) * self._failing(now)
         self._failures_in_row = 0
         self._told_at = now
@@ -99,7 +114,7 @@
         self._failure_share = _NEWEST + (1 - _NEWEST) * self._failing(now)
         self._told_at = now
         self._failures_in_row += 1
-        beyond = self._failures_in_row - _FAILURES
+        beyond = self._failures_in_row - self._failures
         if beyond >= 0:
             self._distrusted_until = now + min(
                 _LONGEST_DISTRUST_S,
@@ -108,7 +123,7 @@
 
     def trust(self, now: float) -> Trust:
         """Return how good a choice it is now."""
-        if self._failures_in_row >= _FAILURES:
+        if self._failures_in_row >= self._failures:
             is_on_trial = now >= self._distrusted_until and not self.in_flight
             return Trust.ON_TRIAL if is_on_trial else Trust.DISTRUSTED
         if self._is_overdue(now):
--- a/chivepond/gateway/caller_connection.py
+++ b/chivepond/gateway/caller_connection.py
@@ -10,6 +10,8 @@
 
 #: Requests that wait behind one in work before reading pauses.
 _PIPELINED = 8
+#: What frames one field: a colon, a space and the end of the line.
+_FIELD_FRAME = 4
 _BAD_REQUEST = 400
 _TOO_SLOW = 408
 _TOO_LARGE = 413
@@ -42,6 +44,7 @@
         '_in_head',
         '_loop',
         '_parser',
+        '_read_head_bytes',
         '_refused',
         '_service',
         '_target',
@@ -90,6 +93,10 @@
         if self.working is None and not self._in_head:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._transport.abort()
+
     def data_received(self, chunk: bytes) -> None:
         """Read bytes of requests."""
         if self._refused:
@@ -104,8 +111,7 @@
             # made it is answered, and the connection ends with that.
             self._refused = True
         except httptools.HttpParserError:
-            if not self._refused:
-                self._refuse(_BAD_REQUEST, 'no request in the protocol')
+            self._refuse(_BAD_REQUEST, 'no request in the protocol')
         else:
             self._check_head()
 
@@ -117,19 +123,24 @@
         self._target = b''
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._read_head_bytes = 0
         self._came_at = self._loop.time()
 
     def on_url(self, piece: bytes) -> None:
         """Take a piece of path and query."""
         self._target += piece
+        self._grow_head(len(piece))
 
     def on_header(self, name: bytes, told: bytes) -> None:
         """Take one field."""
         self._headers.add(name, told)
+        self._grow_head(len(name) + len(told) + _FIELD_FRAME)
 
     def on_headers_complete(self) -> None:
         """See whether the body is within bounds, and ask for it."""
         self._head_bytes = 0
+        if self._refused:
+            return
         told = self._headers.get(b'content-length') or b'0'
         if int(told) > self._service.limits().body_bytes:
             self._refuse(_TOO_LARGE, 'the body is larger than is allowed')
@@ -170,6 +181,13 @@
         self._came_at = self._loop.time()
         self._arm(self._service.limits().header_timeout_s)
 
+    def _grow_head(self, size: int) -> None:
+        self._read_head_bytes += size
+        if self._read_head_bytes > self._service.limits().header_bytes:
+            self._refuse(
+                _HEAD_TOO_LARGE, 'the header is larger than is allowed'
+            )
+
     def _check_head(self) -> None:
         is_long = self._head_bytes > self._service.limits().header_bytes
         if is_long and self._in_head:
@@ -202,6 +220,8 @@
         self._work_on_next()
 
     def _refuse(self, status: int, text: str) -> None:
+        if self._refused:
+            return
         self._refused = True
         if self.working is not None:
             # The answer in work goes first; the connection ends after it.
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -47,6 +47,7 @@
     __slots__ = (
         '_front',
         '_is_stopping',
+        '_metrics_listener',
         '_news',
         '_open',
         '_peer_listener',
@@ -94,6 +95,7 @@
             str(self._on_own_ip(settings.peer_ports[0])),
             peer_service.PeerService(self._tools, self._tell_stopping).serve,
         )
+        self._metrics_listener = self._make_metrics()
         self._readers: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Self:
@@ -105,7 +107,7 @@
             self._peer_listener,
             self._front,
             self._readiness,
-            self._metrics(),
+            self._metrics_listener,
         ):
             await self._open.enter_async_context(one)
         self._readers = [
@@ -130,6 +132,46 @@
             reader.cancel()
         await self._open.aclose()
 
+    @property
+    def callers(self) -> address.Address:
+        """Where callers connect, with the port that the system gave."""
+        return self._front.address
+
+    @property
+    def readiness(self) -> address.Address:
+        """Where the balancer asks, with the port that the system gave."""
+        return self._readiness.address
+
+    @property
+    def metrics(self) -> address.Address:
+        """Where metrics are read, with the port that the system gave."""
+        return self._metrics_listener.address
+
+    @property
+    def working(self) -> int:
+        """How many requests of callers are in work."""
+        return self._front.working
+
+    @property
+    def routes_version(self) -> int | None:
+        """The version of the routes in force."""
+        return self._way.table and self._way.table.version
+
+    @property
+    def searchers_known(self) -> int:
+        """How many searchers are registered."""
+        return self._searchers.count
+
+    @property
+    def searcher_connections(self) -> int:
+        """How many connections to searchers are open."""
+        return self._searchers.connections
+
+    @property
+    def gateways_known(self) -> int:
+        """How many gateways are registered, this one included."""
+        return self._peers.gateways
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer shall send callers here."""
@@ -186,7 +228,7 @@
     ) -> tuple[kind_reader.KindReader | peer_registry.PeerRegistry, ...]:
         store = address.parse(self._settings.store).unwrap()
         entry = gateway_entry.GatewayEntry(
-            str(self._on_own_ip(self._settings.peer_ports[0])),
+            str(self._peer_listener.address),
             self._settings.data_centre,
         )
         return (
@@ -220,7 +262,7 @@
         own = address.parse(self._settings.callers).unwrap()
         return address.Address(own.ip, port)
 
-    def _metrics(self) -> listener.Listener:
+    def _make_metrics(self) -> listener.Listener:
         page = metrics_page.MetricsPage(self._telemetry, self._read_gauges)
         return self._listener(
             str(self._on_own_ip(self._settings.metrics_port)),
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -36,6 +36,8 @@
     slots: int
     #: How much longer it is slow after its start, in seconds.
     warmup_s: float
+    #: Failures in a row after which it is distrusted.
+    failures: int = searcher_standing.USUAL_FAILURES
 
 
 class Message(Protocol):
@@ -72,6 +74,7 @@
         self.standing = searcher_standing.SearcherStanding(
             end.slots,
             now + end.warmup_s,
+            end.failures,
         )
         self._cap = cap
         self._idle: list[http_connection.HttpConnection] = []
--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -66,6 +66,11 @@
         """Take no new connections."""
         self._server.close()
 
+    def abort_all(self) -> None:
+        """Reset all connections; for the end of a process only."""
+        for connection in list(self._connections):
+            connection.abort()
+
     def close_idle(self) -> None:
         """Close the connections on which nothing goes on."""
         for connection in list(self._connections):
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -15,6 +15,9 @@
 _CONNECTIONS = 8
 #: Gathers that one gateway works on at a time before its time counts double.
 _SLOTS = 8
+#: Failures after which a gateway is asked no more for a while: each costs a
+#: whole group of shards, and searchers can be asked from here as well.
+_FAILURES = 1
 #: What the way to another gateway and back takes, in seconds, until it was
 #: measured, and the weight of the newest measurement.
 _FIRST_WAY_S = 0.03
@@ -121,6 +124,12 @@
 
 def _link(record: peer_record.PeerRecord) -> links.Link:
     return links.Link(
-        links.LinkEnd(record.node_id, record.address, _SLOTS, 0),
+        links.LinkEnd(
+            record.node_id,
+            record.address,
+            slots=_SLOTS,
+            warmup_s=0,
+            failures=_FAILURES,
+        ),
         _CONNECTIONS,
     )
--- a/chivepond/settings/defaults.py
+++ b/chivepond/settings/defaults.py
@@ -11,6 +11,7 @@
     answer_policy,
     audit_section,
     capacity_service,
+    gateway_settings,
     node_settings,
     search_service,
     service_objectives,
@@ -20,6 +21,7 @@
 KIND_BY_PLACE: Mapping[str, type[msgspec.Struct]] = types.MappingProxyType(
     {
         'node': node_settings.NodeSettings,
+        'gateway': gateway_settings.GatewaySettings,
         'search.services.NAME': search_service.SearchService,
         'search.services.NAME.answer': answer_policy.AnswerPolicy,
         'search.services.NAME.objectives': service_objectives.Objectives,
@@ -33,7 +35,8 @@
 
 Written by `chivepond config defaults`; a test keeps the two in step.
 
-The settings of a node are one YAML file, read by `chivepondd --settings`.
+The settings of a node are one YAML file, read by `chivepondd --settings`,
+those of a gateway one read by `chivepond-gateway --settings`.
 The sections `search`, `capacity` and `audit` are YAML files as well, put in
 force by `chivepond config apply`; NAME stands for the name of a service. An
 unknown name, a wrong kind or unit, or a value out of range is refused with
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -11,7 +11,7 @@
 _Seconds = typing.Annotated[float, msgspec.Meta(ge=0, description='seconds')]
 _Port = typing.Annotated[
     int,
-    msgspec.Meta(ge=1, le=65535, description='port'),
+    msgspec.Meta(ge=0, le=65535, description='port'),
 ]
 _Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 _Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
--- /dev/null
+++ b/chivepond/standins/routed_store.py
@@ -0,0 +1,215 @@
+"""A small stand-in for the platform's store: lists, watches, conditions."""
+
+import asyncio
+import dataclasses
+import types
+from collections.abc import Callable
+from typing import Any, Self
+from urllib import parse as urls
+
+import msgspec
+
+from chivepond.gateway import (
+    answer,
+    caller_connection,
+    caller_request,
+    listener,
+    routing_table,
+)
+from chivepond.transport import address
+
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_PAGE = 50
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Change:
+    revision: int
+    kind: str
+    stored: dict[str, Any]
+    is_deleted: bool = False
+
+
+class RoutedStore:
+    """Keeps objects by kind and name while it is entered.
+
+    ``refuse`` gives a status by which a call is turned away, or nothing;
+    ``forget`` drops the history, so that each watch has to list again.
+    """
+
+    __slots__ = (
+        '_changed',
+        '_changes',
+        '_listener',
+        '_object_by_place',
+        '_oldest',
+        '_revision',
+        'calls',
+        'refuse',
+    )
+
+    def __init__(self) -> None:
+        """Start with no object."""
+        self._object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._revision = 1
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self.calls = 0
+        self.refuse: Callable[[str], int | None] = _refuse_none
+        self._listener = listener.Listener(
+            address.Address('127.0.0.1', 0),
+            caller_connection.Service(
+                serve=self._serve,
+                limits=lambda: routing_table.DEFAULT_LIMITS,
+                is_stopping=bool,
+            ),
+        )
+
+    async def __aenter__(self) -> Self:
+        """Listen."""
+        await self._listener.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Cut all connections."""
+        await self._listener.__aexit__(kind, error, trace)
+        self._listener.abort_all()
+
+    @property
+    def address(self) -> address.Address:
+        """Where it listens."""
+        return self._listener.address
+
+    def cut(self) -> None:
+        """Reset all connections."""
+        self._listener.abort_all()
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self._oldest = self._revision
+        self._changes.clear()
+        self._wake()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object, as operators and searchers do."""
+        self._revision += 1
+        meta = {'name': name, 'revision': self._revision}
+        stored = {'meta': meta, 'spec': spec, 'status': None}
+        self._object_by_place[(kind, name)] = stored
+        self._changes.append(_Change(self._revision, kind, stored))
+        self._wake()
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self._revision += 1
+        stored = self._object_by_place.pop((kind, name))
+        self._changes.append(_Change(self._revision, kind, stored, True))
+        self._wake()
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of the objects of a kind."""
+        return sorted(
+            name for its, name in self._object_by_place if its == kind
+        )
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(
+        self,
+        request: caller_request.CallerRequest,
+    ) -> answer.Answer:
+        self.calls += 1
+        place = request.target.decode()
+        refused = self.refuse(place)
+        if refused is not None:
+            return answer.refusal(refused, 'turned away')
+        path, _, query = place.partition('?')
+        kind, _, name = path.removeprefix('/api/objects/').partition('/')
+        if request.method == b'GET':
+            return await self._read(kind, name, dict(urls.parse_qsl(query)))
+        return self._write(kind, name, request)
+
+    async def _read(
+        self,
+        kind: str,
+        name: str,
+        query: dict[str, str],
+    ) -> answer.Answer:
+        if name:
+            stored = self._object_by_place.get((kind, name))
+            return _json(_OK if stored else _NOT_FOUND, stored)
+        if 'wait_ms' in query:
+            wait_s = int(query['wait_ms']) / _MS_PER_S  # noqa: WPS529
+            since = int(query['watch'])
+            return await self._watch(kind, since, wait_s)
+        return self._list(kind, query.pop('after', ''))
+
+    def _list(self, kind: str, after: str) -> answer.Answer:
+        names = [name for name in self.names(kind) if name > after]
+        shown = names[:_PAGE]
+        page = {
+            'items': [self._object_by_place[(kind, name)] for name in shown],
+            'as_of': self._revision,
+            'has_more': len(names) > len(shown),
+        }
+        return _json(_OK, page)
+
+    async def _watch(
+        self,
+        kind: str,
+        since: int,
+        wait_s: float,
+    ) -> answer.Answer:
+        try:
+            async with asyncio.timeout(wait_s):
+                while since >= self._oldest and not self._news(kind, since):
+                    await self._changed.wait()
+        except TimeoutError:
+            return _json(_OK, {'events': [], 'as_of': self._revision})
+        if since < self._oldest:
+            return _json(_GONE, None)
+        news = {'events': self._news(kind, since), 'as_of': self._revision}
+        return _json(_OK, news)
+
+    def _news(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {'object': one.stored, 'deleted': one.is_deleted}
+            for one in self._changes
+            if one.kind == kind and one.revision > since
+        ]
+
+    def _write(
+        self,
+        kind: str,
+        name: str,
+        request: caller_request.CallerRequest,
+    ) -> answer.Answer:
+        told = msgspec.json.decode(request.body)
+        if not name:
+            name = told['meta']['name']
+        place = (kind, name)
+        if request.method == b'POST' and place in self._object_by_place:
+            return _json(_CONFLICT, self._object_by_place.get(place))
+        self.put(kind, name, told['spec'])
+        return _json(_CREATED, self._object_by_place[(kind, name)])
+
+
+def _refuse_none(path: str) -> int | None:  # noqa: WPS324
+    return None  # noqa: WPS324
+
+
+def _json(status: int, told: object) -> answer.Answer:
+    return answer.Answer(status, [], msgspec.json.encode(told))
--- /dev/null
+++ b/chivepond/standins/scripted_searcher.py
@@ -0,0 +1,170 @@
+"""A small stand-in for a searcher that replies as a test tells it to."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+import types
+from collections.abc import Awaitable, Callable
+from typing import Self
+
+from chivepond.platform import headers
+from chivepond.transport import address
+
+_HEAD_END = b'\r\n\r\n'
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Got:
+    """One request as it arrived."""
+
+    line: bytes
+    value_by_name: dict[bytes, bytes]
+    body: bytes
+
+    @property
+    def request_id(self) -> bytes:
+        """The identifier of the request."""
+        return self.value_by_name.get(headers.REQUEST_ID, b'')
+
+
+@dataclasses.dataclass(slots=True)
+class Told:
+    """Bytes to write, and what becomes of the connection."""
+
+    written: bytes
+    #: ``keep``, ``close`` in good order, or ``reset``.
+    then: str = 'keep'
+
+
+Reply = Callable[[Got], Awaitable[Told]]
+
+
+def good(got: Got, body: bytes, signature: str = 'sig') -> Told:
+    """Return a whole reply."""
+    return Told(
+        b'HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s'
+        % (
+            headers.REQUEST_ID,
+            got.request_id,
+            headers.SIGNATURE,
+            signature.encode(),
+            len(body),
+            body,
+        ),
+    )
+
+
+def not_run(status: int) -> Told:
+    """Return a reply that says that the request did not run."""
+    return Told(
+        b'HTTP/1.1 %d No\r\n%s: 1\r\nContent-Length: 0\r\n\r\n'
+        % (status, headers.NOT_RUN),
+    )
+
+
+class ScriptedSearcher:
+    """Listens while it is entered, and keeps what it got."""
+
+    __slots__ = ('_server', '_writers', 'got', 'reply')
+
+    def __init__(self, reply: Reply) -> None:
+        """Reply to each request by ``reply``."""
+        self.reply = reply
+        self.got: list[Got] = []
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Self:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            '127.0.0.1',
+            0,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Reset all connections."""
+        self.stop()
+
+    @property
+    def address(self) -> address.Address:
+        """Where it listens."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return address.Address(ip, port)
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._writers)
+
+    def stop(self) -> None:
+        """Crash: take no connection, and reset those that are open."""
+        self._server.close()
+        for writer in list(self._writers):
+            _reset(writer)
+
+    def push(self, written: bytes) -> None:
+        """Write bytes that nobody asked for on all connections."""
+        for writer in self._writers:
+            writer.write(written)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                await writer.drain()
+        except (
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+        ):
+            writer.close()
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        got = await _read(reader)
+        self.got.append(got)
+        told = await self.reply(got)
+        writer.write(told.written)
+        if told.then == 'reset':
+            await writer.drain()
+            _reset(writer)
+        if told.then == 'close':
+            writer.close()
+        return told.then == 'keep'
+
+
+async def _read(reader: asyncio.StreamReader) -> Got:
+    head = await reader.readuntil(_HEAD_END)
+    line, *fields = head.removesuffix(_HEAD_END).split(b'\r\n')
+    pairs = (field.partition(b':') for field in fields)
+    value_by_name = {name.lower(): told.strip() for name, _, told in pairs}
+    length = int(value_by_name.get(b'content-length', b'0'))
+    return Got(line, value_by_name, await reader.readexactly(length))
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; closing alone would look like an orderly end."""
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        _NO_LINGER,
+    )
+    writer.transport.abort()
--- /dev/null
+++ b/chivepond/tests/gateway_bench.py
@@ -0,0 +1,233 @@
+"""Gateways over stand-ins for the store and the searchers, on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import types
+from collections.abc import Mapping
+from typing import Any, Self
+
+from chivepond.gateway import gateway, http_connection, outcome
+from chivepond.platform import headers, store_calls
+from chivepond.settings import gateway_settings
+from chivepond.standins import routed_store, scripted_searcher
+from chivepond.transport import address
+
+HOST = 'desk.example'
+_WAIT_S = 5
+_POLL_S = 0.01
+_ids = itertools.count(1)
+
+
+def route(name: str, prefix: str, **told: Any) -> dict[str, Any]:
+    """Return a route as operators write it, idempotent unless told."""
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'kind': 'idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 400,
+        'max_attempts': 2,
+        'priority': 1,
+    } | told
+
+
+def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    """Return a whole configuration as operators write it."""
+    services = {
+        name
+        for one in routes
+        for name in (one.get('service'), *one.get('gather', ()))
+        if name
+    }
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': [
+            {'name': name, 'health_path': '/healthz', 'max_conns': 40}
+            for name in sorted(services)
+        ],
+        'limits': {
+            'max_header_bytes': 4096,
+            'max_body_bytes': 8192,
+            'header_timeout_ms': 300,
+            'idle_timeout_ms': 9000,
+        },
+    }
+
+
+def entry(
+    service: str,
+    place: address.Address,
+    **told: Any,
+) -> dict[str, Any]:
+    """Return the entry of a searcher, ready unless told."""
+    return {
+        'service': service,
+        'address': str(place),
+        'zone': 'base',
+        'version': 'v1',
+        'slots': 2,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+        'sequence': 1,
+        'born': 1000,
+    } | told
+
+
+def settings(
+    store: address.Address,
+    **told: Any,
+) -> gateway_settings.GatewaySettings:
+    """Return the settings of a gateway on free ports."""
+    return gateway_settings.GatewaySettings(
+        **{
+            'node_id': 'gate-1',
+            'data_centre': 'base',
+            'region_by_data_centre': {'base': 'coast', 'hub': 'inland'},
+            'callers': '127.0.0.1:0',
+            'readiness': '127.0.0.1:0',
+            'store': str(store),
+            'peer_ports': (0, 0),
+            'metrics_port': 0,
+            'second_send_burst': 100,
+        }
+        | told,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """One caller's connection."""
+
+    connection: http_connection.HttpConnection
+
+    async def send(self, raw: bytes) -> outcome.Outcome:
+        """Send bytes, and return what comes back."""
+        return await asyncio.wait_for(
+            self.connection.begin(raw, b''),
+            _WAIT_S,
+        )
+
+    async def get(self, path: str, **more: str) -> outcome.Outcome:
+        """Send a request without a body."""
+        return await self.send(request('GET', path, **more))
+
+
+def request(
+    method: str,
+    path: str,
+    *,
+    request_id: str = '',
+    body: bytes = b'',
+    left_ms: int = 1500,
+    more: Mapping[str, str] = types.MappingProxyType({}),
+) -> bytes:
+    """Return the bytes of a request, with an identifier of its own."""
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'{headers.REQUEST_ID.decode()}: {request_id or next(_ids)}',
+        f'{headers.TIME_LEFT_MS.decode()}: {left_ms}',
+        *(f'{name}: {told}' for name, told in more.items()),
+    ]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+class Bench:
+    """A store, searchers and gateways, all ended when it is left."""
+
+    def __init__(self) -> None:
+        """Start nothing yet."""
+        self.store = routed_store.RoutedStore()
+        self._open = contextlib.AsyncExitStack()
+        self._callers: list[Caller] = []
+
+    async def __aenter__(self) -> Self:
+        """Start the store."""
+        await self._open.enter_async_context(self.store)
+        return self
+
+    async def __aexit__(self, *trace: Any) -> None:
+        """End everything."""
+        for caller in self._callers:
+            caller.connection.abort()
+        await self._open.aclose()
+
+    async def searcher(
+        self,
+        searcher_id: str,
+        service: str,
+        reply: scripted_searcher.Reply,
+        **told: Any,
+    ) -> scripted_searcher.ScriptedSearcher:
+        """Start a searcher and register it."""
+        made = scripted_searcher.ScriptedSearcher(reply)
+        await self._open.enter_async_context(made)
+        self.register(searcher_id, service, made.address, **told)
+        return made
+
+    def register(
+        self,
+        searcher_id: str,
+        service: str,
+        place: address.Address,
+        **told: Any,
+    ) -> None:
+        """Write the entry of a searcher."""
+        self.store.put(
+            store_calls.SEARCHERS,
+            searcher_id,
+            entry(service, place, **told),
+        )
+
+    def configure(self, version: int, *routes: dict[str, Any]) -> None:
+        """Write a configuration."""
+        self.store.put(
+            store_calls.CONFIGURATION,
+            store_calls.CONFIGURATION_NAME,
+            configuration(version, *routes),
+        )
+
+    async def ready_gateway(self, **told: Any) -> gateway.Gateway:
+        """Start a gateway and wait until it is ready."""
+        made = await self.unready_gateway(**told)
+        await until(lambda: made.is_ready)
+        return made
+
+    async def unready_gateway(self, **told: Any) -> gateway.Gateway:
+        """Start a gateway."""
+        made = gateway.Gateway(settings(self.store.address, **told))
+        await self._open.enter_async_context(made)
+        return made
+
+    async def caller(self, to: address.Address) -> Caller:
+        """Connect."""
+        connection = http_connection.HttpConnection(
+            headers.REQUEST_ID,
+            lambda closed: None,
+        )
+        await asyncio.get_running_loop().create_connection(
+            lambda: connection,
+            to.ip,
+            to.port,
+        )
+        self._callers.append(Caller(connection))
+        return self._callers[-1]
+
+
+async def until(condition: Any) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(_WAIT_S):
+        while not condition():
+            await asyncio.sleep(_POLL_S)
+
+
+def reply_of(ended: outcome.Outcome) -> outcome.Reply:
+    """Return the reply, which there must be."""
+    assert isinstance(ended, outcome.Reply), ended
+    return ended
--- /dev/null
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -0,0 +1,256 @@
+"""The gateway's decisions under load, played without a network."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from chivepond.decisions import (
+    gather_plan,
+    gather_time,
+    log_limit,
+    recent_count,
+    searcher_choice,
+    searcher_standing,
+    second_ask_time,
+    second_send_budget,
+    weighted_share,
+)
+
+_LIMITS = second_send_budget.BudgetLimits(share=0.2, burst=54, span_s=10)
+
+
+def _standing() -> searcher_standing.SearcherStanding:
+    return searcher_standing.SearcherStanding(2, 0)
+
+
+def _candidate(name, standing, *, near=True, last=False):
+    return searcher_choice.Candidate(
+        searcher_id=name,
+        standing=standing,
+        data_centre='base' if near else 'hub',
+        is_in_data_centre=near,
+        is_in_region=near,
+        is_last_choice=last,
+    )
+
+
+def _choose(candidates, now, *, is_idempotent=True):
+    chosen = searcher_choice.choose(
+        candidates,
+        now,
+        is_idempotent=is_idempotent,
+    )
+    return chosen and chosen.searcher_id
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(
+    strategies.integers(1, 12),
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.001, 0.2),
+            strategies.integers(0, 30),
+        ),
+        min_size=50,
+        max_size=300,
+    ),
+)
+def test_all_gateways_together_stay_within_the_budget(gateways, steps):
+    """Second sends of all gateways broke the bound of a service.
+
+    Each wants a second send for each request, however requests fall on them;
+    in any ten seconds the sum stays within share and burst.
+    """
+    budgets = [
+        second_send_budget.SecondSendBudget(_LIMITS) for _ in range(gateways)
+    ]
+    now = 100.0
+    requests, extras = [], []
+    for pause_s, which in steps:
+        now += pause_s
+        budget = budgets[which % gateways]
+        budget.count_request(now)
+        requests.append(now)
+        if budget.spend(now, gateways):
+            extras.append(now)
+    for start in extras:
+        spent = sum(start <= at < start + 10 for at in extras)
+        seen = sum(start <= at < start + 10 for at in requests)
+        before = sum(start - 10 <= at < start for at in requests)
+        assert spent <= 0.2 * max(seen, before) + 54
+
+
+def test_a_budget_forgets_what_is_older_than_its_span():
+    """A spent budget is whole again after the span."""
+    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    spent = sum(budget.spend(1, 4) for _ in range(100))
+    assert spent == 10
+    assert not budget.spend(10.5, 4)
+    assert budget.spend(12, 4)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.floats(0, 40), min_size=1, max_size=80),
+)
+def test_a_recent_count_is_never_too_low(moments):
+    """The count over a span holds at least each event within it."""
+    count = recent_count.RecentCount(10)
+    for at in sorted(moments):
+        count.add(at)
+    last = max(moments)
+    exact = sum(at > last - 10 for at in moments)
+    loose = sum(at > last - 11 for at in moments)
+    assert exact <= count.read(last) <= loose
+
+
+def test_a_pause_is_seen_by_what_is_overdue():
+    """Searches ran into a pause that others had already met.
+
+    A searcher owes a reply for far longer than usual; the next search asks
+    the other one first, at no cost to the budget.
+    """
+    paused = _standing()
+    other = _standing()
+    near = _candidate('near', paused)
+    far = _candidate('far', other, near=False)
+    for at in range(5):
+        paused.sent(at, at / 10)
+        paused.replied(at, at / 10 + 0.02)
+    assert _choose([near, far], 1) == 'near'
+    paused.sent(9, 1)
+    assert _choose([near, far], 1.03) == 'near'
+    assert _choose([near, far], 1.09) == 'far'
+    paused.replied(9, 1.2)
+    assert _choose([near, far], 3) == 'near'
+
+
+def test_a_slow_searcher_gets_less_and_is_tried_again():
+    """Requests stayed with a searcher that had turned slow."""
+    slow = _standing()
+    near = _candidate('near', slow)
+    far = _candidate('far', _standing(), near=False)
+    now = float(0)
+    for attempt in range(6):
+        slow.sent(attempt, now)
+        now += 0.3
+        slow.replied(attempt, now)
+    assert _choose([near, far], now) == 'far'
+    assert _choose([near, far], now + 20) == 'near'
+
+
+def test_a_silent_searcher_is_distrusted_then_tried():
+    """Each request to a crashed searcher waited out its time."""
+    dark = _standing()
+    near = _candidate('near', dark)
+    far = _candidate('far', _standing(), near=False)
+    dark.sent(1, 0)
+    dark.failed(1, 0.1)
+    dark.sent(2, 0.1)
+    dark.failed(2, 0.2)
+    assert dark.trust(0.3) is searcher_standing.Trust.DISTRUSTED
+    assert _choose([near, far], 0.3) == 'far'
+    assert dark.trust(0.8) is searcher_standing.Trust.ON_TRIAL
+    # What must not run twice goes to a searcher that is known to be sound.
+    assert _choose([near, far], 5, is_idempotent=False) == 'far'
+    dark.sent(3, 5)
+    assert dark.trust(5.1) is searcher_standing.Trust.DISTRUSTED
+    dark.replied(3, 5.2)
+    assert dark.trust(5.3) is searcher_standing.Trust.USABLE
+
+
+def test_a_searcher_that_fails_some_requests_gets_fewer():
+    """Half of the requests failed at a searcher with good health checks."""
+    grey = _standing()
+    rng = random.Random(5)
+    for attempt in range(30):
+        grey.sent(attempt, attempt / 10)
+        if rng.random() < 0.45:
+            grey.failed(attempt, attempt / 10 + 0.02)
+        else:
+            grey.replied(attempt, attempt / 10 + 0.02)
+    candidates = [
+        _candidate('near', grey),
+        _candidate('far', _standing(), near=False),
+    ]
+    assert _choose(candidates, 3) == 'far'
+
+
+def test_a_searcher_that_is_gone_is_the_last_choice():
+    """An entry that vanished counts only where there is no other."""
+    gone = _candidate('gone', _standing(), last=True)
+    slow = _standing()
+    slow.sent(1, 0)
+    assert _choose([gone, _candidate('slow', slow)], 5) == 'slow'
+    assert _choose([gone], 5) == 'gone'
+    assert _choose([], 5) is None
+
+
+def test_second_asks_follow_the_usual_reply():
+    """Late is slower than usual, and never so late that it is no use."""
+    late = second_ask_time.SecondAskTime()
+    assert late.delay_s(0.2) == 0.2 * 0.38
+    for _ in range(300):
+        late.learn(0.02)
+    assert 0.029 < late.delay_s(0.2) < 0.031
+    for _ in range(300):
+        late.learn(0.5)
+    assert late.delay_s(0.2) == 0.2 * 0.38
+
+
+@hypothesis.given(
+    strategies.integers(1, 400),
+    strategies.floats(0.01, 1),
+)
+def test_the_needed_parts_make_the_least_share(shards, least_share):
+    """One part fewer than needed is below the least share."""
+    needed = gather_time.Coverage(shards, least_share).needed
+    assert needed / shards >= least_share
+    assert needed == 1 or (needed - 1) / shards < least_share
+
+
+def test_an_answer_leaves_time_for_its_way_back():
+    """An answer given at the target latency itself arrives late."""
+    assert gather_time.answer_at(10, 0.2) < 10.2 - 0.01
+    assert gather_time.answer_at(10, 0.01) > 10
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.text(min_size=1, max_size=3),
+        strategies.integers(1, 50),
+        min_size=1,
+        max_size=5,
+    ),
+    strategies.integers(1, 200),
+)
+def test_any_run_of_turns_keeps_the_weights(weight_by_name, turns):
+    """Each part is within two requests of its share at any moment."""
+    share = weighted_share.WeightedShare(weight_by_name)
+    taken = [share.take() for _ in range(turns)]
+    whole = sum(weight_by_name.values())
+    for name, weight in weight_by_name.items():
+        assert abs(taken.count(name) - turns * weight / whole) < 2
+
+
+def test_groups_are_asked_where_their_searchers_are():
+    """Parts of twenty shards crossed regions one by one."""
+    best = {'a': 'hub', 'b': 'hub', 'c': 'hub', 'd': 'base', 'e': 'far'}
+    regions = {'base': 'coast', 'hub': 'inland', 'far': 'north'}
+    made = gather_plan.plan(best, regions, 'base', frozenset(('hub', 'far')))
+    assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c']}
+    assert set(made.direct) == {'d', 'e'}
+    alone = gather_plan.plan(best, regions, 'base', frozenset())
+    assert set(alone.direct) == set(best)
+
+
+def test_a_flood_of_one_event_leaves_the_others_their_lines():
+    """An overload's refusals drowned the line that told its cause."""
+    limit = log_limit.LogLimit()
+    written = sum(
+        limit.take(1, 20, step / 1000) is not None for step in range(10000)
+    )
+    assert 200 <= written <= 280
+    assert limit.take(2, 20, 10) == 0
+    left_out = limit.take(1, 20, 20)
+    assert left_out > 0
--- /dev/null
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -0,0 +1,295 @@
+"""The gateway's way of a request that every shard answers a part of."""
+
+import asyncio
+import struct
+
+import hypothesis
+from hypothesis import strategies
+
+from chivepond.gateway import merge
+from chivepond.platform import headers
+from chivepond.standins import scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+Got = scripted_searcher.Got
+Told = scripted_searcher.Told
+
+_SHARDS = ('a', 'b', 'c', 'd')
+
+
+def _record(number: int) -> bytes:
+    return struct.pack('>QQ', number, 0)
+
+
+def _part(signature: str, *numbers: int) -> scripted_searcher.Reply:
+    async def reply(got: Got) -> Told:
+        body = b''.join(_record(number) for number in numbers)
+        return scripted_searcher.good(got, body + b'rest', signature)
+
+    return reply
+
+
+async def _hang(got: Got) -> Told:
+    await asyncio.sleep(3)
+    return Told(b'')
+
+
+def _search(**told):
+    return gateway_bench.route(
+        'search',
+        '/search/',
+        **{
+            'gather': list(_SHARDS),
+            'top_k': 3,
+            'min_shard_ratio': 0.75,
+            'target_latency_ms': 300,
+        }
+        | told,
+    )
+
+
+async def _start(bench: gateway_bench.Bench, **reply_by_shard):
+    """Start a searcher for each shard, and a gateway."""
+    searchers = {}
+    for number, shard in enumerate(_SHARDS):
+        reply = reply_by_shard.get(shard, _part(shard, number, number + 10))
+        searchers[shard] = await bench.searcher(f's-{shard}', shard, reply)
+    bench.configure(1, _search())
+    return searchers, await bench.ready_gateway()
+
+
+def _signatures(reply) -> set[bytes]:
+    told = reply.headers.get(headers.PART_SIGNATURES)
+    return set(told.split(b', '))
+
+
+def test_an_answer_is_the_greatest_records_of_all_parts():
+    """All shards reply: the greatest records, falling, and no shard missing."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers, gate = await _start(bench)
+            caller = await bench.caller(gate.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.body == b''.join(map(_record, (13, 12, 11)))
+            assert _signatures(reply) == {b'a', b'b', b'c', b'd'}
+            assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+            assert all(len(one.got) == 1 for one in searchers.values())
+
+    support.run(play())
+
+
+def test_an_answer_at_the_target_latency_names_what_it_lacks():
+    """A rescue team waited for one slow logbook.
+
+    One shard of four hangs. The answer comes within the target latency with
+    the three parts that are in, and says that one is missing.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, d=_hang)
+            caller = await bench.caller(gate.callers)
+            began = asyncio.get_running_loop().time()
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert asyncio.get_running_loop().time() - began < 0.32
+            assert reply.headers.get(headers.MISSING_SHARDS) == b'1'
+            assert _signatures(reply) == {b'a', b'b', b'c'}
+
+    support.run(play())
+
+
+def test_a_failure_is_no_part():
+    """A searcher's failure carries a signature, but nothing of its shard."""
+
+    async def fail(got: Got) -> Told:
+        told = scripted_searcher.good(got, _record(99), 'bad')
+        return Told(told.written.replace(b'200 OK', b'500 No'))
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, b=fail)
+            caller = await bench.caller(gate.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert _signatures(reply) == {b'a', b'c', b'd'}
+            assert _record(99) not in reply.body
+
+    support.run(play())
+
+
+def test_too_few_parts_are_no_answer():
+    """Two of four shards fail where three are needed: said at once."""
+
+    async def full(got: Got) -> Told:
+        return scripted_searcher.not_run(503)
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, b=full, c=full)
+            caller = await bench.caller(gate.callers)
+            began = asyncio.get_running_loop().time()
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.status == 502
+            assert asyncio.get_running_loop().time() - began < 0.29
+
+    support.run(play())
+
+
+def test_a_search_that_can_not_be_whole_enough_is_refused_at_once():
+    """Two of four shards have no searcher: refused before any is asked."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            one = await bench.searcher('s-a', 'a', _part('a', 1))
+            await bench.searcher('s-b', 'b', _part('b', 1))
+            bench.configure(1, _search())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.status == 503
+            assert reply.headers.get(b'retry-after')
+            assert not one.got
+
+    support.run(play())
+
+
+def test_a_paused_searcher_is_asked_around():
+    """A search waited for a searcher in a pause.
+
+    The second searcher of the shard is asked while the first one is paused,
+    and the answer is whole and in time.
+    """
+
+    async def paused(got: Got) -> Told:
+        await asyncio.sleep(1)
+        return scripted_searcher.good(got, _record(1), 'late')
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, c=paused)
+            other = await bench.searcher(
+                's-c2',
+                'c',
+                _part('c2', 7),
+                zone='hub',
+            )
+            await gateway_bench.until(lambda: gate.searchers_known == 5)
+            caller = await bench.caller(gate.callers)
+            began = asyncio.get_running_loop().time()
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert asyncio.get_running_loop().time() - began < 0.25
+            assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+            assert len(other.got) == 1
+
+    support.run(play())
+
+
+def test_another_gateway_gathers_beside_the_searchers():
+    """Parts cross to another region as one message, not one by one."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    _part(shard, number),
+                    zone='hub',
+                )
+                for number, shard in enumerate(_SHARDS)
+            ]
+            bench.configure(1, _search())
+            there = await bench.ready_gateway(
+                node_id='gate-2', data_centre='hub'
+            )
+            here = await bench.ready_gateway()
+            await gateway_bench.until(lambda: here.gateways_known == 2)
+            caller = await bench.caller(here.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.body == b''.join(map(_record, (3, 2, 1)))
+            assert _signatures(reply) == {b'a', b'b', b'c', b'd'}
+            assert all(len(one.got) == 1 for one in searchers)
+            assert there.searcher_connections == 4
+            assert here.searcher_connections == 0
+
+    support.run(play())
+
+
+def test_a_gateway_that_is_gone_is_no_need():
+    """The gateway beside the searchers ended: they are asked from here."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for number, shard in enumerate(_SHARDS):
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    _part(shard, number),
+                    zone='hub',
+                )
+            bench.configure(1, _search())
+            there = await bench.ready_gateway(
+                node_id='gate-2', data_centre='hub'
+            )
+            here = await bench.ready_gateway()
+            await gateway_bench.until(lambda: here.gateways_known == 2)
+            await there.__aexit__(None, None, None)
+            caller = await bench.caller(here.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+
+    support.run(play())
+
+
+def test_a_silent_gateway_makes_no_third_attempt():
+    """A search ran on three searchers of one shard where two are allowed.
+
+    The other gateway had asked two and fell silent; asked again from here,
+    the shard would have run it a third time.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    _part(shard, number),
+                    zone='hub',
+                )
+                for number, shard in enumerate(_SHARDS)
+            ]
+            bench.configure(1, _search())
+            silent = scripted_searcher.ScriptedSearcher(_hang)
+            async with silent:
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(silent.address), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(lambda: here.gateways_known == 2)
+                caller = await bench.caller(here.callers)
+                reply = gateway_bench.reply_of(await caller.get('/search/x'))
+                assert reply.status == 502
+                assert not any(one.got for one in searchers)
+                # The next search knows better and asks from here.
+                reply = gateway_bench.reply_of(await caller.get('/search/x'))
+                assert reply.status == 200
+
+    support.run(play())
+
+
+@hypothesis.given(
+    strategies.lists(strategies.binary(max_size=100), max_size=6),
+    strategies.integers(1, 8),
+)
+def test_merging_is_sorting_all_whole_records(bodies, count):
+    """The greatest records, falling; equal ones all count."""
+    records = [
+        body[start : start + 16]
+        for body in bodies
+        for start in range(0, len(body) // 16 * 16, 16)
+    ]
+    expected = b''.join(sorted(records, reverse=True)[:count])
+    assert merge.greatest(bodies, count) == expected
--- /dev/null
+++ b/chivepond/tests/test_gateway_news.py
@@ -0,0 +1,288 @@
+"""What a gateway believes of routes and searchers, and when it changes."""
+
+import asyncio
+
+import pytest
+
+from chivepond.platform import store_calls
+from chivepond.standins import scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+Got = scripted_searcher.Got
+Told = scripted_searcher.Told
+
+
+async def _echo(got: Got) -> Told:
+    return scripted_searcher.good(got, got.line)
+
+
+def _route(service: str = 'desk', prefix: str = '/r/'):
+    return gateway_bench.route('r', prefix, service=service)
+
+
+async def _status(caller, path: str = '/r/') -> int:
+    return gateway_bench.reply_of(await caller.get(path)).status
+
+
+def test_a_newer_version_is_in_force_at_once_and_never_goes_back():
+    """A dropped route served again.
+
+    Version 3 drops a route. An older version that arrives later, as after a
+    lost watch, changes nothing.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route(), _route(prefix='/old/'))
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            assert await _status(caller, '/old/') == 200
+            bench.configure(3, _route())
+            await gateway_bench.until(lambda: gate.routes_version == 3)
+            assert await _status(caller, '/old/') == 404
+            bench.configure(2, _route(), _route(prefix='/old/'))
+            bench.store.forget()
+            await asyncio.sleep(0.3)
+            assert await _status(caller, '/old/') == 404
+
+    support.run(play())
+
+
+def test_an_unreadable_version_changes_nothing():
+    """A configuration that can't be read leaves the one before in force."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            bench.store.put('config', 'main', {'version': 'x', 'routes': []})
+            await asyncio.sleep(0.2)
+            assert await _status(caller) == 200
+
+    support.run(play())
+
+
+def test_nothing_is_known_yet():
+    """A gateway that knows no configuration refuses; it never says 404."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            bench.store.remove('config', 'main')
+            fresh = await bench.unready_gateway(node_id='gate-2')
+            caller = await bench.caller(fresh.callers)
+            assert await _status(caller) == 503
+            assert gate.is_ready
+            assert not fresh.is_ready
+            asked = await bench.caller(fresh.readiness)
+            assert await _status(asked, '/api/ready') == 503
+
+    support.run(play())
+
+
+def test_a_leaving_searcher_gets_no_new_requests():
+    """A searcher that said it leaves was asked until it was gone."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            leaving = await bench.searcher('s-1', 'desk', _echo)
+            other = await bench.searcher('s-2', 'desk', _echo, zone='hub')
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            assert await _status(caller) == 200
+            assert len(leaving.got) == 1
+            bench.register(
+                's-1',
+                'desk',
+                leaving.address,
+                state='draining',
+                sequence=2,
+            )
+            await asyncio.sleep(0.2)
+            for _ in range(5):
+                assert await _status(caller) == 200
+            assert len(leaving.got) == 1
+            assert len(other.got) == 5
+
+    support.run(play())
+
+
+def test_a_report_of_an_earlier_life_takes_no_searcher_out():
+    """A searcher that had started again was seen as leaving.
+
+    Its earlier life's last report was written late, after its own first one.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo, born=2000)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            bench.register(
+                's-1',
+                'desk',
+                searcher.address,
+                born=1000,
+                state='draining',
+                sequence=99,
+            )
+            await asyncio.sleep(0.2)
+            assert await _status(caller) == 200
+
+    support.run(play())
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        {'slots': 'two'},
+        {'state': 'asleep'},
+        {'address': 'nowhere'},
+        {'sequence': None},
+        {'born': 1.5},
+        {'service': 7},
+        {'warmup_left_ms': 'soon'},
+    ],
+)
+def test_an_entry_that_names_no_searcher_is_passed_over(wrong):
+    """One entry of another writer's hides none of the others."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo)
+            told = gateway_bench.entry('desk', searcher.address) | wrong
+            bench.store.put('servers', 's-0', told)
+            bench.store.put('servers', 's-2', 'no entry at all')
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            assert gate.searchers_known == 1
+            caller = await bench.caller(gate.callers)
+            assert await _status(caller) == 200
+
+    support.run(play())
+
+
+def test_an_address_given_away_is_not_asked_again():
+    """Second sends of a healthy service ran out.
+
+    A searcher died and its address went to a searcher of another service;
+    each ask arrived there and was turned away as an extra one.
+    """
+
+    async def misdirected(got: Got) -> Told:
+        return Told(b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n')
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            stranger = await bench.searcher('s-1', 'desk', misdirected)
+            await bench.searcher('s-2', 'desk', _echo, zone='hub')
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            for _ in range(6):
+                assert await _status(caller) == 200
+            assert len(stranger.got) == 1
+            # Its entry, told once more, changes nothing.
+            bench.register('s-1', 'desk', stranger.address, sequence=2)
+            await asyncio.sleep(0.2)
+            assert await _status(caller) == 200
+            assert len(stranger.got) == 1
+
+    support.run(play())
+
+
+def test_the_later_searcher_at_an_address_has_it():
+    """The entry of a dead searcher outlives it; the address is another's."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-new', 'new', _echo, born=2000)
+            bench.register('s-old', 'desk', searcher.address, born=1000)
+            bench.configure(1, _route(), _route('new', '/new/'))
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            assert await _status(caller, '/new/') == 200
+            assert await _status(caller) == 503
+            assert len(searcher.got) == 1
+
+    support.run(play())
+
+
+def test_entries_that_lapse_for_a_moment_stay_usable():
+    """Searches failed when the store came back.
+
+    While it was away all entries lapsed; they were back within two seconds,
+    and the searchers had served all along.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            bench.store.remove(store_calls.SEARCHERS, 's-1')
+            await asyncio.sleep(0.3)
+            assert await _status(caller) == 200
+            bench.register('s-1', 'desk', searcher.address, sequence=2)
+            await asyncio.sleep(2.2)
+            assert await _status(caller) == 200
+            bench.store.remove(store_calls.SEARCHERS, 's-1')
+            await asyncio.sleep(2.3)
+            assert await _status(caller) == 503
+
+    support.run(play())
+
+
+def test_the_store_may_refuse_forget_and_cut():
+    """The store turned calls away, lost its history and its connections.
+
+    The gateway serves on with what it knows, and is in step again soon after.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            for version, status in ((2, 503), (3, 429), (4, 410), (5, 500)):
+                bench.store.refuse = _always(status)
+                bench.store.cut()
+                bench.configure(version, _route())
+                await asyncio.sleep(0.2)
+                assert await _status(caller) == 200
+                bench.store.refuse = _always(None)
+                await _until_version(gate, version)
+
+    support.run(play())
+
+
+async def _until_version(gate, version: int) -> None:
+    await gateway_bench.until(lambda: gate.routes_version == version)
+
+
+def _always(status):
+    return lambda path: status
+
+
+def test_a_long_list_is_read_page_by_page():
+    """More searchers than one page holds are all known."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo)
+            for number in range(120):
+                place = type(searcher.address)('127.0.0.9', 1000 + number)
+                bench.register(f'x-{number:03}', 'other', place)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            assert gate.searchers_known == 121
+
+    support.run(play())
--- /dev/null
+++ b/chivepond/tests/test_platform_adapter.py
@@ -0,0 +1,144 @@
+"""The adapter: what the platform writes becomes the product's own types."""
+
+import json
+import pathlib
+import re
+import types
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from chivepond.gateway import routing_table
+from chivepond.platform import configuration_codec, searcher_codec, store_calls
+from chivepond.settings import gateway_settings, loader
+from chivepond.tests import gateway_bench
+from chivepond.transport import address
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_NODE = types.MappingProxyType(
+    {
+        'node_name': 'edge-base-1',
+        'zone': 'base',
+        'zones': {'base': 'coast'},
+        'listen.front': '10.1.0.9:8104',
+        'listen.ready': '10.1.0.9:8108',
+        'platform.address': '10.200.1.7:8102',
+        'internal_port_range': [7380, 7395],
+        'seeds': [],
+        'limits.memory_mb': 300,
+        'limits.max_fds': 4100,
+        'limits.link_mbps': 1000.0,
+        'bounds.grace_s': 6,
+        'bounds.retry_budget_ratio': 0.2,
+        'bounds.retry_budget_burst': 54,
+        'bounds.budget_window_s': 10,
+        'bounds.config_apply_ms': 3000,
+        'bounds.drain_ms': 3000,
+    }
+)
+
+
+def _decoded(*routes):
+    spec = json.dumps(gateway_bench.configuration(4, *routes)).encode()
+    return configuration_codec.decode(spec).unwrap()
+
+
+def test_routes_become_targets():
+    """One service, shares by weight, or all shards."""
+    parts = [{'service': 'x', 'weight': 3}, {'service': 'y', 'weight': 1}]
+    table = _decoded(
+        gateway_bench.route('one', '/one/', service='desk'),
+        gateway_bench.route('split', '/split/', traffic_split=parts),
+        gateway_bench.route(
+            'all',
+            '/all/',
+            gather=['a', 'b'],
+            top_k=5,
+            min_shard_ratio=0.5,
+        ),
+    )
+    by_name = {
+        route.name: route.target
+        for routes in table.routes_by_host.values()
+        for route in routes
+    }
+    assert by_name == {
+        'one': routing_table.OneService('desk'),
+        'split': routing_table.WeightedServices({'x': 3, 'y': 1}),
+        'all': routing_table.AllShards(('a', 'b'), 5, 0.5),
+    }
+
+
+def test_the_longest_prefix_wins():
+    """A request goes by the longest prefix that begins its path."""
+    table = _decoded(
+        gateway_bench.route('short', '/a/', service='x'),
+        gateway_bench.route('long', '/a/b/', service='y'),
+    )
+    host = gateway_bench.HOST.encode()
+    assert table.find(host, b'/a/b/c').name == 'long'
+    assert table.find(host, b'/a/bc').name == 'short'
+    assert table.find(host, b'/b/') is None
+    assert table.find(b'other.example', b'/a/') is None
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_odd_bytes_are_typed_errors(raw):
+    """Bytes that are no document raise nothing."""
+    assert configuration_codec.decode(raw).is_err()
+    assert searcher_codec.decode('s', raw).is_err()
+
+
+def test_fields_that_are_new_are_passed_over():
+    """A field that a later platform adds hides nothing."""
+    place = address.Address('127.0.0.1', 80)
+    told = gateway_bench.entry('desk', place) | {'later': {'x': 1}}
+    record = searcher_codec.decode('s', json.dumps(told).encode()).unwrap()
+    assert (record.service, record.slots) == ('desk', 2)
+
+
+def test_paths_of_the_store_are_encoded():
+    """Names go into paths and queries as they must."""
+    assert store_calls.list_path('k', 'a b&c') == (
+        '/api/objects/k?after=a+b%26c'
+    )
+    assert store_calls.object_path('k', 'a/b') == '/api/objects/k/a%2Fb'
+    made = msgspec.json.decode(store_calls.new_object('n', {'x': 1}))
+    assert made == {'meta': {'name': 'n'}, 'spec': {'x': 1}}
+
+
+def test_the_template_makes_settings_of_our_own():
+    """What the platform fills in is read without a trouble."""
+    template = (_ROOT / 'chivepond/platform/gateway.yaml').read_text()
+    filled = re.sub(
+        r'\{\{([\w.]+)\|json\}\}',
+        lambda found: json.dumps(_NODE[found[1]]),
+        template,
+    )
+    loaded = loader.parse(
+        gateway_settings.GatewaySettings,
+        filled.encode(),
+        'template',
+    )
+    settings = loaded.unwrap()
+    assert settings.data_centre == 'base'
+    assert settings.peer_ports == (7380, 7395)
+    assert settings.second_send_burst == 54
+
+
+def test_no_name_of_the_platform_stands_outside_the_adapter():
+    """Headers and fields of the platform are spelled in one folder only."""
+    names = re.compile(
+        'x-part-stamps|x-missing-parts|x-server-stamp|x-expect-instance|'
+        'x-not-executed|x-server-load|x-deadline-ms|min_shard_ratio|'
+        'traffic_split|warmup_left_ms|target_latency_ms|stale_ok',
+        re.IGNORECASE,
+    )
+    found = [
+        str(path)
+        for path in (_ROOT / 'chivepond').rglob('*.py')
+        if not {'platform', 'tests'} & set(path.parts)
+        and names.search(path.read_text())
+    ]
+    assert not found
