News from peers while the store turns a gateway away; groups that nobody asked are asked from here

A group that came 5 ms late was lost whole. Change: each kind is a copy fed in the order of revisions by the store or by another gateway; seeds are asked at a start without the store; a group's unasked shards are asked from here; a late group still counts where it is needed. Ruled out: more second asks (none were left out for budget).

--- /dev/null
+++ b/chivepond/gateway/figures.py
@@ -0,0 +1,40 @@
+"""What a gateway knows, in figures."""
+
+from chivepond.gateway import peers, requests_way, searchers
+
+
+class Figures:
+    """Reads figures off the parts of a gateway."""
+
+    __slots__ = ('_peers', '_searchers', '_way')
+
+    def __init__(
+        self,
+        way: requests_way.RequestsWay,
+        known: searchers.Searchers,
+        others: peers.Peers,
+    ) -> None:
+        """Read off these parts."""
+        self._way = way
+        self._searchers = known
+        self._peers = others
+
+    @property
+    def routes_version(self) -> int | None:
+        """The version of the routes in force."""
+        return self._way.table and self._way.table.version
+
+    @property
+    def searchers_known(self) -> int:
+        """How many searchers are registered."""
+        return self._searchers.count
+
+    @property
+    def searcher_connections(self) -> int:
+        """How many connections to searchers are open."""
+        return self._searchers.connections
+
+    @property
+    def gateways_known(self) -> int:
+        """How many gateways are registered, this one included."""
+        return self._peers.gateways
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -11,13 +11,16 @@
     budgets,
     caller_connection,
     caller_request,
+    figures,
     kind_reader,
     listener,
     metrics_page,
     news,
+    news_follower,
     peer_registry,
     peer_service,
     peers,
+    replica,
     requests_way,
     routing_table,
     searchers,
@@ -41,6 +44,13 @@
 _POLL_S = 0.05
 
 
+_Reader = (
+    kind_reader.KindReader
+    | news_follower.NewsFollower
+    | peer_registry.PeerRegistry
+)
+
+
 class Gateway:
     """Reads the store, serves callers, and stops without cutting any."""
 
@@ -54,12 +64,14 @@
         '_peers',
         '_readers',
         '_readiness',
+        '_replica_by_kind',
         '_searchers',
         '_settings',
         '_telemetry',
         '_tools',
         '_was_ready',
         '_way',
+        'figures',
     )
 
     def __init__(self, settings: gateway_settings.GatewaySettings) -> None:
@@ -69,7 +81,11 @@
         self._is_stopping = False
         self._was_ready = False
         self._telemetry = telemetry.Telemetry()
-        self._peers = peers.Peers(settings.node_id, self._telemetry)
+        self._peers = peers.Peers(
+            settings.node_id,
+            self._telemetry,
+            _seeds(settings),
+        )
         self._searchers = searchers.Searchers(
             settings.data_centre,
             settings.region_by_data_centre,
@@ -83,17 +99,44 @@
             telemetry=self._telemetry,
         )
         self._way = requests_way.RequestsWay(self._tools, self._peers)
+        self.figures = figures.Figures(
+            self._way,
+            self._searchers,
+            self._peers,
+        )
         self._news = news.News(
             self._searchers,
             self._way,
             self._telemetry,
             self._take_news,
         )
+        changed = asyncio.Event()
+        self._replica_by_kind = {
+            store_calls.SEARCHERS: replica.Replica(
+                replica.Sink(
+                    self._news.take_searchers,
+                    self._news.take_searcher_change,
+                ),
+                changed,
+            ),
+            store_calls.CONFIGURATION: replica.Replica(
+                replica.Sink(
+                    self._news.take_configurations,
+                    self._news.take_configuration_change,
+                ),
+                changed,
+            ),
+        }
         self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
-            str(self._on_own_ip(settings.peer_ports[0])),
-            peer_service.PeerService(self._tools, self._tell_stopping).serve,
+            settings.peers,
+            peer_service.PeerService(
+                self._tools,
+                self._replica_by_kind,
+                changed,
+                self._tell_stopping,
+            ).serve,
         )
         self._metrics_listener = self._make_metrics()
         self._readers: list[asyncio.Task[None]] = []
@@ -142,6 +185,11 @@
         """Where the balancer asks, with the port that the system gave."""
         return self._readiness.address
 
+    @property
+    def peers(self) -> address.Address:
+        """Where other gateways ask, with the port that the system gave."""
+        return self._peer_listener.address
+
     @property
     def metrics(self) -> address.Address:
         """Where metrics are read, with the port that the system gave."""
@@ -152,26 +200,6 @@
         """How many requests of callers are in work."""
         return self._front.working
 
-    @property
-    def routes_version(self) -> int | None:
-        """The version of the routes in force."""
-        return self._way.table and self._way.table.version
-
-    @property
-    def searchers_known(self) -> int:
-        """How many searchers are registered."""
-        return self._searchers.count
-
-    @property
-    def searcher_connections(self) -> int:
-        """How many connections to searchers are open."""
-        return self._searchers.connections
-
-    @property
-    def gateways_known(self) -> int:
-        """How many gateways are registered, this one included."""
-        return self._peers.gateways
-
     @property
     def is_ready(self) -> bool:
         """Whether the balancer shall send callers here."""
@@ -225,29 +253,22 @@
 
     def _make_readers(
         self,
-    ) -> tuple[kind_reader.KindReader | peer_registry.PeerRegistry, ...]:
+    ) -> tuple[_Reader, ...]:
         store = address.parse(self._settings.store).unwrap()
         entry = gateway_entry.GatewayEntry(
             str(self._peer_listener.address),
             self._settings.data_centre,
         )
+        readers = [
+            kind_reader.KindReader(kind, store, copy, self._telemetry)
+            for kind, copy in self._replica_by_kind.items()
+        ]
         return (
-            kind_reader.KindReader(
-                store_calls.SEARCHERS,
-                store,
-                kind_reader.Sink(
-                    self._news.take_searchers,
-                    self._news.take_searcher_change,
-                ),
-                self._telemetry,
-            ),
-            kind_reader.KindReader(
-                store_calls.CONFIGURATION,
-                store,
-                kind_reader.Sink(
-                    self._news.take_configurations,
-                    self._news.take_configuration_change,
-                ),
+            *readers,
+            news_follower.NewsFollower(
+                self._replica_by_kind,
+                self._peers,
+                lambda: any(reader.is_lost for reader in readers),
                 self._telemetry,
             ),
             peer_registry.PeerRegistry(
@@ -274,9 +295,12 @@
         told.gauge('ready', int(self.is_ready))
         told.gauge('caller_connections', self._front.connections)
         told.gauge('requests_in_work', self._front.working)
-        told.gauge('gateways_known', self._peers.gateways)
-        told.gauge('searchers_known', self._searchers.count)
-        told.gauge('searcher_connections', self._searchers.connections)
+        for name in (
+            'gateways_known',
+            'searchers_known',
+            'searcher_connections',
+        ):
+            told.gauge(name, getattr(self.figures, name))
 
     def _listener(
         self,
@@ -319,6 +343,17 @@
         return answer.refusal(_UNAVAILABLE, 'not ready')
 
 
+def _seeds(
+    settings: gateway_settings.GatewaySettings,
+) -> list[address.Address]:
+    parsed = (address.parse(place) for place in settings.seeds)
+    return [
+        one.unwrap()
+        for one in parsed
+        if one.is_ok() and str(one.unwrap()) != settings.peers
+    ]
+
+
 def _budget_limits(
     settings: gateway_settings.GatewaySettings,
 ) -> second_send_budget.BudgetLimits:
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -27,6 +27,9 @@
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
+#: How long after the answer was due a group still helps, in seconds, where
+#: there are too few parts without it.
+_PEER_LATE_S = 0.04
 #: What is left between the other gateway's reply and the answer, in seconds.
 _PEER_MARGIN_S = 0.004
 
@@ -119,12 +122,15 @@
         ended: outcome.Outcome = outcome.NotSent('no gateway there')
         if link is not None:
             way_s = self._peers.way_s(link.end.name)
-            message = peer_message.PeerMessage(
+            message = peer_message.gather_message(
                 self._gather_request(shards, way_s),
             )
             began = asyncio.get_running_loop().time()
             self._trace.note(f'{len(shards)} shards: asked of {link.end.name}')
-            ended = await link.ask(message, self._search.answer_at)
+            ended = await link.ask(
+                message,
+                self._search.answer_at + _PEER_LATE_S,
+            )
         match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
                 reply = msgspec.msgpack.decode(
@@ -133,7 +139,7 @@
                 )
                 took_s = asyncio.get_running_loop().time() - began
                 self._peers.learn_way(link.end.name, took_s - reply.took_s)
-                self._take_group(reply)
+                self._take_group(reply, asks)
             case outcome.Broken(reason=reason):
                 self._lose_group(shards, f'{link.end.name}: {reason}')
             case _:
@@ -162,8 +168,10 @@
     def _take_group(
         self,
         reply: gather_request.GatherReply,
+        asks: gather_asks.GatherAsks,
     ) -> None:
         self._parts.take_group(reply)
+        self._ask_instead(reply.unasked, asks)
         self._trace.note(f'a group came after {reply.took_s:.3f} s of work')
 
     def _lose_group(self, shards: list[str], reason: str) -> None:
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -18,6 +18,7 @@
         'settled',
         'shards',
         'signature_by_shard',
+        'unasked',
     )
 
     def __init__(self, shards: tuple[str, ...], needed: int) -> None:
@@ -28,6 +29,8 @@
         self.signature_by_shard: dict[str, bytes] = {}
         self.reason_by_shard: dict[str, str] = {}
         self.has_run = False
+        #: Shards whose part won't come and that no searcher was asked for.
+        self.unasked: list[str] = []
         #: Set once there are enough parts, or can't be any more.
         self.settled = asyncio.Event()
 
@@ -64,6 +67,8 @@
         """Take the news that a part won't come."""
         self.has_run |= has_run
         self.reason_by_shard[shard] = reason
+        if not has_run:
+            self.unasked.append(shard)
         self._settle()
 
     def take_group(self, reply: gather_request.GatherReply) -> None:
@@ -71,7 +76,9 @@
         self.has_run = True
         self.bodies.append(reply.records)
         self.signature_by_shard.update(reply.signature_by_shard)
-        self.reason_by_shard.update(reply.reason_by_shard)
+        for shard, reason in reply.reason_by_shard.items():
+            if shard not in reply.unasked:
+                self.reason_by_shard[shard] = reason
         self._settle()
 
     def _settle(self) -> None:
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -1,14 +1,12 @@
 """Keeps in step with one kind of object in the platform's store."""
 
 import asyncio
-import dataclasses
 import random
-from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
-from chivepond.gateway import outcome, store_client, telemetry
+from chivepond.gateway import outcome, replica, store_client, telemetry
 from chivepond.observe import events
 from chivepond.platform import store_calls
 from chivepond.transport import address
@@ -22,7 +20,9 @@
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.8
 #: Between two watches, in seconds: changes that come together cost one call.
-_GATHER_S = 0.05
+#: News may be seconds old by the operators' bounds; a quarter of a second
+#: takes little of that.
+_GATHER_S = 0.25
 #: Spreads the calls of gateways that failed at the same moment.
 _JITTER = (0.7, 1.3)
 _OK = 200
@@ -30,39 +30,32 @@
 Told = TypeVar('Told')
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Sink:
-    """Who takes what is read."""
-
-    on_list: Callable[[list[store_calls.StoredObject]], None]
-    on_change: Callable[[store_calls.Change], None]
-
-
 class KindReader:
     """Lists a kind once, then watches it; lists again where that fails."""
 
     __slots__ = (
         '_client',
-        '_is_lost',
         '_kind',
         '_pause_s',
-        '_sink',
+        '_replica',
         '_telemetry',
+        'is_lost',
     )
 
     def __init__(
         self,
         kind: str,
         place: address.Address,
-        sink: Sink,
+        copy: replica.Replica,
         told: telemetry.Telemetry,
     ) -> None:
-        """Hand lists and changes to ``sink``."""
+        """Keep ``copy`` in step."""
         self._kind = kind
         self._client = store_client.StoreClient(place)
-        self._sink = sink
+        self._replica = copy
         self._telemetry = told
-        self._is_lost = False
+        #: Whether the last call failed.
+        self.is_lost = False
         self._pause_s = _FIRST_PAUSE_S
 
     async def run(self) -> None:
@@ -88,7 +81,7 @@
             as_of = page.as_of if as_of is None else as_of
             found.extend(page.items)
             if not page.has_more or not page.items:
-                self._sink.on_list(found)
+                self._replica.take_list(found, as_of)
                 return as_of
             after = page.items[-1].meta.name
 
@@ -105,9 +98,8 @@
             )
             if changes is None:
                 return
-            for change in changes.events:
-                self._sink.on_change(change)
             revision = changes.as_of
+            self._replica.take_changes(changes.events, revision)
             await asyncio.sleep(_GATHER_S)
 
     async def _read(
@@ -134,15 +126,15 @@
         return told
 
     async def _lose(self, why: str) -> None:
-        if not self._is_lost:
-            self._is_lost = True
+        if not self.is_lost:
+            self.is_lost = True
             self._telemetry.tell(events.SOURCE_LOST, kind=self._kind, why=why)
         await self._pause()
 
     def _regain(self) -> None:
         self._pause_s = _FIRST_PAUSE_S
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_lost:
+            self.is_lost = False
             self._telemetry.tell(events.SOURCE_REGAINED, kind=self._kind)
 
     async def _pause(self) -> None:
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -1,31 +1,50 @@
-"""A request for a gather in the form in which another gateway gets it."""
+"""Requests between gateways in the form in which they are sent."""
+
+import itertools
 
 import msgspec
 
 from chivepond.platform import headers
-from chivepond.wire import gather_request
+from chivepond.wire import gateway_news, gather_request
+
+GATHER_PATH = b'/v1/gather'
+NEWS_PATH = b'/v1/news'
 
-PATH = b'/v1/gather'
+_numbers = itertools.count(1)
 
 
 class PeerMessage:
-    """One gather; its identifier pairs it with its reply."""
+    """One request; its identifier pairs it with its reply."""
 
-    __slots__ = ('_asked', 'is_head', 'request_id')
+    __slots__ = ('_body', '_path', 'is_head', 'request_id')
 
-    def __init__(self, asked: gather_request.GatherRequest) -> None:
-        """Carry ``asked``."""
-        self._asked = asked
-        self.request_id = asked.request_id
+    def __init__(self, path: bytes, request_id: bytes, body: bytes) -> None:
+        """Carry ``body`` to ``path``."""
+        self._path = path
+        self._body = body
+        self.request_id = request_id
         self.is_head = False
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes; the receiver's name goes along as the host."""
-        body = msgspec.msgpack.encode(self._asked)
-        head = b'POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n' % (
-            PATH,
+        return b'POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n%s' % (
+            self._path,
             receiver.encode(),
             headers.REQUEST_ID,
             self.request_id,
+            b'Content-Length',
+            len(self._body),
+            self._body,
         )
-        return b'%sContent-Length: %d\r\n\r\n%s' % (head, len(body), body)
+
+
+def gather_message(asked: gather_request.GatherRequest) -> PeerMessage:
+    """Return the request for a gather, under the caller's identifier."""
+    body = msgspec.msgpack.encode(asked)
+    return PeerMessage(GATHER_PATH, asked.request_id, body)
+
+
+def news_message(asked: gateway_news.NewsRequest) -> PeerMessage:
+    """Return the request for news."""
+    number = b'news-%d' % next(_numbers)
+    return PeerMessage(NEWS_PATH, number, msgspec.msgpack.encode(asked))
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -10,6 +10,7 @@
 from chivepond.gateway import link as links
 from chivepond.gateway import peer_record, telemetry
 from chivepond.observe import events
+from chivepond.transport import address
 
 #: Connections to one other gateway; each carries one gather at a time.
 _CONNECTIONS = 8
@@ -31,12 +32,22 @@
         '_known_by_id',
         '_link_by_id',
         '_own_id',
+        '_seeds',
         '_telemetry',
         '_way_s_by_id',
     )
 
-    def __init__(self, own_id: str, told: telemetry.Telemetry) -> None:
-        """Know none."""
+    def __init__(
+        self,
+        own_id: str,
+        told: telemetry.Telemetry,
+        seeds: Iterable[address.Address],
+    ) -> None:
+        """Know no gateway but ``seeds``, which may be stale."""
+        self._seeds = [
+            _link(peer_record.PeerRecord(str(place), place, ''))
+            for place in seeds
+        ]
         self._telemetry = told
         self._way_s_by_id: dict[str, float] = {}
         self._own_id = own_id
@@ -89,6 +100,13 @@
             if _is_sound(self._link_by_id[node_id], now)
         )
 
+    def any(self) -> links.Link | None:
+        """Return some gateway that may be asked, seeds included."""
+        now = asyncio.get_running_loop().time()
+        known = [*self._link_by_id.values(), *self._seeds]
+        sound = [link for link in known if _is_sound(link, now)]
+        return random.choice(sound or known) if known else None
+
     def way_s(self, node_id: str) -> float:
         """Return what the way to a gateway and back takes, in seconds."""
         return self._way_s_by_id.get(node_id, _FIRST_WAY_S)
--- /dev/null
+++ b/chivepond/gateway/replica.py
@@ -0,0 +1,128 @@
+"""A copy of one kind of object in the store, fed by it and by gateways."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from chivepond.platform import store_calls
+from chivepond.wire import gateway_news
+
+#: Objects that are gone are remembered so many at a time; who knows less of
+#: the past than that gets the whole list.
+_GONE_KEPT = 1000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sink:
+    """Who takes what is read."""
+
+    on_list: Callable[[list[store_calls.StoredObject]], None]
+    on_change: Callable[[store_calls.Change], None]
+
+
+class Replica:
+    """Takes lists and changes in the order of the store's revisions.
+
+    Guards against older news that arrive later, as from a gateway which the
+    store turns away: it would bring back a searcher that has left.
+    """
+
+    __slots__ = (
+        '_floor',
+        '_gone_at_by_name',
+        '_sink',
+        '_stored_by_name',
+        'as_of',
+        'changed',
+    )
+
+    def __init__(self, sink: Sink, changed: asyncio.Event) -> None:
+        """Know nothing; set ``changed`` after each piece of news."""
+        self._sink = sink
+        self.changed = changed
+        #: The store's revision up to which all is known; zero for nothing.
+        self.as_of = 0
+        self._floor = 0
+        self._stored_by_name: dict[str, store_calls.StoredObject] = {}
+        self._gone_at_by_name: dict[str, int] = {}
+
+    def take_list(
+        self,
+        found: list[store_calls.StoredObject],
+        as_of: int,
+    ) -> None:
+        """Take all objects as they were at ``as_of``."""
+        if as_of < self.as_of:
+            return
+        self._stored_by_name = {one.meta.name: one for one in found}
+        self._gone_at_by_name.clear()
+        self._floor = as_of
+        self.as_of = as_of
+        self._sink.on_list(found)
+        self.changed.set()
+
+    def take_changes(
+        self,
+        changes: list[store_calls.Change],
+        as_of: int,
+    ) -> None:
+        """Take what changed up to ``as_of``."""
+        if as_of < self.as_of:
+            return
+        self.as_of = as_of
+        for change in changes:
+            self._take(change, as_of)
+        if changes:
+            self.changed.set()
+
+    def news(self, since: int) -> gateway_news.KindNews | None:
+        """Return what is newer than ``since``, or nothing."""
+        if since >= self.as_of:
+            return None
+        is_whole = since < self._floor
+        entries = [
+            gateway_news.NewsEntry(
+                name,
+                stored.meta.revision,
+                bytes(stored.spec),
+            )
+            for name, stored in self._stored_by_name.items()
+            if is_whole or stored.meta.revision > since
+        ]
+        gone = [
+            name for name, at in self._gone_at_by_name.items() if at > since
+        ]
+        if not (is_whole or entries or gone):
+            return None
+        return gateway_news.KindNews(self.as_of, is_whole, entries, gone)
+
+    def take_news(self, news: gateway_news.KindNews) -> None:
+        """Take what another gateway tells."""
+        found = [
+            store_calls.stored(entry.name, entry.revision, entry.spec)
+            for entry in news.entries
+        ]
+        if news.is_whole:
+            self.take_list(found, news.as_of)
+            return
+        changes = [store_calls.Change(one) for one in found]
+        for name in news.gone:
+            removed = store_calls.stored(name, news.as_of, b'null')
+            changes.append(store_calls.Change(removed, deleted=True))
+        self.take_changes(changes, news.as_of)
+
+    def _take(self, change: store_calls.Change, as_of: int) -> None:
+        name = change.object.meta.name
+        if change.deleted:
+            self._stored_by_name.pop(name, None)
+            self._gone_at_by_name[name] = as_of
+            self._forget_oldest()
+        else:
+            self._stored_by_name[name] = change.object
+            self._gone_at_by_name.pop(name, None)
+        self._sink.on_change(change)
+
+    def _forget_oldest(self) -> None:
+        if len(self._gone_at_by_name) > _GONE_KEPT:
+            oldest = next(iter(self._gone_at_by_name))
+            self._floor = self._gone_at_by_name.pop(oldest)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -195,6 +195,12 @@
     'source regained',
     'The store or a gateway that hands on its news is read again.',
 )
+NEWS_FROM_PEER = event.Event(
+    6014,
+    'INFO',
+    'news from a peer',
+    'The store can not be read; another gateway hands on what it knows.',
+)
 SEARCHER_LEARNED = event.Event(
     6020,
     'INFO',
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -54,6 +54,11 @@
     as_of: int
 
 
+def stored(name: str, revision: int, spec: bytes) -> StoredObject:
+    """Return an object that another gateway told of."""
+    return StoredObject(Meta(name, revision), msgspec.Raw(spec))
+
+
 def kind_path(kind: str) -> str:
     """Return the path on which objects of a kind are created."""
     return f'{_ROOT}/{kind}'
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -21,8 +21,8 @@
     """Where a gateway is, what it listens on, and its bounds.
 
     ``seeds`` gives a few other gateways' addresses, asked while the store
-    can't be read. ``peer_ports`` is the first and the last port for messages
-    between gateways. ``metrics_port`` is on the address of ``callers``.
+    can't be read; each listens for the others on ``peers``. ``metrics_port``
+    is on the address of ``callers``.
     """
 
     node_id: str
@@ -31,7 +31,7 @@
     callers: _Address
     readiness: _Address
     store: _Address
-    peer_ports: tuple[_Port, _Port]
+    peers: _Address
     seeds: list[str] = msgspec.field(default_factory=list)
     metrics_port: _Port = 9464
     memory_mb: _Count = 300
@@ -45,7 +45,7 @@
 
     def trouble(self) -> setting_trouble.SettingTrouble | None:
         """Return what is wrong across settings, if anything is."""
-        for name in ('callers', 'readiness', 'store'):
+        for name in ('callers', 'readiness', 'peers', 'store'):
             parsed = address.parse(getattr(self, name))
             if parsed.is_err():
                 wrong = parsed.unwrap_err()
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -17,6 +17,7 @@
 HOST = 'desk.example'
 _WAIT_S = 5
 _POLL_S = 0.01
+_CHUNK = 65536
 _ids = itertools.count(1)
 
 
@@ -77,10 +78,7 @@
     } | told
 
 
-def settings(
-    store: address.Address,
-    **told: Any,
-) -> gateway_settings.GatewaySettings:
+def settings(**told: Any) -> gateway_settings.GatewaySettings:
     """Return the settings of a gateway on free ports."""
     return gateway_settings.GatewaySettings(
         **{
@@ -89,8 +87,7 @@
             'region_by_data_centre': {'base': 'coast', 'hub': 'inland'},
             'callers': '127.0.0.1:0',
             'readiness': '127.0.0.1:0',
-            'store': str(store),
-            'peer_ports': (0, 0),
+            'peers': '127.0.0.1:0',
             'metrics_port': 0,
             'second_send_burst': 100,
         }
@@ -201,7 +198,11 @@
 
     async def unready_gateway(self, **told: Any) -> gateway.Gateway:
         """Start a gateway."""
-        made = gateway.Gateway(settings(self.store.address, **told))
+        made = gateway.Gateway(
+            settings(
+                **{'store': str(self.store.address)} | told,
+            )
+        )
         await self._open.enter_async_context(made)
         return made
 
@@ -220,6 +221,59 @@
         return self._callers[-1]
 
 
+class Gate:
+    """A way to an address that can be closed: a relay of bytes."""
+
+    def __init__(self, behind: address.Address) -> None:
+        """Lead to ``behind`` while it is entered."""
+        self._behind = behind
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Self:
+        """Open the way."""
+        self._server = await asyncio.start_server(self._lead, '127.0.0.1', 0)
+        return self
+
+    async def __aexit__(self, *trace: Any) -> None:
+        """Close the way, and cut what uses it."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    @property
+    def address(self) -> address.Address:
+        """Where the way begins."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return address.Address(ip, port)
+
+    async def _lead(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        there = await asyncio.open_connection(
+            self._behind.ip,
+            self._behind.port,
+        )
+        self._writers.update((writer, there[1]))
+        await asyncio.gather(
+            _carry(reader, there[1]),
+            _carry(there[0], writer),
+            return_exceptions=True,
+        )
+
+
+async def _carry(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        while chunk := await reader.read(_CHUNK):
+            writer.write(chunk)
+    writer.close()
+
+
 async def until(condition: Any) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(_WAIT_S):
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -8,7 +8,7 @@
 
 from chivepond.gateway import merge
 from chivepond.platform import headers
-from chivepond.standins import scripted_searcher
+from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
 
 Got = scripted_searcher.Got
@@ -173,7 +173,7 @@
                 _part('c2', 7),
                 zone='hub',
             )
-            await gateway_bench.until(lambda: gate.searchers_known == 5)
+            await gateway_bench.until(lambda: gate.figures.searchers_known == 5)
             caller = await bench.caller(gate.callers)
             began = asyncio.get_running_loop().time()
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
@@ -203,14 +203,14 @@
                 node_id='gate-2', data_centre='hub'
             )
             here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.gateways_known == 2)
+            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
             assert reply.body == b''.join(map(_record, (3, 2, 1)))
             assert _signatures(reply) == {b'a', b'b', b'c', b'd'}
             assert all(len(one.got) == 1 for one in searchers)
-            assert there.searcher_connections == 4
-            assert here.searcher_connections == 0
+            assert there.figures.searcher_connections == 4
+            assert here.figures.searcher_connections == 0
 
     support.run(play())
 
@@ -232,7 +232,7 @@
                 node_id='gate-2', data_centre='hub'
             )
             here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.gateways_known == 2)
+            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
             await there.__aexit__(None, None, None)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
@@ -268,7 +268,9 @@
                     {'address': str(silent.address), 'data_centre': 'hub'},
                 )
                 here = await bench.ready_gateway()
-                await gateway_bench.until(lambda: here.gateways_known == 2)
+                await gateway_bench.until(
+                    lambda: here.figures.gateways_known == 2
+                )
                 caller = await bench.caller(here.callers)
                 reply = gateway_bench.reply_of(await caller.get('/search/x'))
                 assert reply.status == 502
@@ -293,3 +295,42 @@
     ]
     expected = b''.join(sorted(records, reverse=True)[:count])
     assert merge.greatest(bodies, count) == expected
+
+
+def test_a_gateway_that_knows_no_searcher_is_asked_around():
+    """Searches failed beside a gateway that had missed the news.
+
+    It knew none of the new shards' searchers and said so; nobody had been
+    asked, so they are asked from here.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for number, shard in enumerate(_SHARDS):
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    _part(shard, number),
+                    zone='hub',
+                )
+            bench.configure(1, _search())
+            async with routed_store.RoutedStore() as empty:
+                there = await bench.unready_gateway(
+                    node_id='gate-2',
+                    data_centre='hub',
+                    store=str(empty.address),
+                )
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(there.peers), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(
+                    lambda: here.figures.gateways_known == 2
+                )
+                caller = await bench.caller(here.callers)
+                reply = gateway_bench.reply_of(await caller.get('/search/x'))
+                assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+
+    support.run(play())
--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
+from chivepond.gateway import replica
 from chivepond.platform import store_calls
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
@@ -39,7 +42,7 @@
             caller = await bench.caller(gate.callers)
             assert await _status(caller, '/old/') == 200
             bench.configure(3, _route())
-            await gateway_bench.until(lambda: gate.routes_version == 3)
+            await gateway_bench.until(lambda: gate.figures.routes_version == 3)
             assert await _status(caller, '/old/') == 404
             bench.configure(2, _route(), _route(prefix='/old/'))
             bench.store.forget()
@@ -161,7 +164,7 @@
             bench.store.put('servers', 's-2', 'no entry at all')
             bench.configure(1, _route())
             gate = await bench.ready_gateway()
-            assert gate.searchers_known == 1
+            assert gate.figures.searchers_known == 1
             caller = await bench.caller(gate.callers)
             assert await _status(caller) == 200
 
@@ -265,7 +268,7 @@
 
 
 async def _until_version(gate, version: int) -> None:
-    await gateway_bench.until(lambda: gate.routes_version == version)
+    await gateway_bench.until(lambda: gate.figures.routes_version == version)
 
 
 def _always(status):
@@ -283,6 +286,159 @@
                 bench.register(f'x-{number:03}', 'other', place)
             bench.configure(1, _route())
             gate = await bench.ready_gateway()
-            assert gate.searchers_known == 121
+            assert gate.figures.searchers_known == 121
 
     support.run(play())
+
+
+def test_a_gateway_that_the_store_turns_away_learns_from_its_peers():
+    """A gateway routed by a version that was long out of force.
+
+    The store turned it away and served the others; they hand on routes and
+    searchers, those that left included.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            leaving = await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            served = await bench.ready_gateway(node_id='gate-2')
+            async with gateway_bench.Gate(bench.store.address) as gate:
+                alone = await bench.ready_gateway(store=str(gate.address))
+                await gateway_bench.until(
+                    lambda: alone.figures.gateways_known == 2
+                )
+            # The way to the store is closed for this one from here on.
+            bench.store.put(
+                'servers',
+                's-1',
+                gateway_bench.entry('desk', leaving.address, state='draining'),
+            )
+            other = await bench.searcher('s-2', 'desk', _echo, zone='hub')
+            bench.configure(2, _route(), _route(prefix='/new/'))
+            await gateway_bench.until(
+                lambda: served.figures.routes_version == 2
+            )
+            await gateway_bench.until(lambda: alone.figures.routes_version == 2)
+            await gateway_bench.until(
+                lambda: alone.figures.searchers_known == 2
+            )
+            caller = await bench.caller(alone.callers)
+            assert await _status(caller, '/new/') == 200
+            assert not leaving.got
+            assert len(other.got) == 1
+
+    support.run(play())
+
+
+def test_a_gateway_that_starts_without_the_store_asks_its_seeds():
+    """All gateways were restarted while the store turned one away."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            served = await bench.ready_gateway(node_id='gate-2')
+            alone = await bench.ready_gateway(
+                store='127.0.0.1:1',
+                seeds=['127.0.0.1:2', str(served.peers)],
+            )
+            caller = await bench.caller(alone.callers)
+            assert await _status(caller) == 200
+
+    support.run(play())
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(('put', 'remove', 'list', 'follow')),
+            strategies.sampled_from('abc'),
+        ),
+        max_size=40,
+    ),
+)
+def test_a_follower_knows_what_the_copy_knows(steps):
+    """A follower's searchers differed from those of the gateway it asked.
+
+    Whatever comes between two asks, lists included, the follower ends with
+    the same objects, and older news change nothing.
+    """
+    pair = _Pair()
+    for revision, (what, name) in enumerate(steps, start=2):
+        pair.step(what, name, revision)
+    pair.follow()
+    assert pair.follower.names == pair.known.names == set(pair.truth)
+    if pair.old_news is not None:
+        if pair.old_news.as_of < pair.follower.copy.as_of:
+            pair.follower.copy.take_news(pair.old_news)
+    assert pair.follower.names == set(pair.truth)
+
+
+class _Pair:
+    """A copy that is fed, a follower of it, and the truth."""
+
+    def __init__(self) -> None:
+        self.truth: dict[str, int] = {}
+        self.known = _Known()
+        self.follower = _Known()
+        self.old_news = None
+
+    def step(self, what: str, name: str, revision: int) -> None:
+        """Play one step at a revision of the store."""
+        match what:
+            case 'put':
+                self.truth[name] = revision
+                self.known.copy.take_changes(
+                    [_change(name, revision)],
+                    revision,
+                )
+            case 'remove' if name in self.truth:
+                self.truth.pop(name)
+                gone = _change(name, revision, deleted=True)
+                self.known.copy.take_changes([gone], revision)
+            case 'list':
+                stored = [_stored(one, at) for one, at in self.truth.items()]
+                self.known.copy.take_list(stored, revision)
+            case 'follow':
+                self.follow()
+
+    def follow(self) -> None:
+        """Let the follower ask."""
+        news = self.known.copy.news(self.follower.copy.as_of)
+        if news is not None:
+            self.follower.copy.take_news(news)
+            self.old_news = self.old_news or news
+
+
+class _Known:
+    """A copy, and the names that its sink was told of."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+        self.copy = replica.Replica(
+            replica.Sink(self._list, self._change),
+            asyncio.Event(),
+        )
+
+    def _list(self, found) -> None:
+        self.names = {one.meta.name for one in found}
+
+    def _change(self, change) -> None:
+        if change.deleted:
+            self.names.discard(change.object.meta.name)
+        else:
+            self.names.add(change.object.meta.name)
+
+
+def _stored(name: str, revision: int) -> store_calls.StoredObject:
+    return store_calls.stored(name, revision, b'{}')
+
+
+def _change(
+    name: str,
+    revision: int,
+    *,
+    deleted: bool = False,
+) -> store_calls.Change:
+    return store_calls.Change(_stored(name, revision), deleted=deleted)
--- a/chivepond/tests/test_gateway_stop.py
+++ b/chivepond/tests/test_gateway_stop.py
@@ -68,7 +68,7 @@
             changed = asyncio.Event()
             watch = settings_watch.SettingsWatch(
                 path,
-                gateway_bench.settings(bench.store.address),
+                gateway_bench.settings(store=str(bench.store.address)),
                 gate,
                 changed,
             )
@@ -91,7 +91,7 @@
     good = (
         'node_id: n\ndata_centre: base\nregion_by_data_centre: {base: c}\n'
         'callers: 127.0.0.1:1\nreadiness: 127.0.0.1:2\nstore: 127.0.0.1:3\n'
-        'peer_ports: [4, 5]\n'
+        'peers: 127.0.0.1:4\n'
     )
     for line, place in (
         ('callers: nowhere', 'callers'),
--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
         'listen.front': '10.1.0.9:8104',
         'listen.ready': '10.1.0.9:8108',
         'platform.address': '10.200.1.7:8102',
-        'internal_port_range': [7380, 7395],
+        'listen.control': '10.1.0.9:8106',
         'seeds': [],
         'limits.memory_mb': 300,
         'limits.max_fds': 4100,
@@ -123,7 +123,7 @@
     )
     settings = loaded.unwrap()
     assert settings.data_centre == 'base'
-    assert settings.peer_ports == (7380, 7395)
+    assert settings.peers == '10.1.0.9:8106'
     assert settings.second_send_burst == 54
 
 
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -28,5 +28,7 @@
     records: bytes
     signature_by_shard: dict[str, bytes]
     reason_by_shard: dict[str, str]
+    #: Shards of which no searcher was asked.
+    unasked: list[str]
     #: Seconds from the request to this reply.
     took_s: float
