A gather elsewhere goes on where too few parts are in

Change: the gateway there keeps asking and is asked once more; a request with less than 10 ms left is refused before a searcher is asked. Ruled out: a longer wait for the first reply, which hides a gateway that died.

--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -62,7 +62,11 @@
         trace: types.TracebackType | None,
     ) -> None:
         """End what still runs."""
-        if error is None:
+        self.end(is_answered=error is None)
+
+    def end(self, *, is_answered: bool) -> None:
+        """End what still runs."""
+        if is_answered:
             for ask in self._asks:
                 ask.leave_running()
         for task in self._tasks:
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivepond.decisions import gather_plan, gather_time, second_ask_time
+from chivepond.gateway import link as links
 from chivepond.gateway import (
     answer,
     forwarded_request,
@@ -119,31 +120,41 @@
         asks: gather_asks.GatherAsks,
     ) -> None:
         link = self._peers.choose(place)
-        ended: outcome.Outcome = outcome.NotSent('no gateway there')
-        if link is not None:
-            way_s = self._peers.way_s(link.end.name)
-            message = peer_message.gather_message(
-                self._gather_request(shards, way_s),
-            )
-            began = asyncio.get_running_loop().time()
-            self._trace.note(f'{len(shards)} shards: asked of {link.end.name}')
-            ended = await link.ask(
-                message,
-                self._search.answer_at + _PEER_LATE_S,
-            )
+        if link is None:
+            self._ask_from_here(shards, asks)
+            return
+        self._trace.note(f'{len(shards)} shards: asked of {link.end.name}')
+        began = asyncio.get_running_loop().time()
+        way_s = self._peers.way_s(link.end.name)
+        ended = await link.ask(
+            peer_message.gather_message(self._gather_request(shards, way_s)),
+            self._search.answer_at + _PEER_LATE_S,
+        )
         match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
-                reply = msgspec.msgpack.decode(
-                    body,
-                    type=gather_request.GatherReply,
-                )
+                reply = _decode(body)
                 took_s = asyncio.get_running_loop().time() - began
                 self._peers.learn_way(link.end.name, took_s - reply.took_s)
                 self._take_group(reply, asks)
+                if reply.has_more:
+                    await self._ask_more(link, shards)
             case outcome.Broken(reason=reason):
                 self._lose_group(shards, f'{link.end.name}: {reason}')
             case _:
-                self._ask_instead(shards, asks)
+                self._ask_from_here(shards, asks)
+
+    async def _ask_more(self, link: links.Link, shards: list[str]) -> None:
+        """Wait for parts that are late, where an answer needs them."""
+        ended = await link.ask(
+            peer_message.more_message(self._search.request.request_id),
+            self._search.deadline,
+        )
+        match ended:
+            case outcome.Reply(status=status, body=body) if status == _OK:
+                self._parts.take_group(_decode(body))
+            case _:
+                open_shards = self._parts.open_among(shards)
+                self._lose_group(open_shards, f'{link.end.name}: no more came')
 
     def _gather_request(
         self,
@@ -158,6 +169,7 @@
             body=search.request.body,
             route=search.route.name,
             shards=shards,
+            least_share=search.target.least_share,
             top_count=search.target.top_count,
             max_attempts=search.route.max_attempts,
             answer_in_s=search.answer_at - now - way_s - _PEER_MARGIN_S,
@@ -171,7 +183,7 @@
         asks: gather_asks.GatherAsks,
     ) -> None:
         self._parts.take_group(reply)
-        self._ask_instead(reply.unasked, asks)
+        self._ask_from_here(reply.unasked, asks)
         self._trace.note(f'a group came after {reply.took_s:.3f} s of work')
 
     def _lose_group(self, shards: list[str], reason: str) -> None:
@@ -185,7 +197,7 @@
         for shard in shards:
             self._parts.miss(shard, reason, has_run=True)
 
-    def _ask_instead(
+    def _ask_from_here(
         self,
         shards: list[str],
         asks: gather_asks.GatherAsks,
@@ -221,3 +233,7 @@
             body=merge.greatest(parts.bodies, self._search.target.top_count),
             reason_by_shard=parts.why_missing(),
         )
+
+
+def _decode(body: bytes) -> gather_request.GatherReply:
+    return msgspec.msgpack.decode(body, type=gather_request.GatherReply)
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -44,6 +44,15 @@
         """How many shards are left out."""
         return len(self.shards) - len(self.signature_by_shard)
 
+    def open_among(self, shards: list[str]) -> list[str]:
+        """Return the shards whose part may still come."""
+        return [
+            shard
+            for shard in shards
+            if shard not in self.signature_by_shard
+            and shard not in self.reason_by_shard
+        ]
+
     def why_missing(self) -> dict[str, str]:
         """Return why each shard that is left out is missing."""
         return {
--- /dev/null
+++ b/chivepond/gateway/held_gather.py
@@ -0,0 +1,109 @@
+"""A gather for another gateway, which may go on after its first reply."""
+
+import asyncio
+
+from chivepond.decisions import gather_time, second_ask_time
+from chivepond.gateway import (
+    forwarded_request,
+    gather_asks,
+    gathering,
+    merge,
+    request_trace,
+    routing_table,
+    service_ask,
+)
+from chivepond.wire import gather_request
+
+
+class HeldGather:
+    """Asks the shards; tells what is in, each part once."""
+
+    __slots__ = ('_asked', '_asks', '_began', '_parts', '_told', 'trace')
+
+    def __init__(
+        self,
+        asked: gather_request.GatherRequest,
+        tools: service_ask.AskTools,
+        late: second_ask_time.SecondAskTime,
+    ) -> None:
+        """Begin to ask."""
+        clock = asyncio.get_running_loop().time
+        self._asked = asked
+        self._began = clock()
+        self._told: set[str] = set()
+        self.trace = request_trace.RequestTrace(clock, self._began)
+        coverage = gather_time.Coverage(len(asked.shards), asked.least_share)
+        self._parts = gathering.Gathering(
+            tuple(asked.shards),
+            coverage.needed,
+        )
+        self._asks = gather_asks.GatherAsks(
+            self._parts,
+            _route(asked),
+            tools,
+            late,
+            self.trace,
+        )
+        request = forwarded_request.ForwardedRequest(
+            asked.request_id,
+            asked.head,
+            asked.body,
+            is_head=False,
+        )
+        self._asks.ask(asked.shards, request, self._began + asked.left_s)
+
+    def end(self, *, is_answered: bool) -> None:
+        """Ask no more; see ``GatherAsks``."""
+        self._asks.end(is_answered=is_answered)
+
+    async def first(self) -> gather_request.GatherReply:
+        """Return what is in when the answer is due, or all before that."""
+        await self._asks.wait_all(self._began + self._asked.answer_in_s)
+        return self._reply(has_more=not self._parts.settled.is_set())
+
+    async def more(self) -> gather_request.GatherReply:
+        """Return what came since, once it is enough or can't be."""
+        await self._asks.wait_enough(self._began + self._asked.left_s)
+        return self._reply(has_more=False)
+
+    def missing(self) -> dict[str, str]:
+        """Return why each shard is missing."""
+        return self._parts.why_missing()
+
+    def _reply(self, *, has_more: bool) -> gather_request.GatherReply:
+        parts = self._parts
+        new = {
+            shard: signature
+            for shard, signature in parts.signature_by_shard.items()
+            if shard not in self._told
+        }
+        self._told.update(new)
+        # Bodies come in the order of signatures, so the last ones are new.
+        bodies = parts.bodies[len(parts.bodies) - len(new) :]
+        lost = parts.reason_by_shard if has_more else parts.why_missing()
+        return gather_request.GatherReply(
+            records=merge.greatest(bodies, self._asked.top_count),
+            signature_by_shard=new,
+            reason_by_shard=lost,
+            took_s=asyncio.get_running_loop().time() - self._began,
+            unasked=parts.unasked,
+            has_more=has_more,
+        )
+
+
+def _route(asked: gather_request.GatherRequest) -> routing_table.Route:
+    return routing_table.Route(
+        name=asked.route,
+        host=b'',
+        prefix=b'',
+        target=routing_table.AllShards(
+            tuple(asked.shards),
+            asked.top_count,
+            asked.least_share,
+        ),
+        is_idempotent=True,
+        timeout_s=asked.left_s,
+        target_latency_s=asked.target_latency_s,
+        max_attempts=asked.max_attempts,
+        priority=0,
+    )
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -8,6 +8,7 @@
 from chivepond.wire import gateway_news, gather_request
 
 GATHER_PATH = b'/v1/gather'
+MORE_PATH = b'/v1/gather/more'
 NEWS_PATH = b'/v1/news'
 
 _numbers = itertools.count(1)
@@ -44,6 +45,12 @@
     return PeerMessage(GATHER_PATH, asked.request_id, body)
 
 
+def more_message(request_id: bytes) -> PeerMessage:
+    """Return the request for parts that came late."""
+    asked = gather_request.MoreRequest(request_id)
+    return PeerMessage(MORE_PATH, request_id, msgspec.msgpack.encode(asked))
+
+
 def news_message(asked: gateway_news.NewsRequest) -> PeerMessage:
     """Return the request for news."""
     number = b'news-%d' % next(_numbers)
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -1,4 +1,4 @@
-"""Gathers for other gateways, beside the searchers."""
+"""Answers other gateways: gathers beside the searchers, and news."""
 
 import asyncio
 import types
@@ -10,31 +10,30 @@
 from chivepond.gateway import (
     answer,
     caller_request,
-    forwarded_request,
-    gather_asks,
-    gathering,
-    merge,
+    held_gather,
     peer_message,
     replica,
-    request_trace,
-    routing_table,
     service_ask,
 )
 from chivepond.observe import events
 from chivepond.platform import headers
 from chivepond.wire import gateway_news, gather_request
 
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_MS_PER_S = 1000
 _KIND_BY_PATH: Mapping[bytes, type[msgspec.Struct]] = types.MappingProxyType(
     {
         peer_message.GATHER_PATH: gather_request.GatherRequest,
+        peer_message.MORE_PATH: gather_request.MoreRequest,
         peer_message.NEWS_PATH: gateway_news.NewsRequest,
     },
 )
-_MS_PER_S = 1000
-_OK = 200
-_BAD_REQUEST = 400
-_NOT_FOUND = 404
-_UNAVAILABLE = 503
+#: How long a gather with too few parts waits to be asked for more, in
+#: seconds: the way back and forth between any two gateways.
+_HELD_S = 0.3
 
 
 class PeerService:
@@ -42,6 +41,7 @@
 
     __slots__ = (
         '_changed',
+        '_held_by_id',
         '_is_stopping',
         '_late_by_route',
         '_replica_by_kind',
@@ -61,14 +61,13 @@
         self._tools = tools
         self._is_stopping = is_stopping
         self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+        self._held_by_id: dict[bytes, held_gather.HeldGather] = {}
 
     async def serve(
         self,
         request: caller_request.CallerRequest,
     ) -> answer.Answer:
         """Return the answer to one request."""
-        if self._is_stopping():
-            return answer.refusal(_UNAVAILABLE, 'this gateway stops')
         kind = _KIND_BY_PATH.get(request.path)
         if kind is None:
             return answer.refusal(_NOT_FOUND, 'nothing is served there')
@@ -76,11 +75,83 @@
             asked = msgspec.msgpack.decode(request.body, type=kind)
         except msgspec.DecodeError as error:
             return answer.refusal(_BAD_REQUEST, str(error))
+        return await self._dispatch(request.request_id, asked)
+
+    async def _dispatch(
+        self,
+        request_id: bytes,
+        asked: msgspec.Struct,
+    ) -> answer.Answer:
         match asked:
+            case gather_request.MoreRequest():
+                return await self._more(asked)
+            case _ if self._is_stopping():
+                return answer.refusal(_UNAVAILABLE, 'this gateway stops')
             case gather_request.GatherRequest():
                 return await self._gather(asked)
-            case gateway_news.NewsRequest():
-                return await self._tell(request.request_id, asked)
+            case _:
+                return await self._tell(request_id, asked)
+
+    async def _gather(
+        self,
+        asked: gather_request.GatherRequest,
+    ) -> answer.Answer:
+        late = self._late_by_route.setdefault(
+            asked.route,
+            second_ask_time.SecondAskTime(),
+        )
+        gather = held_gather.HeldGather(asked, self._tools, late)
+        try:
+            reply = await gather.first()
+        except asyncio.CancelledError:
+            gather.end(is_answered=False)
+            raise
+        if reply.has_more:
+            self._hold(asked.request_id, gather)
+        else:
+            gather.end(is_answered=True)
+        self._log(asked, gather, reply)
+        return _answer(asked.request_id, reply)
+
+    async def _more(self, asked: gather_request.MoreRequest) -> answer.Answer:
+        gather = self._held_by_id.pop(asked.request_id, None)
+        if gather is None:
+            return answer.refusal(_NOT_FOUND, 'no such gather is held')
+        try:
+            reply = await gather.more()
+        except asyncio.CancelledError:
+            gather.end(is_answered=False)
+            raise
+        gather.end(is_answered=True)
+        return _answer(asked.request_id, reply)
+
+    def _hold(self, request_id: bytes, gather: held_gather.HeldGather) -> None:
+        self._held_by_id[request_id] = gather
+        asyncio.get_running_loop().call_later(_HELD_S, self._let_go, request_id)
+
+    def _let_go(self, request_id: bytes) -> None:
+        gather = self._held_by_id.pop(request_id, None)
+        if gather is not None:
+            gather.end(is_answered=True)
+
+    def _log(
+        self,
+        asked: gather_request.GatherRequest,
+        gather: held_gather.HeldGather,
+        reply: gather_request.GatherReply,
+    ) -> None:
+        missing = gather.missing()
+        self._tools.telemetry.tell(
+            events.GATHER_SERVED,
+            is_ordinary=not missing,
+            request=asked.request_id.decode(errors='replace'),
+            shards=len(asked.shards),
+            missing=missing,
+            has_more=reply.has_more,
+            took_ms=round(reply.took_s * _MS_PER_S),
+            sends=gather.trace.sends,
+            notes=gather.trace.notes,
+        )
 
     async def _tell(
         self,
@@ -97,11 +168,7 @@
             except TimeoutError:
                 break
             reply = self._news(asked)
-        return answer.Answer(
-            _OK,
-            [(headers.REQUEST_ID, request_id)],
-            msgspec.msgpack.encode(reply),
-        )
+        return _answer(request_id, reply)
 
     def _news(self, asked: gateway_news.NewsRequest) -> gateway_news.NewsReply:
         found = {}
@@ -112,81 +179,10 @@
                 found[kind] = news
         return gateway_news.NewsReply(found)
 
-    async def _gather(
-        self,
-        asked: gather_request.GatherRequest,
-    ) -> answer.Answer:
-        clock = asyncio.get_running_loop().time
-        began = clock()
-        trace = request_trace.RequestTrace(clock, began)
-        parts = gathering.Gathering(tuple(asked.shards), len(asked.shards))
-        request = forwarded_request.ForwardedRequest(
-            asked.request_id,
-            asked.head,
-            asked.body,
-            is_head=False,
-        )
-        with gather_asks.GatherAsks(
-            parts,
-            _route(asked),
-            self._tools,
-            self._late(asked.route),
-            trace,
-        ) as asks:
-            asks.ask(asked.shards, request, began + asked.left_s)
-            await asks.wait_all(began + asked.answer_in_s)
-        missing = parts.why_missing()
-        self._tools.telemetry.tell(
-            events.GATHER_SERVED,
-            is_ordinary=not missing,
-            request=asked.request_id.decode(errors='replace'),
-            shards=len(asked.shards),
-            missing=missing,
-            took_ms=round((clock() - began) * _MS_PER_S),
-            sends=trace.sends,
-            notes=trace.notes,
-        )
-        return _answer(asked, parts, began)
 
-    def _late(self, route: str) -> second_ask_time.SecondAskTime:
-        return self._late_by_route.setdefault(
-            route,
-            second_ask_time.SecondAskTime(),
-        )
-
-
-def _route(asked: gather_request.GatherRequest) -> routing_table.Route:
-    return routing_table.Route(
-        name=asked.route,
-        host=b'',
-        prefix=b'',
-        target=routing_table.AllShards(
-            tuple(asked.shards),
-            asked.top_count,
-            1,
-        ),
-        is_idempotent=True,
-        timeout_s=asked.left_s,
-        target_latency_s=asked.target_latency_s,
-        max_attempts=asked.max_attempts,
-        priority=0,
-    )
-
-
-def _answer(
-    asked: gather_request.GatherRequest,
-    parts: gathering.Gathering,
-    began: float,
-) -> answer.Answer:
-    reply = gather_request.GatherReply(
-        records=merge.greatest(parts.bodies, asked.top_count),
-        signature_by_shard=parts.signature_by_shard,
-        reason_by_shard=parts.why_missing(),
-        unasked=parts.unasked,
-        took_s=asyncio.get_running_loop().time() - began,
-    )
+def _answer(request_id: bytes, reply: msgspec.Struct) -> answer.Answer:
     return answer.Answer(
         _OK,
-        [(headers.REQUEST_ID, asked.request_id)],
+        [(headers.REQUEST_ID, request_id)],
         msgspec.msgpack.encode(reply),
     )
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -27,6 +27,9 @@
 #: How long before the caller's deadline the last word is said, in seconds:
 #: the way back to the caller, and the loop's delay on a busy host.
 _LAST_WORD_S = 0.02
+#: The least time in which a searcher may reply, in seconds; a request with
+#: less is refused before any is asked.
+_LEAST_S = 0.01
 
 
 class RequestsWay:
@@ -109,7 +112,7 @@
         trace: request_trace.RequestTrace,
     ) -> answer.Answer:
         deadline = request.deadline(route.timeout_s) - _LAST_WORD_S
-        if asyncio.get_running_loop().time() >= deadline:
+        if deadline - asyncio.get_running_loop().time() < _LEAST_S:
             return answer.refusal(_UNAVAILABLE, 'the time is over', 0)
         forwarded = forwarded_request.ForwardedRequest.of(request)
         late = self._late_by_route.setdefault(
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -334,3 +334,41 @@
                 assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
 
     support.run(play())
+
+
+def test_parts_that_are_late_elsewhere_still_make_an_answer():
+    """A search failed at the target latency though its parts were coming.
+
+    All searchers of another region were slow. The gateway there had too few
+    parts when the answer was due; it goes on, and hands on the rest.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for number, shard in enumerate(_SHARDS):
+                reply = _part(shard, number)
+                if number > 1:
+                    reply = _slowly(0.5, reply)
+                await bench.searcher(f's-{shard}', shard, reply, zone='hub')
+            bench.configure(1, _search())
+            await bench.ready_gateway(node_id='gate-2', data_centre='hub')
+            here = await bench.ready_gateway()
+            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            caller = await bench.caller(here.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.status == 200
+            assert int(reply.headers.get(headers.MISSING_SHARDS)) <= 1
+            assert {b'a', b'b'} < _signatures(reply)
+
+    support.run(play())
+
+
+def _slowly(
+    after_s: float,
+    reply: scripted_searcher.Reply,
+) -> scripted_searcher.Reply:
+    async def slow(got: Got) -> Told:
+        await asyncio.sleep(after_s)
+        return await reply(got)
+
+    return slow
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -12,6 +12,8 @@
     body: bytes
     route: str
     shards: list[str]
+    #: The share of them without which the answer is no success.
+    least_share: float
     #: How many of the greatest records are wanted.
     top_count: int
     max_attempts: int
@@ -30,5 +32,13 @@
     reason_by_shard: dict[str, str]
     #: Shards of which no searcher was asked.
     unasked: list[str]
+    #: Whether too few are in, and the rest can be asked for once more.
+    has_more: bool
     #: Seconds from the request to this reply.
     took_s: float
+
+
+class MoreRequest(msgspec.Struct, array_like=True):
+    """Asks for the parts that came after the reply to a gather."""
+
+    request_id: bytes
