One reader of the store a data centre; gathers go to wide links

Change: the first sound gateway of a data centre reads, the others follow it and read for themselves where its news are old; gathers of the own data centre go to a neighbour whose link is three times wider, others to wide links there. Ruled out: one reader in all, which one cut would leave without news.

--- a/chivepond/decisions/gather_plan.py
+++ b/chivepond/decisions/gather_plan.py
@@ -24,29 +24,20 @@
 
 def plan(
     best_place_by_shard: Mapping[str, str],
-    region_by_data_centre: Mapping[str, str],
-    here: str,
     helpers: frozenset[str],
 ) -> GatherPlan:
     """Group shards by where their best searcher is.
 
-    ``helpers`` are the data centres with a gateway that can be asked.
+    ``helpers`` are the data centres with a gateway to ask, the own one only
+    where its link is so much wider that the hop is worth it.
     """
     made = GatherPlan([], {})
     for shard, place in best_place_by_shard.items():
-        is_near = _region(place, region_by_data_centre) == _region(
-            here,
-            region_by_data_centre,
-        )
-        if is_near or place not in helpers:
-            made.direct.append(shard)
-        else:
+        if place in helpers:
             made.shards_by_data_centre.setdefault(place, []).append(shard)
+        else:
+            made.direct.append(shard)
     for place in list(made.shards_by_data_centre):
         if len(made.shards_by_data_centre[place]) < _FEWEST_SHARDS:
             made.direct.extend(made.shards_by_data_centre.pop(place))
     return made
-
-
-def _region(place: str, region_by_data_centre: Mapping[str, str]) -> str:
-    return region_by_data_centre.get(place, place)
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -12,11 +12,10 @@
     caller_connection,
     caller_request,
     figures,
-    kind_reader,
     listener,
     metrics_page,
     news,
-    news_follower,
+    peer_record,
     peer_registry,
     peer_service,
     peers,
@@ -25,6 +24,7 @@
     routing_table,
     searchers,
     service_ask,
+    store_news,
     stragglers,
     telemetry,
 )
@@ -44,13 +44,6 @@
 _POLL_S = 0.05
 
 
-_Reader = (
-    kind_reader.KindReader
-    | news_follower.NewsFollower
-    | peer_registry.PeerRegistry
-)
-
-
 class Gateway:
     """Reads the store, serves callers, and stops without cutting any."""
 
@@ -64,6 +57,7 @@
         '_peers',
         '_readers',
         '_readiness',
+        '_registry',
         '_replica_by_kind',
         '_searchers',
         '_settings',
@@ -82,7 +76,12 @@
         self._was_ready = False
         self._telemetry = telemetry.Telemetry()
         self._peers = peers.Peers(
-            settings.node_id,
+            peer_record.PeerRecord(
+                settings.node_id,
+                address.parse(settings.peers).unwrap(),
+                settings.data_centre,
+                settings.link_mbps,
+            ),
             self._telemetry,
             _seeds(settings),
         )
@@ -126,7 +125,15 @@
                 ),
                 changed,
             ),
+            store_calls.GATEWAYS: replica.Replica(
+                replica.Sink(
+                    self._take_gateways,
+                    self._take_gateway_change,
+                ),
+                changed,
+            ),
         }
+        self._registry: peer_registry.PeerRegistry | None = None
         self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
@@ -253,31 +260,33 @@
 
     def _make_readers(
         self,
-    ) -> tuple[_Reader, ...]:
+    ) -> tuple[store_news.StoreNews | peer_registry.PeerRegistry, ...]:
         store = address.parse(self._settings.store).unwrap()
         entry = gateway_entry.GatewayEntry(
             str(self._peer_listener.address),
             self._settings.data_centre,
+            self._settings.link_mbps,
         )
-        readers = [
-            kind_reader.KindReader(kind, store, copy, self._telemetry)
-            for kind, copy in self._replica_by_kind.items()
-        ]
-        return (
-            *readers,
-            news_follower.NewsFollower(
-                self._replica_by_kind,
-                self._peers,
-                lambda: any(reader.is_lost for reader in readers),
-                self._telemetry,
-            ),
-            peer_registry.PeerRegistry(
-                self._settings.node_id,
-                entry,
-                store,
-                self._peers,
-            ),
+        self._registry = peer_registry.PeerRegistry(
+            self._settings.node_id,
+            entry,
+            store,
+            self._peers,
         )
+        news_of_store = store_news.StoreNews(
+            self._settings.news_bound_s,
+            store,
+            self._replica_by_kind,
+            self._peers,
+            self._telemetry,
+        )
+        return (news_of_store, self._registry)
+
+    def _take_gateways(self, found: list[store_calls.StoredObject]) -> None:
+        self._registry.take_list(found)
+
+    def _take_gateway_change(self, change: store_calls.Change) -> None:
+        self._registry.take_change(change)
 
     def _on_own_ip(self, port: int) -> address.Address:
         own = address.parse(self._settings.callers).unwrap()
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -86,12 +86,7 @@
                 self._parts.miss(shard, reason, has_run=False)
         if self._parts.settled.is_set():
             return self._answer()
-        made = gather_plan.plan(
-            best_place_by_shard,
-            self._tools.searchers.region_by_data_centre,
-            self._tools.searchers.here,
-            self._peers.helpers(),
-        )
+        made = gather_plan.plan(best_place_by_shard, self._peers.helpers())
         with gather_asks.GatherAsks(
             self._parts,
             self._search.route,
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -11,10 +12,8 @@
 from chivepond.platform import store_calls
 from chivepond.transport import address
 
-#: How long a watch waits, in seconds. A connection that fell silent is
-#: noticed after that and the grace below.
-_WATCH_S = 4.0
-_WATCH_GRACE_S = 0.8
+#: How much longer than its wait a watch may take, in seconds.
+_WATCH_GRACE_S = 0.5
 _CALL_S = 1.0
 #: How long to wait before another call after a failed one, in seconds.
 _FIRST_PAUSE_S = 0.1
@@ -25,13 +24,14 @@
 _GATHER_S = 0.25
 #: Spreads the calls of gateways that failed at the same moment.
 _JITTER = (0.7, 1.3)
+_MS_PER_S = 1000
 _OK = 200
 
 Told = TypeVar('Told')
 
 
 class KindReader:
-    """Lists a kind once, then watches it; lists again where that fails."""
+    """Watches a kind; lists it at the start and where the watch fails."""
 
     __slots__ = (
         '_client',
@@ -39,6 +39,7 @@
         '_pause_s',
         '_replica',
         '_telemetry',
+        '_watch_s',
         'is_lost',
     )
 
@@ -48,12 +49,14 @@
         place: address.Address,
         copy: replica.Replica,
         told: telemetry.Telemetry,
+        watch_s: Callable[[], float],
     ) -> None:
-        """Keep ``copy`` in step."""
+        """Keep ``copy`` in step; a watch waits for ``watch_s`` seconds."""
         self._kind = kind
         self._client = store_client.StoreClient(place)
         self._replica = copy
         self._telemetry = told
+        self._watch_s = watch_s
         #: Whether the last call failed.
         self.is_lost = False
         self._pause_s = _FIRST_PAUSE_S
@@ -61,45 +64,48 @@
     async def run(self) -> None:
         """Keep in step until cancelled."""
         with self._client:
+            revision = self._replica.as_of
             while True:
-                revision = await self._list()
-                if revision is not None:
+                if revision:
                     await self._watch(revision)
+                revision = await self._list()
 
-    async def _list(self) -> int | None:
+    async def _list(self) -> int:
+        """Return the revision to watch from, zero where a call failed."""
         found: list[store_calls.StoredObject] = []
         after = ''
-        as_of: int | None = None
+        as_of = 0
+        began = asyncio.get_running_loop().time()
         while True:
-            page = await self._read(
-                store_calls.list_path(self._kind, after),
-                store_calls.Page,
-                _CALL_S,
-            )
+            path = store_calls.list_path(self._kind, after)
+            page = await self._read(path, store_calls.Page, _CALL_S)
             if page is None:
-                return None
-            as_of = page.as_of if as_of is None else as_of
+                return 0
+            as_of = as_of or page.as_of
             found.extend(page.items)
             if not page.has_more or not page.items:
                 self._replica.take_list(found, as_of)
+                self._replica.confirm(began)
                 return as_of
             after = page.items[-1].meta.name
 
     async def _watch(self, revision: int) -> None:
         while True:
+            wait_s = self._watch_s()
             changes = await self._read(
                 store_calls.watch_path(
                     self._kind,
                     revision,
-                    int(_WATCH_S * 1000),
+                    int(wait_s * _MS_PER_S),
                 ),
                 store_calls.Changes,
-                _WATCH_S + _WATCH_GRACE_S,
+                wait_s + _WATCH_GRACE_S,
             )
             if changes is None:
                 return
             revision = changes.as_of
             self._replica.take_changes(changes.events, revision)
+            self._replica.confirm(asyncio.get_running_loop().time())
             await asyncio.sleep(_GATHER_S)
 
     async def _read(
--- a/chivepond/gateway/peer_record.py
+++ b/chivepond/gateway/peer_record.py
@@ -12,3 +12,4 @@
     node_id: str
     address: address.Address
     data_centre: str
+    link_mbps: float
--- a/chivepond/gateway/peer_registry.py
+++ b/chivepond/gateway/peer_registry.py
@@ -1,4 +1,4 @@
-"""Registers this gateway in the store, and reads who else is there."""
+"""Registers this gateway in the store, and takes who else is there."""
 
 import asyncio
 import random
@@ -11,9 +11,7 @@
 from chivepond.wire import gateway_entry
 
 _CALL_S = 1.0
-#: Between two reads of the list, in seconds. A gateway that starts is
-#: helped at once by all that it reads, and helps others after this time.
-_REREAD_S = 12.0
+#: Between two tries, in seconds; many gateways may start at once.
 _PAUSE_S = 0.5
 _JITTER = (0.7, 1.3)
 _OK = 200
@@ -22,7 +20,7 @@
 
 
 class PeerRegistry:
-    """Writes one object at the start; reads the kind now and then."""
+    """Writes one object at the start, and again where it vanished."""
 
     __slots__ = ('_client', '_entry', '_node_id', '_peers')
 
@@ -33,23 +31,38 @@
         store: address.Address,
         others: peers.Peers,
     ) -> None:
-        """Tell ``others`` of each list."""
+        """Tell ``others`` of each gateway."""
         self._node_id = node_id
         self._entry = entry
         self._client = store_client.StoreClient(store)
         self._peers = others
 
+    def take_list(self, found: list[store_calls.StoredObject]) -> None:
+        """Take all gateways."""
+        names = {stored.meta.name for stored in found}
+        for node_id in self._peers.known():
+            if node_id not in names:
+                self._peers.remove(node_id)
+        for stored in found:
+            self._put(stored)
+
+    def take_change(self, change: store_calls.Change) -> None:
+        """Take the news of one gateway."""
+        if change.deleted:
+            self._peers.remove(change.object.meta.name)
+        else:
+            self._put(change.object)
+
     async def run(self) -> None:
-        """Keep registered and informed until cancelled."""
+        """Keep registered until cancelled."""
         with self._client:
-            is_registered = False
-            while True:
-                is_read = await self._read()
-                if is_read and not is_registered:
-                    is_registered = await self._register()
-                is_done = is_read and is_registered
-                pause_s = _REREAD_S if is_done else _PAUSE_S
-                await asyncio.sleep(pause_s * random.uniform(*_JITTER))
+            while not await self._register():
+                await asyncio.sleep(_PAUSE_S * random.uniform(*_JITTER))
+
+    def _put(self, stored: store_calls.StoredObject) -> None:
+        record = _record(stored)
+        if record is not None:
+            self._peers.put(record)
 
     async def _register(self) -> bool:
         body = store_calls.new_object(self._node_id, self._entry)
@@ -57,11 +70,24 @@
         match await self._client.post(path, body, _CALL_S):
             case outcome.Reply(status=status) if status in {_OK, _CREATED}:
                 return True
-            case outcome.Reply(status=status) if status == _CONFLICT:
-                return await self._replace(body)
+            case outcome.Reply(status=status, body=known):
+                if status != _CONFLICT:
+                    return False
+                return self._is_own(known) or await self._replace(body)
             case _:
                 return False
 
+    def _is_own(self, known: bytes) -> bool:
+        try:
+            stored = msgspec.json.decode(known, type=store_calls.StoredObject)
+            entry = msgspec.json.decode(
+                stored.spec,
+                type=gateway_entry.GatewayEntry,
+            )
+        except msgspec.DecodeError:
+            return False
+        return entry == self._entry
+
     async def _replace(self, body: bytes) -> bool:
         path = store_calls.object_path(store_calls.GATEWAYS, self._node_id)
         match await self._client.put(path, body, _CALL_S):
@@ -70,26 +96,15 @@
             case _:
                 return False
 
-    async def _read(self) -> bool:
-        path = store_calls.list_path(store_calls.GATEWAYS)
-        match await self._client.get(path, _CALL_S):
-            case outcome.Reply(status=status, body=body) if status == _OK:
-                return self._take(body)
-            case _:
-                return False
-
-    def _take(self, body: bytes) -> bool:
-        try:
-            page = msgspec.json.decode(body, type=store_calls.Page)
-            records = [_record(stored) for stored in page.items]
-        except msgspec.DecodeError:
-            return False
-        self._peers.replace(one for one in records if one is not None)
-        return True
-
 
 def _record(stored: store_calls.StoredObject) -> peer_record.PeerRecord | None:
-    told = msgspec.json.decode(stored.spec, type=gateway_entry.GatewayEntry)
+    try:
+        told = msgspec.json.decode(
+            stored.spec,
+            type=gateway_entry.GatewayEntry,
+        )
+    except msgspec.DecodeError:
+        return None
     place = address.parse(told.address)
     if place.is_err():
         return None
@@ -97,4 +112,5 @@
         stored.meta.name,
         place.unwrap(),
         told.data_centre,
+        told.link_mbps,
     )
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -177,7 +177,10 @@
             news = known and known.news(since)
             if news is not None:
                 found[kind] = news
-        return gateway_news.NewsReply(found)
+        now = asyncio.get_running_loop().time()
+        copies = self._replica_by_kind.values()
+        confirmed_at = min(copy.confirmed_at for copy in copies)
+        return gateway_news.NewsReply(found, now - confirmed_at)
 
 
 def _answer(request_id: bytes, reply: msgspec.Struct) -> answer.Answer:
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Self
 
-from chivepond.decisions import searcher_standing
+from chivepond.decisions import helper_choice, searcher_standing
 from chivepond.gateway import link as links
 from chivepond.gateway import peer_record, telemetry
 from chivepond.observe import events
@@ -29,28 +29,32 @@
     """Links to the other gateways by name."""
 
     __slots__ = (
+        '_here',
         '_known_by_id',
         '_link_by_id',
-        '_own_id',
+        '_link_mbps',
         '_seeds',
         '_telemetry',
         '_way_s_by_id',
+        'own_id',
     )
 
     def __init__(
         self,
-        own_id: str,
+        own: peer_record.PeerRecord,
         told: telemetry.Telemetry,
         seeds: Iterable[address.Address],
     ) -> None:
         """Know no gateway but ``seeds``, which may be stale."""
+        self.own_id = own.node_id
+        self._here = own.data_centre
+        self._link_mbps = own.link_mbps
         self._seeds = [
-            _link(peer_record.PeerRecord(str(place), place, ''))
+            _link(peer_record.PeerRecord(str(place), place, '', 0))
             for place in seeds
         ]
         self._telemetry = told
         self._way_s_by_id: dict[str, float] = {}
-        self._own_id = own_id
         self._known_by_id: dict[str, peer_record.PeerRecord] = {}
         self._link_by_id: dict[str, links.Link] = {}
 
@@ -65,40 +69,50 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Close all links."""
-        self.replace(())
+        for node_id in self.known():
+            self.remove(node_id)
 
     @property
     def gateways(self) -> int:
         """How many gateways are registered, this one included."""
         return len(self._known_by_id) + 1
 
-    def replace(self, records: Iterable[peer_record.PeerRecord]) -> None:
-        """Take a whole list."""
-        found = {one.node_id: one for one in records}
-        found.pop(self._own_id, None)
-        for node_id in list(self._known_by_id):
-            if found.get(node_id) != self._known_by_id[node_id]:
-                self._known_by_id.pop(node_id)
-                self._telemetry.tell(events.PEER_GONE, peer=node_id)
-                self._link_by_id.pop(node_id).__exit__(None, None, None)
-        for node_id, record in found.items():
-            if node_id not in self._known_by_id:
-                self._known_by_id[node_id] = record
-                self._telemetry.tell(
-                    events.PEER_LEARNED,
-                    peer=node_id,
-                    address=str(record.address),
-                )
-                self._link_by_id[node_id] = _link(record)
+    def known(self) -> list[str]:
+        """Return the names of the other gateways."""
+        return list(self._known_by_id)
+
+    def put(self, record: peer_record.PeerRecord) -> None:
+        """Take the news of one gateway."""
+        node_id = record.node_id
+        if node_id == self.own_id or self._known_by_id.get(node_id) == record:
+            return
+        self.remove(node_id)
+        self._known_by_id[node_id] = record
+        self._link_by_id[node_id] = _link(record)
+        self._telemetry.tell(
+            events.PEER_LEARNED,
+            peer=node_id,
+            address=str(record.address),
+        )
 
-    def helpers(self) -> frozenset[str]:
-        """Return the data centres with a gateway that may be asked."""
+    def remove(self, node_id: str) -> None:
+        """Take the news that a gateway is gone."""
+        if self._known_by_id.pop(node_id, None) is not None:
+            self._link_by_id.pop(node_id).__exit__(None, None, None)
+            self._telemetry.tell(events.PEER_GONE, peer=node_id)
+
+    def link(self, node_id: str) -> links.Link:
+        """Return the link to a gateway that is known."""
+        return self._link_by_id[node_id]
+
+    def near(self) -> list[tuple[str, bool]]:
+        """Return the others of the own data centre; whether each is sound."""
         now = asyncio.get_running_loop().time()
-        return frozenset(
-            record.data_centre
+        return [
+            (node_id, _is_sound(self._link_by_id[node_id], now))
             for node_id, record in self._known_by_id.items()
-            if _is_sound(self._link_by_id[node_id], now)
-        )
+            if record.data_centre == self._here
+        ]
 
     def any(self) -> links.Link | None:
         """Return some gateway that may be asked, seeds included."""
@@ -116,21 +130,42 @@
         known_s = self.way_s(node_id)
         self._way_s_by_id[node_id] = known_s + _NEWEST * (took_s - known_s)
 
+    def helpers(self) -> frozenset[str]:
+        """Return the data centres with a gateway that may be asked.
+
+        The own one is among them where another gateway has a wider link.
+        """
+        now = asyncio.get_running_loop().time()
+        return frozenset(
+            record.data_centre
+            for node_id, record in self._known_by_id.items()
+            if _is_sound(self._link_by_id[node_id], now)
+            and self._may_help(record)
+        )
+
     def choose(self, data_centre: str) -> links.Link | None:
-        """Return a gateway of a data centre, a quick one of two at random."""
+        """Return a gateway of a data centre to ask for a gather."""
         now = asyncio.get_running_loop().time()
-        sound = [
-            link
-            for node_id, link in self._link_by_id.items()
-            if self._known_by_id[node_id].data_centre == data_centre
-            and _is_sound(link, now)
-        ]
-        picked = random.sample(sound, min(2, len(sound)))
-        return min(
-            picked,
-            key=lambda link: link.standing.expected_s(now),
-            default=None,
+        chosen = helper_choice.choose(
+            [
+                helper_choice.Helper(
+                    node_id,
+                    record.link_mbps,
+                    self._link_by_id[node_id].standing.expected_s(now),
+                )
+                for node_id, record in self._known_by_id.items()
+                if record.data_centre == data_centre
+                and _is_sound(self._link_by_id[node_id], now)
+                and self._may_help(record)
+            ],
+            random.random,
         )
+        return chosen and self._link_by_id[chosen.node_id]
+
+    def _may_help(self, record: peer_record.PeerRecord) -> bool:
+        if record.data_centre != self._here:
+            return True
+        return helper_choice.is_wider(record.link_mbps, self._link_mbps)
 
 
 def _is_sound(link: links.Link, now: float) -> bool:
--- a/chivepond/gateway/replica.py
+++ b/chivepond/gateway/replica.py
@@ -34,6 +34,7 @@
         '_stored_by_name',
         'as_of',
         'changed',
+        'confirmed_at',
     )
 
     def __init__(self, sink: Sink, changed: asyncio.Event) -> None:
@@ -42,10 +43,16 @@
         self.changed = changed
         #: The store's revision up to which all is known; zero for nothing.
         self.as_of = 0
+        #: When the store last confirmed this, on the steady clock.
+        self.confirmed_at: float = 0
         self._floor = 0
         self._stored_by_name: dict[str, store_calls.StoredObject] = {}
         self._gone_at_by_name: dict[str, int] = {}
 
+    def confirm(self, at: float) -> None:
+        """Take the news that all this was true at ``at``."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
     def take_list(
         self,
         found: list[store_calls.StoredObject],
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -195,11 +195,11 @@
     'source regained',
     'The store or a gateway that hands on its news is read again.',
 )
-NEWS_FROM_PEER = event.Event(
+NEWS_SOURCE = event.Event(
     6014,
     'INFO',
-    'news from a peer',
-    'The store can not be read; another gateway hands on what it knows.',
+    'news source',
+    'Whose news are taken from now on: the store, or a gateway that reads it.',
 )
 SEARCHER_LEARNED = event.Event(
     6020,
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -9,10 +9,12 @@
 
 _Address = typing.Annotated[str, msgspec.Meta(description='ip:port')]
 _Seconds = typing.Annotated[float, msgspec.Meta(ge=0, description='seconds')]
+_Ms = typing.Annotated[float, msgspec.Meta(gt=0, description='milliseconds')]
 _Port = typing.Annotated[
     int,
     msgspec.Meta(ge=0, le=65535, description='port'),
 ]
+_MS_PER_S = 1000
 _Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 _Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
@@ -22,7 +24,9 @@
 
     ``seeds`` gives a few other gateways' addresses, asked while the store
     can't be read; each listens for the others on ``peers``. ``metrics_port``
-    is on the address of ``callers``.
+    is on the address of ``callers``. ``routes_bound_ms`` and
+    ``leaving_bound_ms`` are the times within which newer routes, and the news
+    that a searcher leaves, must be in force.
     """
 
     node_id: str
@@ -38,11 +42,18 @@
     max_descriptors: _Count = 1024
     link_mbps: float = 1000
     stop_grace_s: _Seconds = 6
+    routes_bound_ms: _Ms = 3000
+    leaving_bound_ms: _Ms = 3000
     second_send_share: _Share = 0.2
     second_send_burst: float = 10
     second_send_span_s: _Seconds = 10
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
+    @property
+    def news_bound_s(self) -> float:
+        """The time within which any news must be in force, in seconds."""
+        return min(self.routes_bound_ms, self.leaving_bound_ms) / _MS_PER_S
+
     def trouble(self) -> setting_trouble.SettingTrouble | None:
         """Return what is wrong across settings, if anything is."""
         for name in ('callers', 'readiness', 'peers', 'store'):
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -236,11 +236,10 @@
 def test_groups_are_asked_where_their_searchers_are():
     """Parts of twenty shards crossed regions one by one."""
     best = {'a': 'hub', 'b': 'hub', 'c': 'hub', 'd': 'base', 'e': 'far'}
-    regions = {'base': 'coast', 'hub': 'inland', 'far': 'north'}
-    made = gather_plan.plan(best, regions, 'base', frozenset(('hub', 'far')))
+    made = gather_plan.plan(best, frozenset(('hub', 'far')))
     assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c']}
     assert set(made.direct) == {'d', 'e'}
-    alone = gather_plan.plan(best, regions, 'base', frozenset())
+    alone = gather_plan.plan(best, frozenset())
     assert set(alone.direct) == set(best)
 
 
--- a/chivepond/wire/gateway_entry.py
+++ b/chivepond/wire/gateway_entry.py
@@ -8,3 +8,4 @@
 
     address: str
     data_centre: str
+    link_mbps: float = 0
--- a/chivepond/wire/gateway_news.py
+++ b/chivepond/wire/gateway_news.py
@@ -36,3 +36,5 @@
     """News by kind; kinds without news are left out."""
 
     news_by_kind: dict[str, KindNews]
+    #: Seconds since the store last confirmed what the gateway knows.
+    age_s: float
