A reply that did not come is asked for again; explain; lines name their gateway

Change: the reply is asked for on another connection; the gateway there holds each gather for 0.3 s. chivepond explain joins the lines of several logs. Ruled out: two requests at once (twice the bytes between regions).

--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -74,7 +74,7 @@
         self._open = contextlib.AsyncExitStack()
         self._is_stopping = False
         self._was_ready = False
-        self._telemetry = telemetry.Telemetry()
+        self._telemetry = telemetry.Telemetry(settings.node_id)
         self._peers = peers.Peers(
             peer_record.PeerRecord(
                 settings.node_id,
@@ -165,7 +165,6 @@
         ]
         self._telemetry.tell(
             events.GATEWAY_STARTED,
-            node=self._settings.node_id,
             data_centre=self._settings.data_centre,
             callers=self._settings.callers,
         )
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -28,9 +28,9 @@
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
-#: How long after the answer was due a group still helps, in seconds, where
-#: there are too few parts without it.
-_PEER_LATE_S = 0.04
+#: How long a reply that is asked for again may take, in seconds: the way to
+#: any other gateway and back, and a new connection.
+_AGAIN_S = 0.08
 #: What is left between the other gateway's reply and the answer, in seconds.
 _PEER_MARGIN_S = 0.004
 
@@ -123,8 +123,11 @@
         way_s = self._peers.way_s(link.end.name)
         ended = await link.ask(
             peer_message.gather_message(self._gather_request(shards, way_s)),
-            self._search.answer_at + _PEER_LATE_S,
+            self._search.answer_at,
         )
+        if isinstance(ended, outcome.Broken):
+            self._trace.note(f'{link.end.name}: {ended.reason}')
+            ended = await self._ask_again(link)
         match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
                 reply = _decode(body)
@@ -138,12 +141,34 @@
             case _:
                 self._ask_from_here(shards, asks)
 
+    async def _ask_again(self, link: links.Link) -> outcome.Outcome:
+        """Ask for a reply that did not come, on another connection.
+
+        Guards against a packet that was lost: it shows as a gateway without
+        a reply for the 200 ms until it is sent again, and cost the whole
+        group. The gateway hands on what it has, or says that it never got
+        the request; one that says neither in time is not waited for.
+        """
+        message = peer_message.more_message(
+            self._search.request.request_id,
+            has_reply=False,
+        )
+        until = asyncio.get_running_loop().time() + _AGAIN_S
+        ended = await link.ask(message, min(until, self._search.deadline))
+        match ended:
+            case outcome.NotSent(reason=reason):
+                # It may have run all the same: the first request was sent.
+                return outcome.Broken(reason)
+            case _:
+                return ended
+
     async def _ask_more(self, link: links.Link, shards: list[str]) -> None:
         """Wait for parts that are late, where an answer needs them."""
-        ended = await link.ask(
-            peer_message.more_message(self._search.request.request_id),
-            self._search.deadline,
+        message = peer_message.more_message(
+            self._search.request.request_id,
+            has_reply=True,
         )
+        ended = await link.ask(message, self._search.deadline)
         match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
                 self._parts.take_group(_decode(body))
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -61,6 +61,11 @@
         await self._asks.wait_all(self._began + self._asked.answer_in_s)
         return self._reply(has_more=not self._parts.settled.is_set())
 
+    def again(self) -> gather_request.GatherReply:
+        """Return all that is in now, told or not."""
+        self._told.clear()
+        return self._reply(has_more=not self._parts.settled.is_set())
+
     async def more(self) -> gather_request.GatherReply:
         """Return what came since, once it is enough or can't be."""
         await self._asks.wait_enough(self._began + self._asked.left_s)
@@ -78,7 +83,7 @@
             if shard not in self._told
         }
         self._told.update(new)
-        # Bodies come in the order of signatures, so the last ones are new.
+        # Bodies come in the order of signatures, and the last ones are new.
         bodies = parts.bodies[len(parts.bodies) - len(new) :]
         lost = parts.reason_by_shard if has_more else parts.why_missing()
         return gather_request.GatherReply(
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -45,9 +45,9 @@
     return PeerMessage(GATHER_PATH, asked.request_id, body)
 
 
-def more_message(request_id: bytes) -> PeerMessage:
-    """Return the request for parts that came late."""
-    asked = gather_request.MoreRequest(request_id)
+def more_message(request_id: bytes, *, has_reply: bool) -> PeerMessage:
+    """Return the request for parts that came late, or for a lost reply."""
+    asked = gather_request.MoreRequest(request_id, has_reply)
     return PeerMessage(MORE_PATH, request_id, msgspec.msgpack.encode(asked))
 
 
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -31,8 +31,9 @@
         peer_message.NEWS_PATH: gateway_news.NewsRequest,
     },
 )
-#: How long a gather with too few parts waits to be asked for more, in
-#: seconds: the way back and forth between any two gateways.
+#: How long a gather may be asked for once more after its reply, or after its
+#: connection ended, in seconds: the way back and forth between any two
+#: gateways. Searchers learn after it that nobody waits any more.
 _HELD_S = 0.3
 
 
@@ -101,22 +102,25 @@
             second_ask_time.SecondAskTime(),
         )
         gather = held_gather.HeldGather(asked, self._tools, late)
+        self._held_by_id[asked.request_id] = gather
         try:
             reply = await gather.first()
-        except asyncio.CancelledError:
-            gather.end(is_answered=False)
-            raise
-        if reply.has_more:
-            self._hold(asked.request_id, gather)
-        else:
-            gather.end(is_answered=True)
+        finally:
+            asyncio.get_running_loop().call_later(
+                _HELD_S,
+                self._let_go,
+                asked.request_id,
+            )
         self._log(asked, gather, reply)
         return _answer(asked.request_id, reply)
 
     async def _more(self, asked: gather_request.MoreRequest) -> answer.Answer:
-        gather = self._held_by_id.pop(asked.request_id, None)
+        gather = self._held_by_id.get(asked.request_id)
         if gather is None:
             return answer.refusal(_NOT_FOUND, 'no such gather is held')
+        if not asked.has_reply:
+            return _answer(asked.request_id, gather.again())
+        self._held_by_id.pop(asked.request_id)
         try:
             reply = await gather.more()
         except asyncio.CancelledError:
@@ -125,14 +129,10 @@
         gather.end(is_answered=True)
         return _answer(asked.request_id, reply)
 
-    def _hold(self, request_id: bytes, gather: held_gather.HeldGather) -> None:
-        self._held_by_id[request_id] = gather
-        asyncio.get_running_loop().call_later(_HELD_S, self._let_go, request_id)
-
     def _let_go(self, request_id: bytes) -> None:
         gather = self._held_by_id.pop(request_id, None)
         if gather is not None:
-            gather.end(is_answered=True)
+            gather.end(is_answered=False)
 
     def _log(
         self,
--- a/chivepond/gateway/telemetry.py
+++ b/chivepond/gateway/telemetry.py
@@ -45,13 +45,15 @@
 
     __slots__ = (
         '_limit',
+        '_node_id',
         'counts_by_name',
         'gauge_by_name',
         'latency_by_route',
     )
 
-    def __init__(self) -> None:
-        """Start at zero."""
+    def __init__(self, node_id: str) -> None:
+        """Start at zero; lines carry ``node_id``."""
+        self._node_id = node_id
         self._limit = log_limit.LogLimit()
         #: Counters by name, each by its label.
         self.counts_by_name: dict[str, collections.Counter[str]] = {}
@@ -89,4 +91,4 @@
             return
         if left_out:
             told['left_out_before'] = left_out
-        journal.log(kind, **told)
+        journal.log(kind, node=self._node_id, **told)
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -229,6 +229,11 @@
         self._behind = behind
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._held_back = 0
+
+    def hold_replies(self, connections: int) -> None:
+        """Pass on no reply on the next few connections."""
+        self._held_back = connections
 
     async def __aenter__(self) -> Self:
         """Open the way."""
@@ -257,6 +262,10 @@
             self._behind.port,
         )
         self._writers.update((writer, there[1]))
+        if self._held_back:
+            self._held_back -= 1
+            await _carry(reader, there[1])
+            return
         await asyncio.gather(
             _carry(reader, there[1]),
             _carry(there[0], writer),
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -372,3 +372,45 @@
         return await reply(got)
 
     return slow
+
+
+def test_a_lost_packet_costs_no_group():
+    """A search lost the shards of a whole region.
+
+    The other gateway's reply was held up on its connection. Asked on another
+    one, it hands on what it has; no searcher is asked again.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    _part(shard, number),
+                    zone='hub',
+                )
+                for number, shard in enumerate(_SHARDS)
+            ]
+            bench.configure(1, _search())
+            there = await bench.ready_gateway(
+                node_id='gate-2',
+                data_centre='hub',
+            )
+            async with gateway_bench.Gate(there.peers) as gate:
+                gate.hold_replies(1)
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(gate.address), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(
+                    lambda: here.figures.gateways_known == 2,
+                )
+                caller = await bench.caller(here.callers)
+                reply = gateway_bench.reply_of(await caller.get('/search/x'))
+                assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+                assert [len(one.got) for one in searchers] == [1, 1, 1, 1]
+
+    support.run(play())
--- a/chivepond/tests/test_gateway_logs.py
+++ b/chivepond/tests/test_gateway_logs.py
@@ -8,6 +8,7 @@
 from chivepond.observe import bounded_output, events, journal
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.tools import operator_cli
 
 Got = scripted_searcher.Got
 Told = scripted_searcher.Told
@@ -194,3 +195,38 @@
             await caller.send(raw)
 
     assert any(one.get('status') == 503 for one in _played(scene))
+
+
+def test_the_command_explains_a_request_from_several_logs(tmp_path, capsys):
+    """On call, a request's identifier leads to its cause in one command."""
+
+    async def scene() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _reset)
+            await bench.searcher('s-2', 'other', _echo)
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'r',
+                    '/r/',
+                    service='desk',
+                    kind='non_idempotent',
+                ),
+            )
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            raw = gateway_bench.request('POST', '/r/', request_id='lost')
+            await caller.send(raw)
+
+    lines = [json.dumps(line) for line in _played(scene)]
+    log = tmp_path / 'gate-1.log'
+    log.write_text('\n'.join(['no line', *(f'1.5 x {one}' for one in lines)]))
+    program = ['chivepond', 'explain', '--file', str(log), '--request']
+    assert operator_cli.main([*program, 'lost']) == 0
+    told = capsys.readouterr().out
+    assert 'request failed at the searchers' in told
+    assert 'searcher learned: ' in told
+    assert 's-1' in told
+    assert 's-2' not in told
+    assert operator_cli.main([*program, 'unknown']) == 1
+    assert 'no line tells' in capsys.readouterr().err
--- a/chivepond/tools/operator_cli.py
+++ b/chivepond/tools/operator_cli.py
@@ -11,6 +11,7 @@
     config_commands,
     console,
     demo,
+    explain_commands,
     program_flags,
     request_commands,
     status_commands,
@@ -31,6 +32,7 @@
   chivepond events
   chivepond status --operators 127.0.0.1:8301
   chivepond burn --operators 127.0.0.1:8301,127.0.0.1:8302 --plot burn.png
+  chivepond explain --request 9c41d07be2a35f68 --file gate-1.log,gate-2.log
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 not run, 4 outcome unknown,
 5 unreachable.
@@ -53,6 +55,7 @@
     ('config', 'apply'): config_commands.apply,
     ('config', 'defaults'): config_commands.defaults_table,
     ('events',): status_commands.events_table,
+    ('explain',): explain_commands.explain,
     ('burn',): burn_commands.report,
     ('status',): status_commands.status,
 }
@@ -103,7 +106,8 @@
     program.text('shard_key', '', 'chooses the shard that runs a command')
     program.text('body', '', 'what a command is to do')
     program.text('section', '', 'search, capacity or audit')
-    program.text('file', '', 'the YAML file with a section')
+    program.text('request', '', 'the identifier of a request to explain')
+    program.text('file', '', 'the YAML file with a section, or logs')
     program.number('base_edits', 0, 'edits that the edit was made from')
     return program
 
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -39,6 +39,8 @@
 
 
 class MoreRequest(msgspec.Struct, array_like=True):
-    """Asks for the parts that came after the reply to a gather."""
+    """Asks once more for what a gather has, or will have."""
 
     request_id: bytes
+    #: Whether the reply to the gather came; else all parts are wanted.
+    has_reply: bool
