Back sooner after an outage of the store; a late group is waited for a moment

Change: come back in 1 s; ask each 0.25 s while nothing is known. A group is waited for 15 ms before its reply is asked for again. Ruled out: holding requests until the store is back.

--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -28,11 +28,14 @@
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
+#: How long after the answer was due a group is waited for before its reply
+#: is asked for again, in seconds: delays of links vary by as much.
+_PEER_LATE_S = 0.015
 #: How long a reply that is asked for again may take, in seconds: the way to
 #: any other gateway and back, and a new connection.
 _AGAIN_S = 0.08
 #: What is left between the other gateway's reply and the answer, in seconds.
-_PEER_MARGIN_S = 0.004
+_PEER_MARGIN_S = 0.006
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,7 +126,7 @@
         way_s = self._peers.way_s(link.end.name)
         ended = await link.ask(
             peer_message.gather_message(self._gather_request(shards, way_s)),
-            self._search.answer_at,
+            self._search.answer_at + _PEER_LATE_S,
         )
         if isinstance(ended, outcome.Broken):
             self._trace.note(f'{link.end.name}: {ended.reason}')
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -18,6 +18,8 @@
 #: How long to wait before another call after a failed one, in seconds.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.8
+#: The longest where nothing is known yet: each caller is refused meanwhile.
+_BLIND_PAUSE_S = 0.25
 #: Between two watches, in seconds: changes that come together cost one call.
 #: News may be seconds old by the operators' bounds; a quarter of a second
 #: takes little of that.
@@ -145,7 +147,8 @@
 
     async def _pause(self) -> None:
         await asyncio.sleep(self._pause_s * random.uniform(*_JITTER))
-        self._pause_s = min(_LONGEST_PAUSE_S, 2 * self._pause_s)
+        longest_s = _LONGEST_PAUSE_S if self._replica.as_of else _BLIND_PAUSE_S
+        self._pause_s = min(longest_s, 2 * self._pause_s)
 
 
 def _decode(body: bytes, kind: type[Told]) -> tuple[str, Told | None]:
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -22,8 +22,9 @@
 _SUCCESSES = range(200, 300)  # noqa: WPS432
 _REFUSALS = frozenset((_BAD_REQUEST, _NOT_FOUND, 408, 421, 429, _UNAVAILABLE))
 _MS_PER_S = 1000
-#: When to come back while no configuration is known, in seconds.
-_UNKNOWN_RETRY_S = 0.5
+#: When to come back while no configuration is known, in seconds. A store
+#: that is away is so for seconds, and many callers come back just once.
+_UNKNOWN_RETRY_S = 1.0
 #: How long before the caller's deadline the last word is said, in seconds:
 #: the way back to the caller, and the loop's delay on a busy host.
 _LAST_WORD_S = 0.02
