A soak of gateway processes, with faults from outside

Change: chivepond.soak.gateways: proxies on loopback, signals, a store and searchers that misbehave; checks of whole own answers, coverage, at most once, true refusals and planned stops; a short seeded run in the tests. Ruled out: stand-ins as processes of their own; they are the point of observation.

--- /dev/null
+++ b/chivepond/soak/gateway_process.py
@@ -0,0 +1,107 @@
+"""One gateway as a process of its own, ended by its id."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import types
+from typing import Self
+
+import msgspec
+
+_CALLERS = 8101
+_READINESS = 8102
+_PEERS = 8103
+_METRICS = 8104
+
+
+class GatewayProcess:
+    """Starts, signals and restarts the real program."""
+
+    __slots__ = ('_folder', '_ip', '_log', '_store', 'name', 'process')
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        store: str,
+        folder: pathlib.Path,
+    ) -> None:
+        """Listen on ``ip``; keep settings and log in ``folder``."""
+        self.name = name
+        self._ip = ip
+        self._store = store
+        self._folder = folder
+        self._log = folder / f'{name}.log'
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def __aenter__(self) -> Self:
+        """Start the process."""
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Kill the process if it still runs."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    @property
+    def callers(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return (self._ip, _CALLERS)
+
+    @property
+    def readiness(self) -> tuple[str, int]:
+        """Where the balancer asks."""
+        return (self._ip, _READINESS)
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process anew."""
+        path = self._folder / f'{self.name}.yaml'
+        path.write_bytes(msgspec.json.encode(self._settings()))
+        # The child keeps a copy of the descriptor.
+        with self._log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'chivepond.tools.gateway_daemon',
+                '--settings',
+                str(path),
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.runs:
+            os.kill(self.process.pid, number)
+
+    async def wait(self) -> None:
+        """Wait for its end."""
+        await self.process.wait()
+
+    def _settings(self) -> dict[str, object]:
+        return {
+            'node_id': self.name,
+            'data_centre': 'base',
+            'region_by_data_centre': {'base': 'coast', 'hub': 'inland'},
+            'callers': f'{self._ip}:{_CALLERS}',
+            'readiness': f'{self._ip}:{_READINESS}',
+            'peers': f'{self._ip}:{_PEERS}',
+            'metrics_port': _METRICS,
+            'store': self._store,
+            'stop_grace_s': 6,
+            'second_send_burst': 100,
+        }
--- /dev/null
+++ b/chivepond/soak/loopback_proxy.py
@@ -0,0 +1,141 @@
+"""Carries bytes between two ends on loopback, and harms them."""
+
+import asyncio
+import enum
+import socket
+import struct
+import types
+from typing import Self
+
+from chivepond.transport import address
+
+_CHUNK = 65536
+_DELAY_S = 0.15
+_POLL_S = 0.02
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+
+class Harm(enum.Enum):
+    """What a proxy does to the connections through it."""
+
+    NONE = 'none'
+    DELAY = 'delay'
+    #: Nothing comes back; requests still arrive.
+    DEAF = 'deaf'
+    #: Nothing passes, and nothing is closed.
+    SILENT = 'silent'
+    #: New and open connections are reset.
+    RESET = 'reset'
+
+
+class LoopbackProxy:
+    """Leads from an address of its own to another one while entered."""
+
+    __slots__ = ('_behind', '_server', '_tasks', '_writers', 'harm')
+
+    def __init__(self, behind: address.Address) -> None:
+        """Lead to ``behind`` unharmed."""
+        self._behind = behind
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.harm = Harm.NONE
+
+    async def __aenter__(self) -> Self:
+        """Listen."""
+        self._server = await asyncio.start_server(self._lead, '127.0.0.1', 0)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all connections."""
+        self._server.close()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+
+    @property
+    def address(self) -> address.Address:
+        """Where it listens."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return address.Address(ip, port)
+
+    def do_harm(self, harm: Harm) -> None:
+        """Begin to harm; connections that are open are harmed too."""
+        self.harm = harm
+        if harm is Harm.RESET:
+            self.cut()
+
+    def cut(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def _lead(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._join(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            _reset(writer)
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+
+    async def _join(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self.harm is Harm.RESET:
+            _reset(writer)
+            return
+        there = await asyncio.open_connection(
+            self._behind.ip,
+            self._behind.port,
+        )
+        self._writers.add(there[1])
+        try:
+            await asyncio.gather(
+                self._carry(reader, there[1], is_back=False),
+                self._carry(there[0], writer, is_back=True),
+            )
+        finally:
+            self._writers.discard(there[1])
+            there[1].close()
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_back: bool,
+    ) -> None:
+        while chunk := await reader.read(_CHUNK):
+            while self._holds(is_back=is_back):
+                await asyncio.sleep(_POLL_S)
+            if self.harm is Harm.DELAY:
+                await asyncio.sleep(_DELAY_S)
+            writer.write(chunk)
+        writer.close()
+
+    def _holds(self, *, is_back: bool) -> bool:
+        if self.harm is Harm.SILENT:
+            return True
+        return is_back and self.harm is Harm.DEAF
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    held = writer.get_extra_info('socket')
+    if held is not None and held.fileno() >= 0:
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
--- /dev/null
+++ b/chivepond/tests/test_gateway_soak.py
@@ -0,0 +1,132 @@
+"""The soak of gateway processes: a short run, and its checks by themselves."""
+
+import asyncio
+import random
+
+import pytest
+
+from chivepond.gateway import header_list, outcome
+from chivepond.platform import headers
+from chivepond.soak import (
+    gateway_checks,
+    gateway_soak,
+    loopback_proxy,
+    searcher_ledger,
+)
+from chivepond.standins import scripted_searcher
+from chivepond.tests import support
+
+_SHARDS = ('a', 'b', 'c')
+_SECONDS = 5
+
+
+@pytest.mark.parametrize('seed', [1])
+def test_promises_hold_under_faults_from_outside(seed, tmp_path):
+    """Killed, paused, stopped and cut off gateways keep their promises."""
+
+    async def play() -> gateway_checks.GatewayChecks:
+        async with gateway_soak.GatewaySoak(seed, tmp_path, 3) as played:
+            await played.run(_SECONDS)
+        return played.checks
+
+    checks = asyncio.run(play())
+    assert not checks.violations
+    assert checks.statuses[200] > 100
+
+
+def _checks():
+    ledger = searcher_ledger.SearcherLedger(random.Random(1))
+    return gateway_checks.GatewayChecks(ledger), ledger
+
+
+def _reply(status, body, **told):
+    found = header_list.HeaderList()
+    for name, said in told.items():
+        found.add(getattr(headers, name), said)
+    return outcome.Reply(status, found, body)
+
+
+def _whole(parts, missing, spoil=False):
+    found = sorted(
+        (one for part in parts for one in searcher_ledger.records(part, b'r')),
+        reverse=True,
+    )[: gateway_checks.TOP_COUNT]
+    if spoil:
+        found.pop()
+    signed = [searcher_ledger.signature(part, b'r') for part in parts]
+    return _reply(
+        200,
+        b''.join(found),
+        PART_SIGNATURES=', '.join(signed).encode(),
+        MISSING_SHARDS=b'%d' % missing,
+    )
+
+
+@pytest.mark.parametrize(
+    ('reply', 'promise'),
+    [
+        (_whole('abc', 0), None),
+        (_whole('ab', 1), None),
+        (_whole('ab', 0), 'true coverage'),
+        (_whole('a', 2), 'least coverage'),
+        (_whole('aab', 0), 'whole own answers'),
+        (_whole('abd', 0), 'whole own answers'),
+        (_whole('abc', 0, spoil=True), 'the greatest records'),
+    ],
+)
+def test_a_wrong_gathered_answer_is_seen(reply, promise):
+    """Each way in which a gathered answer can lie is told by its promise."""
+    checks, _ = _checks()
+    checks.search(b'r', _SHARDS, reply)
+    seen = [one.promise for one in checks.violations]
+    assert seen == ([promise] if promise else [])
+
+
+def test_a_second_run_and_a_false_refusal_are_seen():
+    """A stamp that ran twice, and one that ran though it was refused."""
+    checks, ledger = _checks()
+    ledger.runs[('stamps', b'twice')] = 2
+    ledger.runs[('stamps', b'refused')] = 1
+    ledger.runs[('reads', b'again')] = 5
+    checks.single(b'refused', 'stamps', _reply(503, b''), is_idempotent=False)
+    checks.at_the_end('stamps')
+    seen = {one.promise for one in checks.violations}
+    assert seen == {'at most once', 'not run means not run'}
+
+
+def test_a_proxy_holds_resets_and_passes():
+    """Each harm shows at both ends, and ends with its removal."""
+
+    async def echo(got: scripted_searcher.Got) -> scripted_searcher.Told:
+        return scripted_searcher.good(got, got.line)
+
+    async def ask(place) -> bytes:
+        reader, writer = await asyncio.open_connection(place.ip, place.port)
+        writer.write(b'GET / HTTP/1.1\r\n\r\n')
+        async with asyncio.timeout(0.4):
+            got = await reader.read(9)
+        writer.close()
+        return got
+
+    async def answers(place) -> bool:
+        try:
+            return await ask(place) == b'HTTP/1.1 '
+        except (TimeoutError, ConnectionError):
+            return False
+
+    async def play() -> None:
+        async with scripted_searcher.ScriptedSearcher(echo) as searcher:
+            way = loopback_proxy.LoopbackProxy(searcher.address)
+            async with way:
+                seen = {}
+                for harm in loopback_proxy.Harm:
+                    way.do_harm(harm)
+                    seen[harm] = await answers(way.address)
+                way.do_harm(loopback_proxy.Harm.NONE)
+                assert await answers(way.address)
+                assert [harm.value for harm in seen if seen[harm]] == [
+                    'none',
+                    'delay',
+                ]
+
+    support.run(play())
