--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -13,6 +13,9 @@
 #: Weight of the newest exchange in the averages. Ten exchanges forget a
 #: fault, which is a second of one gateway's requests to a searcher.
 _NEWEST = 0.2
+#: A request that was given up after this time counts as failed, in seconds:
+#: twice the longest pause of a sound searcher.
+_SILENT_S = 0.4
 #: A reply counts as no slower than this many times the usual one, so that a
 #: single pause moves nothing to another region, and two slow replies do.
 _SLOWEST_FACTOR = 3.0
@@ -28,7 +31,7 @@
 USUAL_FAILURES = 2
 #: How long a searcher is distrusted at first and at the most, in seconds.
 _DISTRUST_S = 0.5
-_LONGEST_DISTRUST_S = 4.0
+_LONGEST_DISTRUST_S = 1.5
 #: Seconds in which a bad average loses half of what it says, so that a
 #: searcher which nobody asks is tried again.
 _FORGET_S = 2.0
@@ -94,8 +97,16 @@
         """Count a request that left."""
         self._sent_at_by_attempt[attempt] = now
 
-    def forgot(self, attempt: int) -> None:
-        """Count a request that was cancelled, which tells nothing."""
+    def given_up(self, attempt: int, now: float) -> None:
+        """Count a request that was cancelled.
+
+        Guards against a searcher that fell silent: nobody waits for it to
+        the end, so that no time-out tells, and each search waited for it up
+        to its target latency. One that was given up sooner tells nothing.
+        """
+        sent_at = self._sent_at_by_attempt.get(attempt, now)
+        if now - sent_at > _SILENT_S:
+            self.failed(attempt, now)
         self._sent_at_by_attempt.pop(attempt, None)
 
     def replied(self, attempt: int, now: float) -> None:
--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         '_asks',
+        '_doubtful',
         '_late',
         '_route',
         '_tasks',
@@ -50,6 +51,7 @@
         self._trace = trace
         self._asks: list[service_ask.ServiceAsk] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self._doubtful: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> Self:
         """Return the asks."""
@@ -92,17 +94,28 @@
                 self._trace,
             )
             self._asks.append(ask)
-            self.add(asyncio.create_task(self._ask_one(ask, deadline)))
+            task = asyncio.create_task(self._ask_one(ask, deadline))
+            self.add(task)
+            if self._tools.searchers.is_doubtful(shard):
+                self._doubtful.add(task)
 
     async def wait_all(self, until: float) -> None:
-        """Wait for all tasks, those that are added meanwhile included."""
+        """Wait for all tasks, those that are added meanwhile included.
+
+        Shards of which no searcher replied lately are waited for only where
+        there are too few parts without them: one that is down would hold up
+        each answer to its target latency.
+        """
         loop = asyncio.get_running_loop()
         while True:
             pending = {task for task in self._tasks if not task.done()}
+            if self.parts.is_enough:
+                pending -= self._doubtful
             left_s = until - loop.time()
             if not pending or left_s <= 0:
                 return
-            await asyncio.wait(pending, timeout=left_s)
+            hopeful = pending - self._doubtful
+            await asyncio.wait(hopeful or pending, timeout=left_s)
 
     async def wait_enough(self, until: float) -> None:
         """Wait until the parts are enough, or can't be any more."""
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -127,7 +127,7 @@
         except TimeoutError:
             ended = outcome.Broken('no reply in time')
         except asyncio.CancelledError:
-            self.standing.forgot(attempt)
+            self.standing.given_up(attempt, loop.time())
             raise
         self._judge(attempt, ended, loop.time())
         return ended
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Self
 
-from chivepond.decisions import searcher_choice
+from chivepond.decisions import searcher_choice, searcher_standing
 from chivepond.gateway import link as links
 from chivepond.gateway import peers, searcher_record, telemetry
 from chivepond.observe import events
@@ -192,6 +192,14 @@
                 found[service] = best.data_centre
         return found
 
+    def is_doubtful(self, service: str) -> bool:
+        """Tell whether no searcher of a service replied well lately."""
+        now = self._loop.time()
+        return all(
+            one.standing.trust(now) >= searcher_standing.Trust.ON_TRIAL
+            for one in self.candidates(service)
+        )
+
     def choose(
         self,
         service: str,
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -414,3 +414,27 @@
                 assert [len(one.got) for one in searchers] == [1, 1, 1, 1]
 
     support.run(play())
+
+
+def test_a_shard_that_is_down_holds_up_no_answer():
+    """Each search took its whole target latency while one shard was down.
+
+    Its searcher takes requests and never replies. After two of them, answers
+    come without it as soon as the others are in.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, d=_hang)
+            caller = await bench.caller(gate.callers)
+            took = []
+            for _ in range(5):
+                began = asyncio.get_running_loop().time()
+                reply = gateway_bench.reply_of(await caller.get('/search/x'))
+                took.append(asyncio.get_running_loop().time() - began)
+                assert _signatures(reply) == {b'a', b'b', b'c'}
+                await asyncio.sleep(0.4)
+            assert took[0] > 0.2
+            assert min(took[2:]) < 0.1
+
+    support.run(play())
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -47,10 +47,12 @@
 
 
 def _whole(parts, missing, spoil=False):
-    found = sorted(
-        (one for part in parts for one in searcher_ledger.records(part, b'r')),
-        reverse=True,
-    )[: gateway_checks.TOP_COUNT]
+    found = [
+        record
+        for part in parts
+        for record in searcher_ledger.records(part, b'r')
+    ]
+    found = sorted(found, reverse=True)[: gateway_checks.TOP_COUNT]
     if spoil:
         found.pop()
     signed = [searcher_ledger.signature(part, b'r') for part in parts]
@@ -79,7 +81,7 @@
     checks, _ = _checks()
     checks.search(b'r', _SHARDS, reply)
     seen = [one.promise for one in checks.violations]
-    assert seen == ([promise] if promise else [])
+    assert seen == [one for one in (promise,) if one]
 
 
 def test_a_second_run_and_a_false_refusal_are_seen():
