Searches are turned away in part while queues are long at most shards

Change: fewer are let in while answers are late and queues are long at 0.4 of the shards, as the searchers tell of their load; told to come back in 0.6 s.

--- /dev/null
+++ b/chivepond/decisions/search_admission.py
@@ -0,0 +1,56 @@
+"""How many searches are let in while the searchers' queues are long.
+
+Load pattern: callers come three or four times as often for some seconds.
+Every search wants a part of every shard, so that all queues grow at once;
+each search then waits behind those before it, and all are late, in place of
+some. Turning some away at once, with a time to come back, keeps the others
+in time. Slow or dead searchers are no reason to: turning searches away makes
+them no quicker, and a late answer is better than none. So both must be seen:
+answers that come late, and queues at most shards.
+"""
+
+#: Weight of the newest search in what is seen; some ten are remembered.
+_NEWEST = 0.1
+#: Below this share of searches in time, with queues at this share of the
+#: shards, fewer are let in. One slow pair of searchers in thirty is a share
+#: of 0.03; two sets of slow ones came to 0.27 of the shards.
+_ON_TIME_SHARE = 0.7
+_QUEUED_SHARE = 0.4
+#: How the share that is let in shrinks and grows with each search. Fifteen
+#: late ones halve it; it is whole again some fifty searches after the rush.
+_SHRINK = 0.95
+_GROW = 0.01
+#: The least share that is let in: what comes back tells of the end.
+_LEAST_SHARE = 0.3
+
+
+class SearchAdmission:
+    """Learns from searches that were let in; spreads refusals evenly."""
+
+    __slots__ = ('_credit', '_on_time', '_queued', 'share')
+
+    def __init__(self) -> None:
+        """Let all in."""
+        self._on_time: float = 1
+        self._queued: float = 0
+        self._credit: float = 0
+        #: The share of searches that is let in.
+        self.share: float = 1
+
+    def admit(self) -> bool:
+        """Tell whether the next search is let in."""
+        self._credit += self.share
+        if self._credit < 1:
+            return False
+        self._credit -= 1
+        return True
+
+    def learn(self, queued_share: float, *, is_on_time: bool) -> None:
+        """Take how a search went, and at how many shards queues were long."""
+        self._on_time += _NEWEST * (int(is_on_time) - self._on_time)
+        self._queued += _NEWEST * (queued_share - self._queued)
+        is_late = self._on_time < _ON_TIME_SHARE
+        if is_late and self._queued > _QUEUED_SHARE:
+            self.share = max(_LEAST_SHARE, self.share * _SHRINK)
+        else:
+            self.share = min(1, self.share + _GROW)
--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -37,6 +37,8 @@
 _FORGET_S = 2.0
 #: How many times slower a searcher that fails each request counts.
 _FAILURE_WEIGHT = 8.0
+#: How long a searcher's word on its queue holds, in seconds.
+_RECENT_S = 0.5
 #: How many times slower a searcher is just after its start.
 _COLD_FACTOR = 1.6
 
@@ -66,6 +68,8 @@
         '_sent_at_by_attempt',
         '_slots',
         '_told_at',
+        '_waiting',
+        '_waiting_at',
     )
 
     def __init__(
@@ -87,12 +91,24 @@
         self._distrusted_until: float = 0
         self._told_at: float = 0
         self._sent_at_by_attempt: dict[int, float] = {}
+        self._waiting = 0
+        self._waiting_at: float = 0
 
     @property
     def in_flight(self) -> int:
         """How many requests of this gateway it works on."""
         return len(self._sent_at_by_attempt)
 
+    def told_waiting(self, waiting: int, now: float) -> None:
+        """Take how many requests wait at it, of all gateways."""
+        self._waiting = waiting
+        self._waiting_at = now
+
+    def is_queued(self, now: float) -> bool:
+        """Tell whether it lately had more waiting than it has slots."""
+        is_recent = now - self._waiting_at < _RECENT_S
+        return is_recent and self._waiting >= self._slots
+
     def sent(self, attempt: int, now: float) -> None:
         """Count a request that left."""
         self._sent_at_by_attempt[attempt] = now
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -5,7 +5,7 @@
 import types
 from typing import Self
 
-from chivepond.decisions import second_send_budget
+from chivepond.decisions import search_admission, second_send_budget
 from chivepond.gateway import (
     answer,
     budgets,
@@ -96,6 +96,7 @@
             budgets=budgets.Budgets(_budget_limits(settings), self._peers),
             stragglers=stragglers.Stragglers(),
             telemetry=self._telemetry,
+            admission=search_admission.SearchAdmission(),
         )
         self._way = requests_way.RequestsWay(self._tools, self._peers)
         self.figures = figures.Figures(
@@ -303,6 +304,7 @@
         told.gauge('ready', int(self.is_ready))
         told.gauge('caller_connections', self._front.connections)
         told.gauge('requests_in_work', self._front.working)
+        told.gauge('searches_let_in', self._tools.admission.share)
         for name in (
             'gateways_known',
             'searchers_known',
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -34,6 +34,9 @@
 #: How long a reply that is asked for again may take, in seconds: the way to
 #: any other gateway and back, and a new connection.
 _AGAIN_S = 0.08
+#: When to come back after a refusal in a rush, in seconds: the queues of
+#: some hundred milliseconds are worked off by then.
+_RUSH_RETRY_S = 0.6
 #: What is left between the other gateway's reply and the answer, in seconds.
 _PEER_MARGIN_S = 0.006
 
@@ -89,6 +92,13 @@
                 self._parts.miss(shard, reason, has_run=False)
         if self._parts.settled.is_set():
             return self._answer()
+        if not self._tools.admission.admit():
+            self._tools.telemetry.count('searches_turned_away', 'queues')
+            return answer.refusal(
+                _UNAVAILABLE,
+                'too many searches wait',
+                _RUSH_RETRY_S,
+            )
         made = gather_plan.plan(best_place_by_shard, self._peers.helpers())
         with gather_asks.GatherAsks(
             self._parts,
@@ -99,9 +109,18 @@
         ) as asks:
             self._begin(made, asks)
             await asks.wait_all(self._search.answer_at)
+            self._learn(made)
             await asks.wait_enough(self._search.deadline)
         return self._answer()
 
+    def _learn(self, made: gather_plan.GatherPlan) -> None:
+        queued = sum(map(self._tools.searchers.is_queued, made.direct))
+        queued += self._parts.queued
+        self._tools.admission.learn(
+            queued / len(self._parts.shards),
+            is_on_time=self._parts.is_enough,
+        )
+
     def _begin(
         self,
         made: gather_plan.GatherPlan,
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -14,6 +14,7 @@
         '_needed',
         'bodies',
         'has_run',
+        'queued',
         'reason_by_shard',
         'settled',
         'shards',
@@ -29,6 +30,8 @@
         self.signature_by_shard: dict[str, bytes] = {}
         self.reason_by_shard: dict[str, str] = {}
         self.has_run = False
+        #: How many shards had long queues, as other gateways told.
+        self.queued = 0
         #: Shards whose part won't come and that no searcher was asked for.
         self.unasked: list[str] = []
         #: Set once there are enough parts, or can't be any more.
@@ -85,6 +88,7 @@
         self.has_run = True
         self.bodies.append(reply.records)
         self.signature_by_shard.update(reply.signature_by_shard)
+        self.queued += reply.queued
         for shard, reason in reply.reason_by_shard.items():
             if shard not in reply.unasked:
                 self.reason_by_shard[shard] = reason
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -18,7 +18,15 @@
 class HeldGather:
     """Asks the shards; tells what is in, each part once."""
 
-    __slots__ = ('_asked', '_asks', '_began', '_parts', '_told', 'trace')
+    __slots__ = (
+        '_asked',
+        '_asks',
+        '_began',
+        '_parts',
+        '_told',
+        '_tools',
+        'trace',
+    )
 
     def __init__(
         self,
@@ -29,6 +37,7 @@
         """Begin to ask."""
         clock = asyncio.get_running_loop().time
         self._asked = asked
+        self._tools = tools
         self._began = clock()
         self._told: set[str] = set()
         self.trace = request_trace.RequestTrace(clock, self._began)
@@ -93,6 +102,7 @@
             took_s=asyncio.get_running_loop().time() - self._began,
             unasked=parts.unasked,
             has_more=has_more,
+            queued=sum(map(self._tools.searchers.is_queued, parts.shards)),
         )
 
 
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -23,6 +23,8 @@
 _IDLE_S = 10.0
 _SERVER_ERROR = 500
 _STATED_IDLE = re.compile(rb'timeout=(\d+)')
+#: Running requests, waiting requests, slots.
+_LOAD = re.compile(rb'\d+,\s*(\d{1,6}),\s*\d+')
 _attempts = itertools.count()
 
 
@@ -157,12 +159,19 @@
         self._release(connection, ended)
         return ended
 
+    def _hear(self, told: bytes | None, now: float) -> None:
+        """Take what a searcher says of its load."""
+        found = _LOAD.fullmatch(told or b'')
+        if found:
+            self.standing.told_waiting(int(found[1]), now)
+
     def _judge(self, attempt: int, ended: outcome.Outcome, now: float) -> None:
+        match ended:
+            case outcome.Reply(headers=told):
+                self._hear(told.get(headers.LOAD), now)
         match ended:
             case outcome.Reply(status=status) if status < _SERVER_ERROR:
                 self.standing.replied(attempt, now)
-            case outcome.Reply(headers=told) if told.get(headers.NOT_RUN):
-                self.standing.failed(attempt, now)
             case _:
                 self.standing.failed(attempt, now)
 
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -192,6 +192,13 @@
                 found[service] = best.data_centre
         return found
 
+    def is_queued(self, service: str) -> bool:
+        """Tell whether all searchers of a service have long queues."""
+        now = self._loop.time()
+        return all(
+            one.standing.is_queued(now) for one in self.candidates(service)
+        )
+
     def is_doubtful(self, service: str) -> bool:
         """Tell whether no searcher of a service replied well lately."""
         now = self._loop.time()
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from chivepond.decisions import second_ask_time
+from chivepond.decisions import search_admission, second_ask_time
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
@@ -32,6 +32,7 @@
     budgets: budgets.Budgets
     stragglers: stragglers.Stragglers
     telemetry: telemetry.Telemetry
+    admission: search_admission.SearchAdmission
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -10,6 +10,7 @@
     gather_time,
     log_limit,
     recent_count,
+    search_admission,
     searcher_choice,
     searcher_standing,
     second_ask_time,
@@ -253,3 +254,65 @@
     assert limit.take(2, 20, 10) == 0
     left_out = limit.take(1, 20, 20)
     assert left_out > 0
+
+
+def _rush(*, capacity: float, arrivals: float, seconds: float, admission):
+    """Play searches against one queue; return how many were in time.
+
+    ``capacity`` and ``arrivals`` are a second. A search is in time if it
+    waits less than 150 ms; it is told to come back at most once.
+    """
+    now, busy_until = float(0), float(0)
+    in_time = 0
+    step = 1 / arrivals
+    while now < seconds:
+        now += step
+        if admission is not None and not admission.admit():
+            continue
+        busy_until = max(now, busy_until) + 1 / capacity
+        waited = busy_until - now
+        is_on_time = waited < 0.15
+        in_time += is_on_time
+        # Callers give up after a second; the queue is no longer than that.
+        busy_until = min(busy_until, now + 1)
+        if admission is not None:
+            queued = float(waited > 0.05)
+            admission.learn(queued, is_on_time=is_on_time)
+    return in_time
+
+
+def test_a_rush_is_turned_away_in_part_and_the_rest_is_in_time():
+    """At the Sunday rush all searches were late.
+
+    Half as many again came as could be answered, for ten seconds. With all
+    let in, a few are in time at the start; turned away in part, most that
+    the searchers can answer are.
+    """
+    played = {'capacity': 100, 'arrivals': 150, 'seconds': 10}
+    without = _rush(admission=None, **played)
+    admission = search_admission.SearchAdmission()
+    with_it = _rush(admission=admission, **played)
+    assert without < 100
+    assert with_it > 400
+
+
+def test_slow_searchers_turn_nobody_away():
+    """Late answers without queues at most shards: all are let in."""
+    admission = search_admission.SearchAdmission()
+    for _ in range(200):
+        assert admission.admit()
+        admission.learn(0.27, is_on_time=False)
+    assert admission.share == 1
+
+
+def test_all_are_let_in_again_after_a_rush():
+    """The share that is let in has a floor, and is whole soon after."""
+    admission = search_admission.SearchAdmission()
+    for _ in range(200):
+        admission.learn(1, is_on_time=False)
+    assert 0.29 < admission.share < 0.31
+    taken = sum(admission.admit() for _ in range(100))
+    assert 29 <= taken <= 31
+    for _ in range(100):
+        admission.learn(0, is_on_time=True)
+    assert admission.share == 1
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -34,6 +34,8 @@
     unasked: list[str]
     #: Whether too few are in, and the rest can be asked for once more.
     has_more: bool
+    #: How many of the shards have long queues at all their searchers.
+    queued: int
     #: Seconds from the request to this reply.
     took_s: float
 
