Callers that never read and too many of them are bounded; silent connections cost one request

Cause: answers that a caller does not take were held without bound, connections took all descriptors, and each kept connection that fell silent cost a request. Change: no further request is worked on until the caller reads; connections past half of the descriptors are reset; a request without a reply closes the idle connections to its searcher. Unreadable replies of gateways lose a group, not a task. Ruled out: probing idle connections (a call each, and priced).

--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -113,17 +113,19 @@
         """Count a request that left."""
         self._sent_at_by_attempt[attempt] = now
 
-    def given_up(self, attempt: int, now: float) -> None:
-        """Count a request that was cancelled.
+    def given_up(self, attempt: int, now: float) -> bool:
+        """Count a request that was cancelled; tell whether it was overdue.
 
         Guards against a searcher that fell silent: nobody waits for it to
         the end, so that no time-out tells, and each search waited for it up
         to its target latency. One that was given up sooner tells nothing.
         """
         sent_at = self._sent_at_by_attempt.get(attempt, now)
-        if now - sent_at > _SILENT_S:
+        is_silent = now - sent_at > _SILENT_S
+        if is_silent:
             self.failed(attempt, now)
         self._sent_at_by_attempt.pop(attempt, None)
+        return is_silent
 
     def replied(self, attempt: int, now: float) -> None:
         """Count a good reply."""
--- a/chivepond/gateway/caller_connection.py
+++ b/chivepond/gateway/caller_connection.py
@@ -29,6 +29,8 @@
     serve: Serve
     limits: Callable[[], routing_table.CallerLimits]
     is_stopping: Callable[[], bool]
+    #: Connections beyond this number are reset before a byte is read.
+    most_connections: int = 1000
 
 
 class CallerConnection(asyncio.Protocol):
@@ -42,6 +44,7 @@
         '_head_bytes',
         '_headers',
         '_in_head',
+        '_is_blocked',
         '_loop',
         '_parser',
         '_read_head_bytes',
@@ -70,6 +73,7 @@
         #: The request in work; none while the connection is idle.
         self.working: asyncio.Task[None] | None = None
         self._refused = False
+        self._is_blocked = False
         self._head_bytes = 0
         self._in_head = False
         self.on_message_begin()
@@ -77,6 +81,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
         self._transport = transport
+        if len(self._connections) >= self._service.most_connections:
+            transport.abort()
+            return
         self._connections.add(self)
         self._arm(self._service.limits().idle_timeout_s)
 
@@ -88,6 +95,19 @@
         if self.working is not None:
             self.working.cancel()
 
+    def pause_writing(self) -> None:
+        """Work on no further request while the caller does not read.
+
+        Guards against a caller that asks and never reads: its answers would
+        take memory without bound.
+        """
+        self._is_blocked = True
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that wait."""
+        self._is_blocked = False
+        self._work_on_next()
+
     def close_if_idle(self) -> None:
         """Close, unless a request is being read or worked on."""
         if self.working is None and not self._in_head:
@@ -196,7 +216,8 @@
             )
 
     def _work_on_next(self) -> None:
-        if self.working is not None or not self._waiting:
+        is_busy = self.working is not None or self._is_blocked
+        if is_busy or not self._waiting:
             return
         self._disarm()
         request = self._waiting.pop(0)
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -42,6 +42,9 @@
 #: What is kept of the grace for the end of the process, in seconds.
 _END_S = 0.5
 _POLL_S = 0.05
+#: The share of the descriptors that connections to one address may take; the
+#: rest is for searchers, other gateways and the store.
+_CALLERS_SHARE = 0.5
 
 
 class Gateway:
@@ -324,6 +327,9 @@
                 serve=serve,
                 limits=self._limits,
                 is_stopping=self._tell_stopping,
+                most_connections=int(
+                    _CALLERS_SHARE * self._settings.max_descriptors,
+                ),
             ),
         )
 
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -150,16 +150,19 @@
         if isinstance(ended, outcome.Broken):
             self._trace.note(f'{link.end.name}: {ended.reason}')
             ended = await self._ask_again(link)
+        reply = _decoded(ended)
+        if reply is not None:
+            took_s = asyncio.get_running_loop().time() - began
+            self._peers.learn_way(link.end.name, took_s - reply.took_s)
+            self._take_group(reply, asks)
+            if reply.has_more:
+                await self._ask_more(link, shards)
+            return
         match ended:
-            case outcome.Reply(status=status, body=body) if status == _OK:
-                reply = _decode(body)
-                took_s = asyncio.get_running_loop().time() - began
-                self._peers.learn_way(link.end.name, took_s - reply.took_s)
-                self._take_group(reply, asks)
-                if reply.has_more:
-                    await self._ask_more(link, shards)
             case outcome.Broken(reason=reason):
                 self._lose_group(shards, f'{link.end.name}: {reason}')
+            case outcome.Reply(status=status) if status == _OK:
+                self._lose_group(shards, f'{link.end.name}: unreadable')
             case _:
                 self._ask_from_here(shards, asks)
 
@@ -191,12 +194,12 @@
             has_reply=True,
         )
         ended = await link.ask(message, self._search.deadline)
-        match ended:
-            case outcome.Reply(status=status, body=body) if status == _OK:
-                self._parts.take_group(_decode(body))
-            case _:
-                open_shards = self._parts.open_among(shards)
-                self._lose_group(open_shards, f'{link.end.name}: no more came')
+        reply = _decoded(ended)
+        if reply is None:
+            open_shards = self._parts.open_among(shards)
+            self._lose_group(open_shards, f'{link.end.name}: no more came')
+        else:
+            self._parts.take_group(reply)
 
     def _gather_request(
         self,
@@ -277,5 +280,16 @@
         )
 
 
-def _decode(body: bytes) -> gather_request.GatherReply:
-    return msgspec.msgpack.decode(body, type=gather_request.GatherReply)
+def _decoded(ended: outcome.Outcome) -> gather_request.GatherReply | None:
+    """Return what another gateway gathered, where its reply says so."""
+    match ended:
+        case outcome.Reply(status=status, body=body) if status == _OK:
+            try:
+                return msgspec.msgpack.decode(
+                    body,
+                    type=gather_request.GatherReply,
+                )
+            except msgspec.DecodeError:
+                return None
+        case _:
+            return None
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -128,8 +128,10 @@
                 ended = await self._exchange(request, deadline)
         except TimeoutError:
             ended = outcome.Broken('no reply in time')
+            self._drop_idle()
         except asyncio.CancelledError:
-            self.standing.given_up(attempt, loop.time())
+            if self.standing.given_up(attempt, loop.time()):
+                self._drop_idle()
             raise
         self._judge(attempt, ended, loop.time())
         return ended
@@ -195,6 +197,15 @@
             connection.close()
         return None
 
+    def _drop_idle(self) -> None:
+        """Close the idle connections.
+
+        Guards against connections that fell silent without a reset: it shows
+        as a request without a reply, and would as one on each of them.
+        """
+        for connection in list(self._idle):
+            connection.close()
+
     async def _connect(self) -> http_connection.HttpConnection | None:
         connection = http_connection.HttpConnection(
             headers.REQUEST_ID,
--- a/chivepond/soak/loopback_proxy.py
+++ b/chivepond/soak/loopback_proxy.py
@@ -31,7 +31,14 @@
 class LoopbackProxy:
     """Leads from an address of its own to another one while entered."""
 
-    __slots__ = ('_behind', '_server', '_tasks', '_writers', 'harm')
+    __slots__ = (
+        '_behind',
+        '_server',
+        '_silenced',
+        '_tasks',
+        '_writers',
+        'harm',
+    )
 
     def __init__(self, behind: address.Address) -> None:
         """Lead to ``behind`` unharmed."""
@@ -39,6 +46,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
         self.harm = Harm.NONE
 
     async def __aenter__(self) -> Self:
@@ -70,6 +78,10 @@
         if harm is Harm.RESET:
             self.cut()
 
+    def silence_open(self) -> None:
+        """Let nothing pass on the connections that are open, for good."""
+        self._silenced.update(self._writers)
+
     def cut(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
@@ -121,7 +133,7 @@
         is_back: bool,
     ) -> None:
         while chunk := await reader.read(_CHUNK):
-            while self._holds(is_back=is_back):
+            while writer in self._silenced or self._holds(is_back=is_back):
                 await asyncio.sleep(_POLL_S)
             if self.harm is Harm.DELAY:
                 await asyncio.sleep(_DELAY_S)
--- a/chivepond/tests/test_gateway_forwarding.py
+++ b/chivepond/tests/test_gateway_forwarding.py
@@ -6,6 +6,7 @@
 
 from chivepond.gateway import outcome
 from chivepond.platform import headers
+from chivepond.soak import loopback_proxy
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
 
@@ -399,3 +400,88 @@
             assert (len(old.got), len(new.got)) == (36, 4)
 
     support.run(play())
+
+
+def test_a_caller_that_never_reads_holds_little():
+    """A caller asked on and on and read nothing; the gateway's memory grew.
+
+    With its answers not taken, no further request of it is worked on.
+    """
+
+    async def large(got: Got) -> Told:
+        return scripted_searcher.good(got, bytes(400000))
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', large)
+            bench.configure(1, _stamps())
+            gate = await bench.ready_gateway()
+            _, writer = await asyncio.open_connection(
+                gate.callers.ip,
+                gate.callers.port,
+                limit=1024,
+            )
+            for _ in range(400):
+                writer.write(gateway_bench.request('GET', '/stamps/'))
+            await asyncio.sleep(0.5)
+            got = len(searcher.got)
+            assert got < 60
+            await asyncio.sleep(0.3)
+            assert len(searcher.got) == got
+            writer.close()
+
+    support.run(play())
+
+
+def test_connections_beyond_the_bound_are_reset():
+    """Many idle callers took all descriptors, and none was left to serve."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _stamps())
+            gate = await bench.ready_gateway(max_descriptors=8)
+            callers = [await bench.caller(gate.callers) for _ in range(6)]
+            await asyncio.sleep(0.1)
+            opened = [one.connection.is_open for one in callers]
+            assert sum(opened) == 4
+            reply = gateway_bench.reply_of(await callers[0].get('/stamps/'))
+            assert reply.status == 200
+
+    support.run(play())
+
+
+def test_a_silent_connection_costs_one_request():
+    """Each kept connection cost a request after the network forgot them.
+
+    Open connections fell silent at once, while new ones work. One request
+    without a reply closes the idle ones; the next goes on a new connection.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = scripted_searcher.ScriptedSearcher(_echo)
+            async with searcher:
+                way = loopback_proxy.LoopbackProxy(searcher.address)
+                async with way:
+                    bench.register('s-1', 'desk', way.address)
+                    bench.configure(
+                        1,
+                        _stamps(kind='non_idempotent', timeout_ms=400),
+                    )
+                    gate = await bench.ready_gateway()
+                    callers = [
+                        await bench.caller(gate.callers) for _ in range(3)
+                    ]
+                    await asyncio.gather(
+                        *(one.get('/stamps/') for one in callers),
+                    )
+                    assert gate.figures.searcher_connections == 3
+                    way.silence_open()
+                    replies = [
+                        gateway_bench.reply_of(await callers[0].get('/stamps/'))
+                        for _ in range(3)
+                    ]
+                    assert [one.status for one in replies] == [504, 200, 200]
+
+    support.run(play())
