Parts of the gateway split by job; documents in the platform's form stand once

Change: settings_parts, store_copies, peer_news, registered_searcher; documents in platform/. No behaviour changed.

--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -5,31 +5,30 @@
 import types
 from typing import Self
 
-from chivepond.decisions import search_admission, second_send_budget
+from chivepond.decisions import search_admission
 from chivepond.gateway import (
     answer,
     budgets,
     caller_connection,
     caller_request,
     figures,
+    settings_parts,
     listener,
     metrics_page,
     news,
-    peer_record,
     peer_registry,
     peer_service,
     peers,
-    replica,
     requests_way,
     routing_table,
     searchers,
     service_ask,
+    store_copies,
     store_news,
     stragglers,
     telemetry,
 )
 from chivepond.observe import events
-from chivepond.platform import store_calls
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
 from chivepond.wire import gateway_entry
@@ -60,7 +59,6 @@
         '_peers',
         '_readers',
         '_readiness',
-        '_registry',
         '_replica_by_kind',
         '_searchers',
         '_settings',
@@ -79,14 +77,9 @@
         self._was_ready = False
         self._telemetry = telemetry.Telemetry(settings.node_id)
         self._peers = peers.Peers(
-            peer_record.PeerRecord(
-                settings.node_id,
-                address.parse(settings.peers).unwrap(),
-                settings.data_centre,
-                settings.link_mbps,
-            ),
+            settings_parts.own_record(settings),
             self._telemetry,
-            _seeds(settings),
+            settings_parts.seeds(settings),
         )
         self._searchers = searchers.Searchers(
             settings.data_centre,
@@ -96,7 +89,9 @@
         )
         self._tools = service_ask.AskTools(
             searchers=self._searchers,
-            budgets=budgets.Budgets(_budget_limits(settings), self._peers),
+            budgets=budgets.Budgets(
+                settings_parts.budget_limits(settings), self._peers
+            ),
             stragglers=stragglers.Stragglers(),
             telemetry=self._telemetry,
             admission=search_admission.SearchAdmission(),
@@ -114,31 +109,11 @@
             self._take_news,
         )
         changed = asyncio.Event()
-        self._replica_by_kind = {
-            store_calls.SEARCHERS: replica.Replica(
-                replica.Sink(
-                    self._news.take_searchers,
-                    self._news.take_searcher_change,
-                ),
-                changed,
-            ),
-            store_calls.CONFIGURATION: replica.Replica(
-                replica.Sink(
-                    self._news.take_configurations,
-                    self._news.take_configuration_change,
-                ),
-                changed,
-            ),
-            store_calls.GATEWAYS: replica.Replica(
-                replica.Sink(
-                    self._take_gateways,
-                    self._take_gateway_change,
-                ),
-                changed,
-                is_bound=False,
-            ),
-        }
-        self._registry: peer_registry.PeerRegistry | None = None
+        self._replica_by_kind = store_copies.by_kind(
+            self._news,
+            self._peers,
+            changed,
+        )
         self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
@@ -260,46 +235,32 @@
         self._telemetry.tell(events.SETTINGS_RELOADED, changes=changes)
         self._settings = settings
         self._searchers.region_by_data_centre = settings.region_by_data_centre
-        self._tools.budgets.change(_budget_limits(settings))
+        self._tools.budgets.change(settings_parts.budget_limits(settings))
 
     def _make_readers(
         self,
-    ) -> tuple[store_news.StoreNews | peer_registry.PeerRegistry, ...]:
+    ) -> tuple[store_news.StoreNews, peer_registry.PeerRegistry]:
         store = address.parse(self._settings.store).unwrap()
         entry = gateway_entry.GatewayEntry(
             str(self._peer_listener.address),
             self._settings.data_centre,
             self._settings.link_mbps,
         )
-        self._registry = peer_registry.PeerRegistry(
-            self._settings.node_id,
-            entry,
-            store,
-            self._peers,
-        )
-        news_of_store = store_news.StoreNews(
-            self._settings.news_bound_s,
-            store,
-            self._replica_by_kind,
-            self._peers,
-            self._telemetry,
+        return (
+            store_news.StoreNews(
+                self._settings.news_bound_s,
+                store,
+                self._replica_by_kind,
+                self._peers,
+                self._telemetry,
+            ),
+            peer_registry.PeerRegistry(self._settings.node_id, entry, store),
         )
-        return (news_of_store, self._registry)
-
-    def _take_gateways(self, found: list[store_calls.StoredObject]) -> None:
-        self._registry.take_list(found)
-
-    def _take_gateway_change(self, change: store_calls.Change) -> None:
-        self._registry.take_change(change)
-
-    def _on_own_ip(self, port: int) -> address.Address:
-        own = address.parse(self._settings.callers).unwrap()
-        return address.Address(own.ip, port)
 
     def _make_metrics(self) -> listener.Listener:
         page = metrics_page.MetricsPage(self._telemetry, self._read_gauges)
         return self._listener(
-            str(self._on_own_ip(self._settings.metrics_port)),
+            str(settings_parts.metrics_address(self._settings)),
             page.serve,
         )
 
@@ -358,24 +319,3 @@
         if self.is_ready:
             return answer.Answer(_OK, [], b'ready\n')
         return answer.refusal(_UNAVAILABLE, 'not ready')
-
-
-def _seeds(
-    settings: gateway_settings.GatewaySettings,
-) -> list[address.Address]:
-    parsed = (address.parse(place) for place in settings.seeds)
-    return [
-        one.unwrap()
-        for one in parsed
-        if one.is_ok() and str(one.unwrap()) != settings.peers
-    ]
-
-
-def _budget_limits(
-    settings: gateway_settings.GatewaySettings,
-) -> second_send_budget.BudgetLimits:
-    return second_send_budget.BudgetLimits(
-        share=settings.second_send_share,
-        burst=settings.second_send_burst,
-        span_s=settings.second_send_span_s,
-    )
--- /dev/null
+++ b/chivepond/gateway/peer_news.py
@@ -0,0 +1,58 @@
+"""Takes what the store tells of other gateways."""
+
+import msgspec
+
+from chivepond.gateway import peer_record, peers
+from chivepond.platform import store_calls
+from chivepond.transport import address
+from chivepond.wire import gateway_entry
+
+
+class PeerNews:
+    """Decodes entries and hands them on; others' bytes are passed over."""
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, others: peers.Peers) -> None:
+        """Tell ``others`` of each gateway."""
+        self._peers = others
+
+    def take_list(self, found: list[store_calls.StoredObject]) -> None:
+        """Take all gateways."""
+        names = {stored.meta.name for stored in found}
+        for node_id in self._peers.known():
+            if node_id not in names:
+                self._peers.remove(node_id)
+        for stored in found:
+            self._put(stored)
+
+    def take_change(self, change: store_calls.Change) -> None:
+        """Take the news of one gateway."""
+        if change.deleted:
+            self._peers.remove(change.object.meta.name)
+        else:
+            self._put(change.object)
+
+    def _put(self, stored: store_calls.StoredObject) -> None:
+        record = _record(stored)
+        if record is not None:
+            self._peers.put(record)
+
+
+def _record(stored: store_calls.StoredObject) -> peer_record.PeerRecord | None:
+    try:
+        told = msgspec.json.decode(
+            stored.spec,
+            type=gateway_entry.GatewayEntry,
+        )
+    except msgspec.DecodeError:
+        return None
+    place = address.parse(told.address)
+    if place.is_err():
+        return None
+    return peer_record.PeerRecord(
+        stored.meta.name,
+        place.unwrap(),
+        told.data_centre,
+        told.link_mbps,
+    )
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -1,14 +1,18 @@
 """The searchers that are registered, and what is believed of each."""
 
 import asyncio
-import dataclasses
 import types
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Self
 
 from chivepond.decisions import searcher_choice, searcher_standing
 from chivepond.gateway import link as links
-from chivepond.gateway import peers, searcher_record, telemetry
+from chivepond.gateway import (
+    peers,
+    registered_searcher,
+    searcher_record,
+    telemetry,
+)
 from chivepond.observe import events
 from chivepond.transport import address
 
@@ -20,14 +24,6 @@
 _HOLD_S = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Registered:
-    """A searcher and the connections to it."""
-
-    record: searcher_record.SearcherRecord
-    link: links.Link
-
-
 class Searchers:
     """Links by searcher, kept in step with the list of the store."""
 
@@ -56,7 +52,9 @@
         self.here = here
         self.region_by_data_centre = region_by_data_centre
         self._loop = asyncio.get_running_loop()
-        self._known_by_id: dict[str, _Registered] = {}
+        self._known_by_id: dict[
+            str, registered_searcher.RegisteredSearcher
+        ] = {}
         self._ids_by_service: dict[str, set[str]] = {}
         self._removal_by_id: dict[str, asyncio.TimerHandle] = {}
         self._id_by_address: dict[address.Address, str] = {}
@@ -117,9 +115,9 @@
             return
         known = self._known_by_id.get(record.searcher_id)
         if known is not None:
-            if _order(record) < _order(known.record):
+            if known.is_newer_than(record):
                 return
-            if record.life == known.record.life and _same_place(record, known):
+            if known.is_same(record):
                 self._keep(record.searcher_id)
                 self._tell_leaving(known.record, record)
                 known.record = record
@@ -238,9 +236,11 @@
         return False
 
     def _add(self, record: searcher_record.SearcherRecord) -> None:
-        self._known_by_id[record.searcher_id] = _Registered(
-            record,
-            links.Link(_end(record), self._cap(record)),
+        self._known_by_id[record.searcher_id] = (
+            registered_searcher.RegisteredSearcher(
+                record,
+                links.Link(registered_searcher.end(record), self._cap(record)),
+            )
         )
         self._id_by_address[record.address] = record.searcher_id
         self._telemetry.tell(
@@ -293,24 +293,3 @@
         cap = self._caps.get(record.service, 1)
         gateways = max(_FEWEST_GATEWAYS, self._peers.gateways)
         return max(1, cap // gateways)
-
-
-def _order(record: searcher_record.SearcherRecord) -> tuple[int, int]:
-    return (record.born_ms, record.sequence)
-
-
-def _same_place(
-    record: searcher_record.SearcherRecord,
-    known: _Registered,
-) -> bool:
-    here = (record.address, record.service)
-    return here == (known.record.address, known.record.service)
-
-
-def _end(record: searcher_record.SearcherRecord) -> links.LinkEnd:
-    return links.LinkEnd(
-        name=record.searcher_id,
-        address=record.address,
-        slots=record.slots,
-        warmup_s=record.warmup_s,
-    )
--- /dev/null
+++ b/chivepond/gateway/settings_parts.py
@@ -0,0 +1,49 @@
+"""What the parts of a gateway take from its settings."""
+
+from chivepond.decisions import second_send_budget
+from chivepond.gateway import peer_record
+from chivepond.settings import gateway_settings
+from chivepond.transport import address
+
+
+def own_record(
+    settings: gateway_settings.GatewaySettings,
+) -> peer_record.PeerRecord:
+    """Return this gateway as others see it."""
+    return peer_record.PeerRecord(
+        settings.node_id,
+        address.parse(settings.peers).unwrap(),
+        settings.data_centre,
+        settings.link_mbps,
+    )
+
+
+def metrics_address(
+    settings: gateway_settings.GatewaySettings,
+) -> address.Address:
+    """Return where metrics are served, beside the callers."""
+    own = address.parse(settings.callers).unwrap()
+    return address.Address(own.ip, settings.metrics_port)
+
+
+def seeds(
+    settings: gateway_settings.GatewaySettings,
+) -> list[address.Address]:
+    """Return the other gateways to ask while none is known."""
+    parsed = (address.parse(place) for place in settings.seeds)
+    return [
+        one.unwrap()
+        for one in parsed
+        if one.is_ok() and str(one.unwrap()) != settings.peers
+    ]
+
+
+def budget_limits(
+    settings: gateway_settings.GatewaySettings,
+) -> second_send_budget.BudgetLimits:
+    """Return the bounds on second sends."""
+    return second_send_budget.BudgetLimits(
+        share=settings.second_send_share,
+        burst=settings.second_send_burst,
+        span_s=settings.second_send_span_s,
+    )
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -9,8 +9,8 @@
 import types
 from typing import Any, Self
 
-from chivepond.gateway import http_connection, outcome
-from chivepond.platform import headers, store_calls
+from chivepond.gateway import http_connection, outcome, routing_table
+from chivepond.platform import documents, headers, store_calls
 from chivepond.soak import (
     gateway_checks,
     gateway_process,
@@ -24,6 +24,7 @@
 _READS = 'reads'
 _SHARD_SETS = (('a1', 'a2', 'a3', 'a4', 'a5'), ('b1', 'b2', 'b3', 'b4'))
 _COPIES = 2
+_TARGET_MS = 200
 _CALLERS = 10
 _TRIES = 400
 _POLL_S = 0.05
@@ -41,7 +42,7 @@
 
     def __init__(self, seed: int, folder: pathlib.Path, gateways: int) -> None:
         """Draw all from ``seed``; keep logs in ``folder``."""
-        self._random = random.Random(seed)  # noqa: S311
+        self._random = random.Random(seed)
         self._folder = folder
         self._gateways = gateways
         self._open = contextlib.AsyncExitStack()
@@ -116,17 +117,12 @@
         self._store.put(
             store_calls.SEARCHERS,
             searcher_id,
-            {
-                'service': service,
-                'address': str(way.address),
-                'zone': self._random.choice(('base', 'hub')),
-                'version': 'v1',
-                'slots': 4,
-                'state': 'ready',
-                'warmup_left_ms': 0,
-                'sequence': 1,
-                'born': 1,
-            },
+            documents.searcher(
+                service,
+                way.address,
+                zone=self._random.choice(('base', 'hub')),
+                slots=4,
+            ),
         )
 
     def _configure(self) -> None:
@@ -135,22 +131,16 @@
         self._store.put(
             store_calls.CONFIGURATION,
             store_calls.CONFIGURATION_NAME,
-            {
-                'version': self._version,
-                'routes': [
-                    _route('search', gather=list(self._shards)),
+            documents.configuration(
+                self._version,
+                [
+                    _route('search', **_gathered(self._shards)),
                     _route('stamp', service=_STAMPS, kind='non_idempotent'),
                     _route('read', service=_READS),
                     _route(f'only-{self._version}', service=_READS),
                 ],
-                'services': [],
-                'limits': {
-                    'max_header_bytes': 16384,
-                    'max_body_bytes': 65536,
-                    'header_timeout_ms': 3000,
-                    'idle_timeout_ms': 15000,
-                },
-            },
+                routing_table.DEFAULT_LIMITS,
+            ),
         )
 
     async def _call_until(self, until: float) -> None:
@@ -304,17 +294,17 @@
 
 
 def _route(name: str, **told: Any) -> dict[str, Any]:
-    return {
-        'name': name,
-        'host': _HOST,
-        'path_prefix': _PATH_BY_KIND.get(name, f'/{name}/'),
-        'kind': 'idempotent',
-        'timeout_ms': 1500,
-        'target_latency_ms': 200,
-        'max_attempts': 2,
-        'top_k': gateway_checks.TOP_COUNT,
-        'min_shard_ratio': gateway_checks.LEAST_SHARE,
-    } | told
+    prefix = _PATH_BY_KIND.get(name, f'/{name}/')
+    return documents.route(name, _HOST, prefix, timeout_ms=1500, **told)
+
+
+def _gathered(shards: tuple[str, ...]) -> dict[str, Any]:
+    return documents.gathered(
+        list(shards),
+        gateway_checks.TOP_COUNT,
+        gateway_checks.LEAST_SHARE,
+        _TARGET_MS,
+    )
 
 
 def _set_of(reply: outcome.Reply) -> tuple[str, ...] | None:
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -8,8 +8,13 @@
 from collections.abc import Mapping
 from typing import Any, Self
 
-from chivepond.gateway import gateway, http_connection, outcome
-from chivepond.platform import headers, store_calls
+from chivepond.gateway import (
+    gateway,
+    http_connection,
+    outcome,
+    routing_table,
+)
+from chivepond.platform import documents, headers, store_calls
 from chivepond.settings import gateway_settings
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.transport import address
@@ -18,64 +23,23 @@
 _WAIT_S = 5
 _POLL_S = 0.01
 _CHUNK = 65536
+_LIMITS = routing_table.CallerLimits(
+    header_bytes=4096,
+    body_bytes=8192,
+    header_timeout_s=0.3,
+    idle_timeout_s=9,
+)
 _ids = itertools.count(1)
 
 
 def route(name: str, prefix: str, **told: Any) -> dict[str, Any]:
     """Return a route as operators write it, idempotent unless told."""
-    return {
-        'name': name,
-        'host': HOST,
-        'path_prefix': prefix,
-        'kind': 'idempotent',
-        'timeout_ms': 2000,
-        'target_latency_ms': 400,
-        'max_attempts': 2,
-        'priority': 1,
-    } | told
+    return documents.route(name, HOST, prefix, **told)
 
 
 def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
     """Return a whole configuration as operators write it."""
-    services = {
-        name
-        for one in routes
-        for name in (one.get('service'), *one.get('gather', ()))
-        if name
-    }
-    return {
-        'version': version,
-        'routes': list(routes),
-        'services': [
-            {'name': name, 'health_path': '/healthz', 'max_conns': 40}
-            for name in sorted(services)
-        ],
-        'limits': {
-            'max_header_bytes': 4096,
-            'max_body_bytes': 8192,
-            'header_timeout_ms': 300,
-            'idle_timeout_ms': 9000,
-        },
-    }
-
-
-def entry(
-    service: str,
-    place: address.Address,
-    **told: Any,
-) -> dict[str, Any]:
-    """Return the entry of a searcher, ready unless told."""
-    return {
-        'service': service,
-        'address': str(place),
-        'zone': 'base',
-        'version': 'v1',
-        'slots': 2,
-        'state': 'ready',
-        'warmup_left_ms': 0,
-        'sequence': 1,
-        'born': 1000,
-    } | told
+    return documents.configuration(version, list(routes), _LIMITS)
 
 
 def settings(**told: Any) -> gateway_settings.GatewaySettings:
@@ -179,7 +143,7 @@
         self.store.put(
             store_calls.SEARCHERS,
             searcher_id,
-            entry(service, place, **told),
+            documents.searcher(service, place, **told),
         )
 
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from chivepond.gateway import replica
-from chivepond.platform import store_calls
+from chivepond.platform import documents, store_calls
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
 
@@ -159,7 +159,7 @@
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
             searcher = await bench.searcher('s-1', 'desk', _echo)
-            told = gateway_bench.entry('desk', searcher.address) | wrong
+            told = documents.searcher('desk', searcher.address) | wrong
             bench.store.put('servers', 's-0', told)
             bench.store.put('servers', 's-2', 'no entry at all')
             bench.configure(1, _route())
@@ -312,7 +312,7 @@
             bench.store.put(
                 'servers',
                 's-1',
-                gateway_bench.entry('desk', leaving.address, state='draining'),
+                documents.searcher('desk', leaving.address, state='draining'),
             )
             other = await bench.searcher('s-2', 'desk', _echo, zone='hub')
             bench.configure(2, _route(), _route(prefix='/new/'))
--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies
 
 from chivepond.gateway import routing_table
-from chivepond.platform import configuration_codec, searcher_codec, store_calls
+from chivepond.platform import (
+    configuration_codec,
+    documents,
+    searcher_codec,
+    store_calls,
+)
 from chivepond.settings import gateway_settings, loader
 from chivepond.tests import gateway_bench
 from chivepond.transport import address
@@ -93,7 +98,7 @@
 def test_fields_that_are_new_are_passed_over():
     """A field that a later platform adds hides nothing."""
     place = address.Address('127.0.0.1', 80)
-    told = gateway_bench.entry('desk', place) | {'later': {'x': 1}}
+    told = documents.searcher('desk', place) | {'later': {'x': 1}}
     record = searcher_codec.decode('s', json.dumps(told).encode()).unwrap()
     assert (record.service, record.slots) == ('desk', 2)
 
