A request that must not run twice goes on a connection that was used a moment ago

Cause: searchers may forget idle connections without notice; a stamp sent on one was reset and ended in doubt, 502, though it had not run. Change: for such a request a connection may be idle for a second at the most. Ruled out: a new connection for each (a second's requests share one).

--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -16,7 +16,7 @@
 class ForwardedRequest:
     """Method, path and body unchanged; fields of this one hop are new."""
 
-    __slots__ = ('body', 'head', 'is_head', 'request_id')
+    __slots__ = ('body', 'head', 'is_head', 'is_repeatable', 'request_id')
 
     def __init__(
         self,
@@ -25,15 +25,22 @@
         body: bytes,
         *,
         is_head: bool,
+        is_repeatable: bool = True,
     ) -> None:
         """Take the lines that are the same for each searcher."""
+        self.is_repeatable = is_repeatable
         self.request_id = request_id
         self.head = head
         self.body = body
         self.is_head = is_head
 
     @classmethod
-    def of(cls, request: caller_request.CallerRequest) -> Self:
+    def of(
+        cls,
+        request: caller_request.CallerRequest,
+        *,
+        is_repeatable: bool,
+    ) -> Self:
         """Return the form of a caller's request."""
         lines = [b'%s %s HTTP/1.1\r\n' % (request.method, request.target)]
         lines.extend(
@@ -47,6 +54,7 @@
             b''.join(lines),
             request.body,
             is_head=request.method == b'HEAD',
+            is_repeatable=is_repeatable,
         )
 
     def encode(self, receiver: str, left_s: float) -> bytes:
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -19,6 +19,10 @@
 #: How long before the searcher's own time-out an idle connection is given
 #: up, in seconds, so that a request doesn't cross its end.
 _IDLE_MARGIN_S = 1.0
+#: How long a connection may be idle for a request that must not run twice,
+#: in seconds. Guards against searchers that forget idle connections without
+#: notice: the send is reset, and nobody can tell whether it ran.
+_PROVED_S = 1.0
 #: The time-out of idle connections where the searcher states none.
 _IDLE_S = 10.0
 _SERVER_ERROR = 500
@@ -47,6 +51,8 @@
 
     request_id: bytes
     is_head: bool
+    #: Whether it may run again where a connection ends on it.
+    is_repeatable: bool
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
@@ -142,7 +148,10 @@
         deadline: float,
     ) -> outcome.Outcome:
         loop = asyncio.get_running_loop()
-        connection = await self._acquire()
+        idle_s = self._idle_s
+        if not request.is_repeatable:
+            idle_s = min(idle_s, _PROVED_S)
+        connection = await self._acquire(idle_s)
         if connection is None:
             return outcome.NotSent('no connection')
         message = request.encode(
@@ -177,9 +186,12 @@
             case _:
                 self.standing.failed(attempt, now)
 
-    async def _acquire(self) -> http_connection.HttpConnection | None:
+    async def _acquire(
+        self,
+        idle_s: float,
+    ) -> http_connection.HttpConnection | None:
         while True:
-            kept = self._take_idle()
+            kept = self._take_idle(idle_s)
             if kept is not None:
                 return kept
             if len(self._open) < self._cap:
@@ -188,8 +200,11 @@
                 return None
             await self._wait()
 
-    def _take_idle(self) -> http_connection.HttpConnection | None:
-        oldest = asyncio.get_running_loop().time() - self._idle_s
+    def _take_idle(
+        self,
+        idle_s: float,
+    ) -> http_connection.HttpConnection | None:
+        oldest = asyncio.get_running_loop().time() - idle_s
         while self._idle:
             connection = self._idle.pop()
             if connection.is_open and connection.idle_since > oldest:
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -17,7 +17,7 @@
 class PeerMessage:
     """One request; its identifier pairs it with its reply."""
 
-    __slots__ = ('_body', '_path', 'is_head', 'request_id')
+    __slots__ = ('_body', '_path', 'is_head', 'is_repeatable', 'request_id')
 
     def __init__(self, path: bytes, request_id: bytes, body: bytes) -> None:
         """Carry ``body`` to ``path``."""
@@ -25,6 +25,7 @@
         self._body = body
         self.request_id = request_id
         self.is_head = False
+        self.is_repeatable = True
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes; the receiver's name goes along as the host."""
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -115,7 +115,10 @@
         deadline = request.deadline(route.timeout_s) - _LAST_WORD_S
         if deadline - asyncio.get_running_loop().time() < _LEAST_S:
             return answer.refusal(_UNAVAILABLE, 'the time is over', 0)
-        forwarded = forwarded_request.ForwardedRequest.of(request)
+        forwarded = forwarded_request.ForwardedRequest.of(
+            request,
+            is_repeatable=route.is_idempotent,
+        )
         late = self._late_by_route.setdefault(
             route.name,
             second_ask_time.SecondAskTime(),
--- a/chivepond/soak/loopback_proxy.py
+++ b/chivepond/soak/loopback_proxy.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         '_behind',
+        '_forgotten',
         '_server',
         '_silenced',
         '_tasks',
@@ -47,6 +48,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._silenced: set[asyncio.StreamWriter] = set()
+        self._forgotten: set[asyncio.StreamWriter] = set()
         self.harm = Harm.NONE
 
     async def __aenter__(self) -> Self:
@@ -82,6 +84,10 @@
         """Let nothing pass on the connections that are open, for good."""
         self._silenced.update(self._writers)
 
+    def reset_on_use(self) -> None:
+        """Forget the open connections: what is sent on one resets it."""
+        self._forgotten.update(self._writers)
+
     def cut(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
@@ -133,6 +139,8 @@
         is_back: bool,
     ) -> None:
         while chunk := await reader.read(_CHUNK):
+            if writer in self._forgotten:
+                raise ConnectionResetError
             while writer in self._silenced or self._holds(is_back=is_back):
                 await asyncio.sleep(_POLL_S)
             if self.harm is Harm.DELAY:
--- a/chivepond/tests/test_gateway_forwarding.py
+++ b/chivepond/tests/test_gateway_forwarding.py
@@ -485,3 +485,28 @@
                     assert [one.status for one in replies] == [504, 200, 200]
 
     support.run(play())
+
+
+def test_a_stamp_goes_on_no_connection_that_was_long_idle():
+    """A permit stamp ended in doubt though it had not run.
+
+    The searcher had forgotten the idle connection; the send on it was reset,
+    and nobody could tell whether it had run. A new connection costs 1 ms.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = scripted_searcher.ScriptedSearcher(_echo)
+            async with searcher:
+                way = loopback_proxy.LoopbackProxy(searcher.address)
+                async with way:
+                    bench.register('s-1', 'desk', way.address)
+                    bench.configure(1, _stamps(kind='non_idempotent'))
+                    gate = await bench.ready_gateway()
+                    caller = await bench.caller(gate.callers)
+                    assert (await caller.get('/stamps/')).status == 200
+                    way.reset_on_use()
+                    await asyncio.sleep(1.2)
+                    assert (await caller.get('/stamps/')).status == 200
+
+    support.run(play())
