--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -165,12 +165,6 @@
     'fault of the program',
     'A request or a task met a fault of the program; please report it.',
 )
-GATEWAY_WOKE = event.Event(
-    6008,
-    'WARNING',
-    'gateway woke from a pause',
-    'The process stood still; its news and connections are taken anew.',
-)
 ROUTES_IN_FORCE = event.Event(
     6010,
     'INFO',
@@ -225,18 +219,6 @@
     'searcher entry refused',
     'An entry of the list names no searcher that can be used.',
 )
-SEARCHER_DISTRUSTED = event.Event(
-    6024,
-    'WARNING',
-    'searcher distrusted',
-    'A searcher failed a few times in a row; others are asked first.',
-)
-SEARCHER_TRUSTED = event.Event(
-    6025,
-    'INFO',
-    'searcher trusted',
-    'A searcher that was distrusted gave a good reply.',
-)
 PEER_LEARNED = event.Event(
     6030,
     'INFO',
--- a/chivepond/observe/request_story.py
+++ b/chivepond/observe/request_story.py
@@ -25,7 +25,6 @@
         events.SEARCHER_GONE,
         events.GATEWAY_STARTED,
         events.GATEWAY_STOPPING,
-        events.GATEWAY_WOKE,
     )
 )
 _Fields = dict[str, Any]
