Shards turned away elsewhere are not asked anew; what still runs is not said not to have run

Cause: a gateway that gathers for another one listed a shard as unasked where its searchers had turned the request away. The first gateway then asked the same searchers once more as a first send, outside of the budget for second sends: found by reading, shown by a test in which each searcher got two requests with a budget of zero. The same reading found that a search of which some shards had been turned away and others were still at work was answered 503 (not run).

Ruled out: a count of those sends as second ones; nothing is gained by asking searchers that turned the request away a moment ago.

Change: a shard counts as unasked only where no request arrived at a searcher; the other gateway tells whether anything may have run. The search and its answer have modules of their own.

--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -133,5 +133,10 @@
         match await ask.run(deadline, self._late):
             case outcome.Reply() as reply:
                 self.parts.take(ask.service, reply)
-            case service_ask.GaveUp(reason=reason, may_have_run=has_run):
-                self.parts.miss(ask.service, reason, has_run=has_run)
+            case service_ask.GaveUp() as gave_up:
+                self.parts.miss(
+                    ask.service,
+                    gave_up.reason,
+                    has_run=gave_up.may_have_run,
+                    is_unasked=gave_up.is_unasked,
+                )
--- /dev/null
+++ b/chivepond/gateway/gathered_answer.py
@@ -0,0 +1,66 @@
+"""The answer to a search, from the parts that are in."""
+
+import asyncio
+
+from chivepond.gateway import answer, gathering, merge, search, single_request
+from chivepond.platform import headers
+
+_OK = 200
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_TIMED_OUT = 504
+
+
+def of(asked: search.Search, parts: gathering.Gathering) -> answer.Answer:
+    """Return the merged answer, or why there are too few parts.
+
+    A search that may have run anywhere is never said not to have run.
+    """
+    if parts.is_enough:
+        return _success(asked, parts)
+    if asyncio.get_running_loop().time() >= asked.deadline:
+        return _with_reasons(answer.refusal(_TIMED_OUT, _count(parts)), parts)
+    if parts.may_have_run:
+        told = answer.refusal(_BAD_GATEWAY, _count(parts))
+        return _with_reasons(told, parts)
+    return not_run(parts)
+
+
+def not_run(parts: gathering.Gathering) -> answer.Answer:
+    """Return the refusal of a search that no searcher ran, or will run."""
+    told = answer.refusal(
+        _UNAVAILABLE,
+        _count(parts),
+        single_request.RETRY_AFTER_S,
+    )
+    return _with_reasons(told, parts)
+
+
+def _success(
+    asked: search.Search,
+    parts: gathering.Gathering,
+) -> answer.Answer:
+    signatures = b', '.join(parts.signature_by_shard.values())
+    return answer.Answer(
+        status=_OK,
+        headers=[
+            (headers.REQUEST_ID, asked.request.request_id),
+            (headers.PART_SIGNATURES, signatures),
+            (headers.MISSING_SHARDS, b'%d' % parts.missing),
+        ],
+        body=merge.greatest(parts.bodies, asked.target.top_count),
+        reason_by_shard=parts.why_missing(),
+    )
+
+
+def _count(parts: gathering.Gathering) -> str:
+    in_count = len(parts.signature_by_shard)
+    return f'{in_count} of {len(parts.shards)} shards replied'
+
+
+def _with_reasons(
+    told: answer.Answer,
+    parts: gathering.Gathering,
+) -> answer.Answer:
+    told.reason_by_shard = parts.why_missing()
+    return told
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -1,7 +1,6 @@
 """The way of a request that every shard answers a part of."""
 
 import asyncio
-import dataclasses
 
 import msgspec
 
@@ -9,25 +8,20 @@
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     answer,
-    forwarded_request,
     gather_asks,
+    gathered_answer,
     gathering,
-    merge,
     outcome,
     peer_message,
     peers,
     request_trace,
-    routing_table,
     service_ask,
-    single_request,
 )
-from chivepond.platform import headers
+from chivepond.gateway import search as searches
 from chivepond.wire import gather_request
 
 _OK = 200
 _UNAVAILABLE = 503
-_BAD_GATEWAY = 502
-_TIMED_OUT = 504
 #: How long after the answer was due a group is waited for before its reply
 #: is asked for again, in seconds: delays of links vary by as much.
 _PEER_LATE_S = 0.015
@@ -41,23 +35,6 @@
 _PEER_MARGIN_S = 0.006
 
 
-@dataclasses.dataclass(slots=True)
-class Search:
-    """One gathered request; times are on the steady clock."""
-
-    request: forwarded_request.ForwardedRequest
-    route: routing_table.Route
-    target: routing_table.AllShards
-    came_at: float
-    deadline: float
-
-    @property
-    def answer_at(self) -> float:
-        """When to answer with what is in."""
-        at = gather_time.answer_at(self.came_at, self.route.target_latency_s)
-        return min(at, self.deadline)
-
-
 class GatheredRequest:
     """Serves one search with the help of other gateways."""
 
@@ -65,7 +42,7 @@
 
     def __init__(
         self,
-        search: Search,
+        search: searches.Search,
         tools: service_ask.AskTools,
         others: peers.Peers,
         late: second_ask_time.SecondAskTime,
@@ -91,7 +68,7 @@
                 reason = 'no searcher is registered'
                 self._parts.miss(shard, reason, has_run=False)
         if self._parts.settled.is_set():
-            return self._answer()
+            return gathered_answer.not_run(self._parts)
         if not self._tools.admission.admit():
             self._tools.telemetry.count('searches_turned_away', 'queues')
             return answer.refusal(
@@ -111,7 +88,7 @@
             await asks.wait_all(self._search.answer_at)
             self._learn(made)
             await asks.wait_enough(self._search.deadline)
-        return self._answer()
+        return gathered_answer.of(self._search, self._parts)
 
     def _learn(self, made: gather_plan.GatherPlan) -> None:
         queued = sum(map(self._tools.searchers.is_queued, made.direct))
@@ -249,36 +226,6 @@
     ) -> None:
         asks.ask(shards, self._search.request, self._search.deadline)
 
-    def _answer(self) -> answer.Answer:
-        parts = self._parts
-        if parts.is_enough:
-            return self._success()
-        in_count = len(parts.signature_by_shard)
-        text = f'{in_count} of {len(parts.shards)} shards replied'
-        if asyncio.get_running_loop().time() >= self._search.deadline:
-            told = answer.refusal(_TIMED_OUT, text)
-        elif parts.has_run:
-            told = answer.refusal(_BAD_GATEWAY, text)
-        else:
-            retry_after_s = single_request.RETRY_AFTER_S
-            told = answer.refusal(_UNAVAILABLE, text, retry_after_s)
-        told.reason_by_shard = parts.why_missing()
-        return told
-
-    def _success(self) -> answer.Answer:
-        parts = self._parts
-        signatures = b', '.join(parts.signature_by_shard.values())
-        return answer.Answer(
-            status=_OK,
-            headers=[
-                (headers.REQUEST_ID, self._search.request.request_id),
-                (headers.PART_SIGNATURES, signatures),
-                (headers.MISSING_SHARDS, b'%d' % parts.missing),
-            ],
-            body=merge.greatest(parts.bodies, self._search.target.top_count),
-            reason_by_shard=parts.why_missing(),
-        )
-
 
 def _decoded(ended: outcome.Outcome) -> gather_request.GatherReply | None:
     """Return what another gateway gathered, where its reply says so."""
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -1,6 +1,7 @@
 """What is in of a gathered request's parts."""
 
 import asyncio
+from collections.abc import Iterable
 
 from chivepond.gateway import outcome
 from chivepond.platform import headers
@@ -13,7 +14,7 @@
     __slots__ = (
         '_needed',
         'bodies',
-        'has_run',
+        '_has_run',
         'queued',
         'reason_by_shard',
         'settled',
@@ -29,7 +30,7 @@
         self.bodies: list[bytes] = []
         self.signature_by_shard: dict[str, bytes] = {}
         self.reason_by_shard: dict[str, str] = {}
-        self.has_run = False
+        self._has_run = False
         #: How many shards had long queues, as other gateways told.
         self.queued = 0
         #: Shards whose part won't come and that no searcher was asked for.
@@ -42,12 +43,17 @@
         """Whether the parts make a success."""
         return len(self.signature_by_shard) >= self._needed
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher ran the request, or may still run it."""
+        return self._has_run or bool(self.open_among(self.shards))
+
     @property
     def missing(self) -> int:
         """How many shards are left out."""
         return len(self.shards) - len(self.signature_by_shard)
 
-    def open_among(self, shards: list[str]) -> list[str]:
+    def open_among(self, shards: Iterable[str]) -> list[str]:
         """Return the shards whose part may still come."""
         return [
             shard
@@ -66,7 +72,7 @@
 
     def take(self, shard: str, reply: outcome.Reply) -> None:
         """Take one part, or a reply that is none."""
-        self.has_run = True
+        self._has_run = True
         signature = reply.headers.get(headers.SIGNATURE)
         if reply.is_success and signature:
             self.signature_by_shard[shard] = signature
@@ -75,17 +81,24 @@
             self.reason_by_shard[shard] = f'a reply with {reply.status}'
         self._settle()
 
-    def miss(self, shard: str, reason: str, *, has_run: bool) -> None:
+    def miss(
+        self,
+        shard: str,
+        reason: str,
+        *,
+        has_run: bool,
+        is_unasked: bool = False,
+    ) -> None:
         """Take the news that a part won't come."""
-        self.has_run |= has_run
+        self._has_run |= has_run
         self.reason_by_shard[shard] = reason
-        if not has_run:
+        if is_unasked:
             self.unasked.append(shard)
         self._settle()
 
     def take_group(self, reply: gather_request.GatherReply) -> None:
         """Take what another gateway gathered."""
-        self.has_run = True
+        self._has_run |= reply.may_have_run
         self.bodies.append(reply.records)
         self.signature_by_shard.update(reply.signature_by_shard)
         self.queued += reply.queued
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -103,6 +103,7 @@
             unasked=parts.unasked,
             has_more=has_more,
             queued=sum(map(self._tools.searchers.is_queued, parts.shards)),
+            may_have_run=parts.may_have_run,
         )
 
 
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -14,6 +14,7 @@
     service_ask,
     single_request,
 )
+from chivepond.gateway import search as searches
 from chivepond.observe import event, events
 
 _BAD_REQUEST = 400
@@ -125,7 +126,7 @@
         )
         match route.target:
             case routing_table.AllShards() as target:
-                search = gathered_request.Search(
+                search = searches.Search(
                     forwarded,
                     route,
                     target,
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -42,6 +42,8 @@
     reason: str
     #: Whether a searcher may have run the request.
     may_have_run: bool
+    #: Whether it reached no searcher at all, not even one that refused it.
+    is_unasked: bool
     #: The last whole reply that was a failure after all.
     reply: outcome.Reply | None = None
 
@@ -53,6 +55,7 @@
     """One request at one service, from the first attempt to the end."""
 
     __slots__ = (
+        '_arrivals',
         '_deadline',
         '_is_left_running',
         '_may_have_run',
@@ -88,6 +91,7 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._unsent = 0
+        self._arrivals = 0
         self._reason = 'no searcher is registered'
         self._may_have_run = False
         self._reply: outcome.Reply | None = None
@@ -119,7 +123,12 @@
             raise
         self._drop_running(is_left=True)
         if found is None:
-            return GaveUp(self._reason, self._may_have_run, self._reply)
+            return GaveUp(
+                self._reason,
+                self._may_have_run,
+                not self._arrivals,
+                self._reply,
+            )
         late.learn(loop.time() - started)
         return found
 
@@ -163,9 +172,11 @@
                 self._unsent += 1
                 self._reason = reason
             case outcome.Broken(reason=reason):
+                self._arrivals += 1
                 self._may_have_run = True
                 self._reason = reason
             case outcome.Reply():
+                self._arrivals += 1
                 if self._is_final(ended):
                     return ended
                 if ended.status == _MISDIRECTED:
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -135,6 +135,26 @@
     support.run(play())
 
 
+def test_a_search_that_still_runs_is_not_said_not_to_have_run():
+    """A caller was told that its search never ran while two shards ran it.
+
+    Two of four shards turn it away, where three are needed; the other two
+    have it in work. The answer comes at once and promises nothing.
+    """
+
+    async def full(got: Got) -> Told:
+        return scripted_searcher.not_run(503)
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, gate = await _start(bench, a=_hang, b=full, c=full, d=_hang)
+            caller = await bench.caller(gate.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.status == 502
+
+    support.run(play())
+
+
 def test_a_search_that_can_not_be_whole_enough_is_refused_at_once():
     """Two of four shards have no searcher: refused before any is asked."""
 
@@ -282,6 +302,40 @@
     support.run(play())
 
 
+def test_shards_that_were_turned_away_elsewhere_are_not_asked_anew():
+    """Searchers that shed load got twice the second sends that are allowed.
+
+    All of them turn requests away. The gateway beside them had asked each
+    one, and the first gateway then asked the same ones again, outside of the
+    budget for second sends, which is zero here.
+    """
+
+    async def full(got: Got) -> Told:
+        return scripted_searcher.not_run(503)
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(f's-{shard}', shard, full, zone='hub')
+                for shard in _SHARDS
+            ]
+            bench.configure(1, _search())
+            spent = {'second_send_burst': 0, 'second_send_share': 0}
+            await bench.ready_gateway(
+                node_id='gate-2',
+                data_centre='hub',
+                **spent,
+            )
+            here = await bench.ready_gateway(**spent)
+            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            caller = await bench.caller(here.callers)
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert reply.status in {502, 503}
+            assert [len(one.got) for one in searchers] == [1, 1, 1, 1]
+
+    support.run(play())
+
+
 @hypothesis.given(
     strategies.lists(strategies.binary(max_size=100), max_size=6),
     strategies.integers(1, 8),
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -38,6 +38,8 @@
     queued: int
     #: Seconds from the request to this reply.
     took_s: float
+    #: Whether a searcher ran the request, or may still run it.
+    may_have_run: bool = True
 
 
 class MoreRequest(msgspec.Struct, array_like=True):
