A silent watch of the store is noticed within the bound on news

Cause, found by reading: in data centres of up to three gateways each watches the store for 4 s, and a watch on a connection that fell silent showed after 4.5 s. A route that was dropped, or a searcher that left, in that time was believed for longer than the 3 s that the bounds allow.

Ruled out: keep-alive probes alone, which an intermediary may answer.

Change: a watch waits for three quarters of the bound at the most. A test holds watch and grace below any bound; it failed before.

--- a/chivepond/decisions/news_source.py
+++ b/chivepond/decisions/news_source.py
@@ -21,8 +21,14 @@
 _WATCH_PART = 0.38
 _AGE_PART = 0.55
 _ASK_PART = 0.15
-#: A watch of a gateway that nobody follows, in seconds.
+#: A watch of a gateway that nobody follows, in seconds, and as a part of the
+#: time within which news must be in force. The part guards against a
+#: connection that falls silent without a reset: it shows as a watch without
+#: a reply, and only then is the list read anew.
 _ALONE_WATCH_S = 4.0
+_ALONE_PART = 0.75
+#: How much longer than its wait a watch may take, in seconds.
+WATCH_GRACE_S = 0.5
 #: A watch for other gateways, in seconds, at most as long as the store waits.
 _GATEWAYS_WATCH_S = 12.0
 
@@ -55,7 +61,7 @@
     ``bound_s`` is the time within which news must be in force.
     """
     if members <= _FEW:
-        return _ALONE_WATCH_S
+        return min(_ALONE_WATCH_S, _ALONE_PART * bound_s)
     return min(_ALONE_WATCH_S, _WATCH_PART * bound_s)
 
 
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -7,13 +7,12 @@
 
 import msgspec
 
+from chivepond.decisions import news_source
 from chivepond.gateway import outcome, replica, store_client, telemetry
 from chivepond.observe import events
 from chivepond.platform import store_calls
 from chivepond.transport import address
 
-#: How much longer than its wait a watch may take, in seconds.
-_WATCH_GRACE_S = 0.5
 _CALL_S = 1.0
 #: How long to wait before another call after a failed one, in seconds.
 _FIRST_PAUSE_S = 0.1
@@ -101,7 +100,7 @@
                     int(wait_s * _MS_PER_S),
                 ),
                 store_calls.Changes,
-                wait_s + _WATCH_GRACE_S,
+                wait_s + news_source.WATCH_GRACE_S,
             )
             if changes is None:
                 return
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -10,6 +10,7 @@
     gather_plan,
     gather_time,
     log_limit,
+    news_source,
     recent_count,
     search_admission,
     searcher_choice,
@@ -123,6 +124,17 @@
     assert not budget.spend(1, math.inf)
 
 
+@hypothesis.given(strategies.floats(2.5, 20), strategies.integers(1, 100))
+def test_a_silent_watch_is_noticed_within_the_bound(bound_s, members):
+    """A route that had been dropped was served for too long.
+
+    The connection to the store fell silent without a reset; the watch on it
+    said nothing of the newer version until its time was over.
+    """
+    noticed_s = news_source.watch_s(bound_s, members)
+    assert noticed_s + news_source.WATCH_GRACE_S < bound_s
+
+
 def test_a_budget_forgets_what_is_older_than_its_span():
     """A spent budget is whole again after the span."""
     budget = second_send_budget.SecondSendBudget(_LIMITS)
