Groups of other gateways keep their connections, and late parts come one by one

One shard stayed out, so each group with it came at the last moment; an answer that did not wait for it ended the connection, the next search had to open one, which takes one more way there and back, and its group came too late in turn. Besides, what came after the first reply was kept back until the whole group was settled.

Change: exchanges of an answered search end by themselves; a late reply is asked for on another connection while the first one still may bring it; how soon it is due is told at the moment of the send; the time of the way is its mean and two deviations; parts after the first reply come one by one, only where they are needed. A connection to another gateway opens within 100 ms or its shards are asked from here.

Two tests of the gather fail without it.

--- /dev/null
+++ b/chivepond/decisions/round_trip.py
@@ -0,0 +1,42 @@
+"""How long the way to another gateway and back takes.
+
+Load pattern: a search is split into groups, and each other gateway has to
+reply in time for the answer here. Told too late, its reply comes after the
+answer was due and costs a whole group; told too early, it leaves out parts
+that were still coming. The time of the way differs with the data centre, and
+varies by some milliseconds from one exchange to the next.
+"""
+
+#: What is believed before the first exchange, in seconds: the way between
+#: regions and back, with the wake-ups of both sides.
+_FIRST_S = 0.03
+#: Weights of the newest exchange in the mean and in the deviation, and how
+#: many deviations are allowed for; two cover 19 exchanges of 20 that are
+#: spread evenly around their mean.
+_NEWEST = 0.125
+_NEWEST_DEVIATION = 0.25
+_DEVIATIONS = 2.0
+
+
+class RoundTrip:
+    """Learns from exchanges, the other side's work taken off."""
+
+    __slots__ = ('_deviation_s', '_mean_s')
+
+    def __init__(self) -> None:
+        """Believe what is usual between regions."""
+        self._mean_s = _FIRST_S
+        self._deviation_s: float = 0
+
+    @property
+    def slow_s(self) -> float:
+        """What few exchanges take longer than, in seconds."""
+        return self._mean_s + _DEVIATIONS * self._deviation_s
+
+    def learn(self, took_s: float) -> None:
+        """Take the time of one exchange, in seconds."""
+        off_s = took_s - self._mean_s
+        self._mean_s += _NEWEST * off_s
+        self._deviation_s += _NEWEST_DEVIATION * (
+            abs(off_s) - self._deviation_s
+        )
--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import types
-from collections.abc import Iterable
-from typing import Self
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Protocol, Self
 
 from chivepond.decisions import second_ask_time
 from chivepond.gateway import (
@@ -14,6 +14,22 @@
     routing_table,
     service_ask,
 )
+from chivepond.gateway import search as searches
+
+
+Fallback = Callable[[], Coroutine[Any, Any, None]]
+
+
+class _Ask(Protocol):
+    def leave_running(self) -> None:
+        """Let exchanges end by themselves where this is cancelled."""
+
+
+class GroupOfShards(_Ask, Protocol):
+    """Shards that another gateway is asked for."""
+
+    async def run(self) -> None:
+        """Take the parts, or what became of them."""
 
 
 class GatherAsks:
@@ -27,6 +43,7 @@
     __slots__ = (
         '_asks',
         '_doubtful',
+        '_fallbacks',
         '_late',
         '_route',
         '_tasks',
@@ -49,7 +66,8 @@
         self._tools = tools
         self._late = late
         self._trace = trace
-        self._asks: list[service_ask.ServiceAsk] = []
+        self._asks: list[_Ask] = []
+        self._fallbacks: list[Fallback] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._doubtful: set[asyncio.Task[None]] = set()
 
@@ -74,9 +92,25 @@
         for task in self._tasks:
             task.cancel()
 
-    def add(self, task: asyncio.Task[None]) -> None:
-        """Wait for one more task."""
-        self._tasks.add(task)
+    def ask_group(self, group: GroupOfShards) -> None:
+        """Begin to ask another gateway for some of the shards."""
+        self._asks.append(group)
+        self._tasks.add(asyncio.create_task(group.run()))
+
+    def add_fallback(
+        self,
+        fallback: Fallback,
+    ) -> None:
+        """Take what may bring more parts, where there are too few else."""
+        self._fallbacks.append(fallback)
+
+    def ask_from_here(
+        self,
+        shards: Iterable[str],
+        search: searches.Search,
+    ) -> None:
+        """Begin to ask each of ``shards`` from this gateway."""
+        self.ask(shards, search.request, search.deadline)
 
     def ask(
         self,
@@ -95,7 +129,7 @@
             )
             self._asks.append(ask)
             task = asyncio.create_task(self._ask_one(ask, deadline))
-            self.add(task)
+            self._tasks.add(task)
             if self._tools.searchers.is_doubtful(shard):
                 self._doubtful.add(task)
 
@@ -106,25 +140,50 @@
         there are too few parts without them: one that is down would hold up
         each answer to its target latency.
         """
-        loop = asyncio.get_running_loop()
-        while True:
-            pending = {task for task in self._tasks if not task.done()}
-            if self.parts.is_enough:
-                pending -= self._doubtful
-            left_s = until - loop.time()
-            if not pending or left_s <= 0:
-                return
-            hopeful = pending - self._doubtful
-            await asyncio.wait(hopeful or pending, timeout=left_s)
+        try:
+            async with asyncio.timeout_at(until):
+                await self._wait_hopeful()
+                while not self.parts.is_enough and await self._wait_one():
+                    await self._wait_hopeful()
+        except TimeoutError:
+            return
 
     async def wait_enough(self, until: float) -> None:
         """Wait until the parts are enough, or can't be any more."""
+        if not self.parts.is_enough:
+            self._begin_fallbacks()
         try:
             async with asyncio.timeout_at(until):
                 await self.parts.settled.wait()
         except TimeoutError:
             return
 
+    def _begin_fallbacks(self) -> None:
+        begun = {
+            asyncio.create_task(fallback()) for fallback in self._fallbacks
+        }
+        self._fallbacks.clear()
+        self._tasks |= begun
+        self._doubtful |= begun
+
+    async def _wait_hopeful(self) -> None:
+        while hopeful := self._pending() - self._doubtful:
+            await asyncio.wait(hopeful)
+
+    async def _wait_one(self) -> bool:
+        """Wait for one task of little hope; tell whether there was any."""
+        self._begin_fallbacks()
+        pending = self._pending()
+        if pending:
+            await asyncio.wait(
+                pending,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        return bool(pending)
+
+    def _pending(self) -> set[asyncio.Task[None]]:
+        return {task for task in self._tasks if not task.done()}
+
     async def _ask_one(
         self,
         ask: service_ask.ServiceAsk,
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -14,6 +14,7 @@
     __slots__ = (
         '_needed',
         'bodies',
+        'changed',
         '_has_run',
         'queued',
         'reason_by_shard',
@@ -35,6 +36,8 @@
         self.queued = 0
         #: Shards whose part won't come and that no searcher was asked for.
         self.unasked: list[str] = []
+        #: Set with each part that came, or won't come.
+        self.changed = asyncio.Event()
         #: Set once there are enough parts, or can't be any more.
         self.settled = asyncio.Event()
 
@@ -108,6 +111,7 @@
         self._settle()
 
     def _settle(self) -> None:
+        self.changed.set()
         lost = len(self.reason_by_shard)
         if self.is_enough or len(self.shards) - lost < self._needed:
             self.settled.set()
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -26,6 +26,7 @@
         '_told',
         '_tools',
         'trace',
+        'turn',
     )
 
     def __init__(
@@ -40,6 +41,8 @@
         self._tools = tools
         self._began = clock()
         self._told: set[str] = set()
+        #: How often it was held for another ask.
+        self.turn = 0
         self.trace = request_trace.RequestTrace(clock, self._began)
         coverage = gather_time.Coverage(len(asked.shards), asked.least_share)
         self._parts = gathering.Gathering(
@@ -68,24 +71,41 @@
     async def first(self) -> gather_request.GatherReply:
         """Return what is in when the answer is due, or all before that."""
         await self._asks.wait_all(self._began + self._asked.answer_in_s)
-        return self._reply(has_more=not self._parts.settled.is_set())
+        return self._reply()
 
     def again(self) -> gather_request.GatherReply:
         """Return all that is in now, told or not."""
         self._told.clear()
-        return self._reply(has_more=not self._parts.settled.is_set())
+        return self._reply()
 
     async def more(self) -> gather_request.GatherReply:
-        """Return what came since, once it is enough or can't be."""
-        await self._asks.wait_enough(self._began + self._asked.left_s)
-        return self._reply(has_more=False)
+        """Return what came since; wait for the next part where none did.
+
+        Guards against a shard of the group that stays out: waiting for the
+        whole group kept back parts by which the search would have enough.
+        """
+        try:
+            async with asyncio.timeout_at(self._began + self._asked.left_s):
+                await self._next_news()
+        except TimeoutError:
+            return self._reply()
+        return self._reply()
 
     def missing(self) -> dict[str, str]:
         """Return why each shard is missing."""
         return self._parts.why_missing()
 
-    def _reply(self, *, has_more: bool) -> gather_request.GatherReply:
+    async def _next_news(self) -> None:
+        parts = self._parts
+        while self._told >= parts.signature_by_shard.keys():
+            if not parts.open_among(parts.shards):
+                return
+            parts.changed.clear()
+            await parts.changed.wait()
+
+    def _reply(self) -> gather_request.GatherReply:
         parts = self._parts
+        has_more = bool(parts.open_among(parts.shards))
         new = {
             shard: signature
             for shard, signature in parts.signature_by_shard.items()
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -44,6 +44,8 @@
     warmup_s: float
     #: Failures in a row after which it is distrusted.
     failures: int = searcher_standing.USUAL_FAILURES
+    #: How long a new connection may take, in seconds.
+    connect_s: float = _CONNECT_S
 
 
 class Message(Protocol):
@@ -229,7 +231,7 @@
         self._open.add(connection)
         place = self.end.address
         try:
-            async with asyncio.timeout(_CONNECT_S):
+            async with asyncio.timeout(self.end.connect_s):
                 await asyncio.get_running_loop().create_connection(
                     lambda: connection,
                     place.ip,
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -1,5 +1,6 @@
 """Requests between gateways in the form in which they are sent."""
 
+import asyncio
 import itertools
 
 import msgspec
@@ -40,10 +41,33 @@
         )
 
 
-def gather_message(asked: gather_request.GatherRequest) -> PeerMessage:
-    """Return the request for a gather, under the caller's identifier."""
-    body = msgspec.msgpack.encode(asked)
-    return PeerMessage(GATHER_PATH, asked.request_id, body)
+class GatherMessage(PeerMessage):
+    """The request for a gather, under the caller's identifier.
+
+    How soon its reply is due is told as of the moment at which it is sent: a
+    connection that had to be opened first leaves less time.
+    """
+
+    __slots__ = ('_asked', '_due_at', 'sent_at')
+
+    def __init__(
+        self,
+        asked: gather_request.GatherRequest,
+        due_at: float,
+    ) -> None:
+        """Ask for a reply at ``due_at``, on the steady clock."""
+        super().__init__(GATHER_PATH, asked.request_id, b'')
+        self._asked = asked
+        self._due_at = due_at
+        #: When it was sent, on the steady clock; zero before that.
+        self.sent_at: float = 0
+
+    def encode(self, receiver: str, left_s: float) -> bytes:
+        """Return the bytes as of now."""
+        self.sent_at = asyncio.get_running_loop().time()
+        self._asked.answer_in_s = self._due_at - self.sent_at
+        self._body = msgspec.msgpack.encode(self._asked)
+        return super().encode(receiver, left_s)
 
 
 def more_message(request_id: bytes, *, has_reply: bool) -> PeerMessage:
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -102,15 +102,13 @@
             second_ask_time.SecondAskTime(),
         )
         gather = held_gather.HeldGather(asked, self._tools, late)
-        self._held_by_id[asked.request_id] = gather
+        self._hold(asked.request_id, gather, asked.answer_in_s)
         try:
             reply = await gather.first()
-        finally:
-            asyncio.get_running_loop().call_later(
-                _HELD_S,
-                self._let_go,
-                asked.request_id,
-            )
+        except asyncio.CancelledError:
+            # Whoever asked has left: the searchers learn it at once.
+            self._let_go(asked.request_id, gather.turn)
+            raise
         self._log(asked, gather, reply)
         return _answer(asked.request_id, reply)
 
@@ -126,12 +124,29 @@
         except asyncio.CancelledError:
             gather.end(is_answered=False)
             raise
-        gather.end(is_answered=True)
+        self._hold(asked.request_id, gather, 0)
         return _answer(asked.request_id, reply)
 
-    def _let_go(self, request_id: bytes) -> None:
-        gather = self._held_by_id.pop(request_id, None)
-        if gather is not None:
+    def _hold(
+        self,
+        request_id: bytes,
+        gather: held_gather.HeldGather,
+        due_in_s: float,
+    ) -> None:
+        """Keep a gather until its reply is due and a while longer."""
+        gather.turn += 1
+        self._held_by_id[request_id] = gather
+        asyncio.get_running_loop().call_later(
+            max(0, due_in_s) + _HELD_S,
+            self._let_go,
+            request_id,
+            gather.turn,
+        )
+
+    def _let_go(self, request_id: bytes, turn: int) -> None:
+        gather = self._held_by_id.get(request_id)
+        if gather is not None and gather.turn == turn:
+            self._held_by_id.pop(request_id)
             gather.end(is_answered=False)
 
     def _log(
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -7,7 +7,11 @@
 from collections.abc import Iterable
 from typing import Self
 
-from chivepond.decisions import helper_choice, searcher_standing
+from chivepond.decisions import (
+    helper_choice,
+    round_trip,
+    searcher_standing,
+)
 from chivepond.gateway import link as links
 from chivepond.gateway import peer_record, telemetry
 from chivepond.observe import events
@@ -20,10 +24,12 @@
 #: Failures after which a gateway is asked no more for a while: each costs a
 #: whole group of shards, and searchers can be asked from here as well.
 _FAILURES = 1
-#: What the way to another gateway and back takes, in seconds, until it was
-#: measured, and the weight of the newest measurement.
-_FIRST_WAY_S = 0.03
-_NEWEST = 0.1
+#: What a group's reply and its merge take on a slow host, in seconds.
+_MERGE_S = 0.004
+#: How long a new connection may take, in seconds: some times the way between
+#: any two gateways. One that has no power does not reply at all, and its
+#: shards are asked from here as soon as that shows.
+_CONNECT_S = 0.1
 
 
 class Peers:
@@ -37,7 +43,7 @@
         '_link_mbps',
         '_seeds',
         '_telemetry',
-        '_way_s_by_id',
+        '_way_by_id',
         'own_id',
     )
 
@@ -57,7 +63,7 @@
             for place in seeds
         ]
         self._telemetry = told
-        self._way_s_by_id: dict[str, float] = {}
+        self._way_by_id: dict[str, round_trip.RoundTrip] = {}
         self._known_by_id: dict[str, peer_record.PeerRecord] = {}
         self._link_by_id: dict[str, links.Link] = {}
 
@@ -133,14 +139,18 @@
         sound = [link for link in known if _is_sound(link, now)]
         return random.choice(sound or known) if known else None
 
-    def way_s(self, node_id: str) -> float:
-        """Return what the way to a gateway and back takes, in seconds."""
-        return self._way_s_by_id.get(node_id, _FIRST_WAY_S)
+    def slow_way_s(self, node_id: str) -> float:
+        """Return what the way to a gateway and back seldom takes longer than.
+
+        In seconds, with the merge of its reply.
+        """
+        known = self._way_by_id.get(node_id) or round_trip.RoundTrip()
+        return known.slow_s + _MERGE_S
 
     def learn_way(self, node_id: str, took_s: float) -> None:
         """Take the time that one exchange took beside the other's work."""
-        known_s = self.way_s(node_id)
-        self._way_s_by_id[node_id] = known_s + _NEWEST * (took_s - known_s)
+        known = self._way_by_id.setdefault(node_id, round_trip.RoundTrip())
+        known.learn(took_s)
 
     def helpers(self) -> frozenset[str]:
         """Return the data centres with a gateway that may be asked.
@@ -195,6 +205,7 @@
             slots=_SLOTS,
             warmup_s=0,
             failures=_FAILURES,
+            connect_s=_CONNECT_S,
         ),
         _CONNECTIONS,
     )
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -188,12 +188,15 @@
 class Gate:
     """A way to an address that can be closed: a relay of bytes."""
 
-    def __init__(self, behind: address.Address) -> None:
-        """Lead to ``behind`` while it is entered."""
+    def __init__(self, behind: address.Address, delay_s: float = 0) -> None:
+        """Lead to ``behind`` while it is entered; each way takes a while."""
+        self._delay_s = delay_s
         self._behind = behind
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._held_back = 0
+        #: How many connections were made.
+        self.connections = 0
 
     def hold_replies(self, connections: int) -> None:
         """Pass on no reply on the next few connections."""
@@ -221,6 +224,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self.connections += 1
         there = await asyncio.open_connection(
             self._behind.ip,
             self._behind.port,
@@ -231,8 +235,8 @@
             await _carry(reader, there[1])
             return
         await asyncio.gather(
-            _carry(reader, there[1]),
-            _carry(there[0], writer),
+            _carry(reader, there[1], self._delay_s),
+            _carry(there[0], writer, self._delay_s),
             return_exceptions=True,
         )
 
@@ -240,9 +244,11 @@
 async def _carry(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
+    delay_s: float = 0,
 ) -> None:
     with contextlib.suppress(ConnectionError, asyncio.CancelledError):
         while chunk := await reader.read(_CHUNK):
+            await asyncio.sleep(delay_s)
             writer.write(chunk)
     writer.close()
 
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -12,6 +12,7 @@
     log_limit,
     news_source,
     recent_count,
+    round_trip,
     search_admission,
     searcher_choice,
     searcher_standing,
@@ -135,6 +136,28 @@
     assert noticed_s + news_source.WATCH_GRACE_S < bound_s
 
 
+@hypothesis.given(
+    strategies.floats(0.002, 0.1),
+    strategies.floats(0, 0.03),
+    strategies.integers(0, 1000),
+)
+def test_few_replies_of_other_gateways_come_too_late(way_s, spread_s, seed):
+    """Each third group came after the answer was due.
+
+    The other gateway was told the usual time of the way, and every exchange
+    that took a little longer came too late.
+    """
+    rng = random.Random(seed)
+    way = round_trip.RoundTrip()
+    late = 0
+    for exchange in range(300):
+        took_s = way_s + rng.uniform(0, spread_s)
+        late += exchange >= 100 and took_s > way.slow_s + 0.0005
+        way.learn(took_s)
+    assert late <= 30
+    assert way.slow_s < way_s + 1.5 * spread_s + 0.001
+
+
 def test_a_budget_forgets_what_is_older_than_its_span():
     """A spent budget is whole again after the span."""
     budget = second_send_budget.SecondSendBudget(_LIMITS)
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -470,6 +470,83 @@
     support.run(play())
 
 
+def test_an_answer_without_a_group_keeps_its_connection():
+    """Every second search came late while one shard stayed out.
+
+    The gateway that gathers waited for that shard, and the answer went out
+    without its group. With it the connection to that gateway was ended, so
+    that the next search first had to open one, and its group came too late
+    as well.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for number, shard in enumerate(_SHARDS):
+                reply = _hang if shard == 'd' else _part(shard, number)
+                zone = 'base' if shard == 'a' else 'hub'
+                await bench.searcher(f's-{shard}', shard, reply, zone=zone)
+            bench.configure(1, _search(min_shard_ratio=0.25))
+            there = await bench.ready_gateway(
+                node_id='gate-2',
+                data_centre='hub',
+            )
+            async with gateway_bench.Gate(there.peers, 0.03) as gate:
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(gate.address), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(
+                    lambda: here.figures.gateways_known == 2,
+                )
+                before = gate.connections
+                caller = await bench.caller(here.callers)
+                for _ in range(4):
+                    reply = gateway_bench.reply_of(
+                        await caller.get('/search/x'),
+                    )
+                    assert reply.status == 200
+                    await asyncio.sleep(0.2)
+                # One for the group, one to ask again for a late reply.
+                assert gate.connections - before <= 2
+
+    support.run(play())
+
+
+def test_a_shard_that_stays_out_keeps_back_no_late_part():
+    """A search failed at its deadline though its parts had long come.
+
+    Three of four were enough. One was slow, and one of the same group never
+    came; the gateway that gathers kept the slow one back for the whole group.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            reply_by_shard = {
+                'c': _slowly(0.5, _part('c', 2)),
+                'd': _hang,
+            }
+            for number, shard in enumerate(_SHARDS):
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    reply_by_shard.get(shard, _part(shard, number)),
+                    zone='base' if shard == 'a' else 'hub',
+                )
+            bench.configure(1, _search())
+            await bench.ready_gateway(node_id='gate-2', data_centre='hub')
+            here = await bench.ready_gateway()
+            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            caller = await bench.caller(here.callers)
+            began = asyncio.get_running_loop().time()
+            reply = gateway_bench.reply_of(await caller.get('/search/x'))
+            assert asyncio.get_running_loop().time() - began < 0.8
+            assert _signatures(reply) == {b'a', b'b', b'c'}
+
+    support.run(play())
+
+
 def test_a_shard_that_is_down_holds_up_no_answer():
     """Each search took its whole target latency while one shard was down.
 
