--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 import msgspec
+import pytest
 from hypothesis import strategies
 
 from chivepond.gateway import routing_table
@@ -113,23 +114,41 @@
     assert made == {'meta': {'name': 'n'}, 'spec': {'x': 1}}
 
 
+@pytest.mark.parametrize('told', [{}, {'bootstrap': False}])
+def test_only_the_first_start_of_all_is_told_to_be_that(told):
+    """A flag that is false or missing means a start in place of another."""
+    assert not _settings_from_template(_NODE | told).is_first_start
+
+
 def test_the_template_makes_settings_of_our_own():
     """What the platform fills in is read without a trouble."""
+    settings = _settings_from_template(_NODE | {'bootstrap': True})
+    assert settings.is_first_start
+    assert settings.data_centre == 'base'
+    assert settings.peers == '10.1.0.9:8106'
+    assert settings.second_send_burst == 54
+
+
+def _settings_from_template(
+    fields: dict[str, object],
+) -> gateway_settings.GatewaySettings:
     template = (_ROOT / 'chivepond/platform/gateway.yaml').read_text()
+    sections = re.sub(
+        r'\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}',
+        lambda found: found[2] if fields.get(found[1]) else '',
+        template,
+    )
     filled = re.sub(
         r'\{\{([\w.]+)\|json\}\}',
-        lambda found: json.dumps(_NODE[found[1]]),
-        template,
+        lambda found: json.dumps(fields[found[1]]),
+        sections,
     )
     loaded = loader.parse(
         gateway_settings.GatewaySettings,
         filled.encode(),
         'template',
     )
-    settings = loaded.unwrap()
-    assert settings.data_centre == 'base'
-    assert settings.peers == '10.1.0.9:8106'
-    assert settings.second_send_burst == 54
+    return loaded.unwrap()
 
 
 def test_no_name_of_the_platform_stands_outside_the_adapter():
