--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import types
 from typing import Self
 
@@ -70,12 +69,8 @@
         'figures',
     )
 
-    def __init__(
-        self,
-        settings: gateway_settings.GatewaySettings,
-        bound: socket.socket | None = None,
-    ) -> None:
-        """Start nothing yet; ``bound`` listens for callers already."""
+    def __init__(self, settings: gateway_settings.GatewaySettings) -> None:
+        """Start nothing yet."""
         self._settings = settings
         self._open = contextlib.AsyncExitStack()
         self._is_stopping = False
@@ -121,11 +116,7 @@
             self._peers,
             changed,
         )
-        self._front = self._listener(
-            settings.callers,
-            self._way.serve,
-            settings_parts.bound_for_callers(settings, bound),
-        )
+        self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
             settings.peers,
@@ -292,7 +283,6 @@
         self,
         place: str,
         serve: caller_connection.Serve,
-        bound: socket.socket | None = None,
     ) -> listener.Listener:
         return listener.Listener(
             address.parse(place).unwrap(),
@@ -304,7 +294,6 @@
                     _CALLERS_SHARE * self._settings.max_descriptors,
                 ),
             ),
-            bound,
         )
 
     def _limits(self) -> routing_table.CallerLimits:
@@ -317,8 +306,6 @@
         return self._is_stopping
 
     def _take_news(self) -> None:
-        if self._news.is_informed:
-            self._way.informed.set()
         if self.is_ready and not self._was_ready:
             self._was_ready = True
             self._telemetry.tell(
--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -1,7 +1,6 @@
 """Takes callers' connections on one address."""
 
 import asyncio
-import socket
 import types
 from typing import Self
 
@@ -14,16 +13,14 @@
 class Listener:
     """Listens while it is entered; holds the connections that are open."""
 
-    __slots__ = ('_bound', '_connections', '_place', '_server', '_service')
+    __slots__ = ('_connections', '_place', '_server', '_service')
 
     def __init__(
         self,
         place: address.Address,
         service: caller_connection.Service,
-        bound: socket.socket | None = None,
     ) -> None:
-        """Listen on ``place`` once entered, or take over ``bound``."""
-        self._bound = bound
+        """Listen on ``place`` once entered."""
         self._place = place
         self._service = service
         self._connections: set[caller_connection.CallerConnection] = set()
@@ -31,21 +28,13 @@
 
     async def __aenter__(self) -> Self:
         """Begin to listen."""
-        loop = asyncio.get_running_loop()
-        if self._bound is None:
-            self._server = await loop.create_server(
-                self._connection,
-                self._place.ip,
-                self._place.port,
-                backlog=_BACKLOG,
-                reuse_address=True,
-            )
-        else:
-            self._server = await loop.create_server(
-                self._connection,
-                sock=self._bound,
-                backlog=_BACKLOG,
-            )
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connection,
+            self._place.ip,
+            self._place.port,
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
         return self
 
     async def __aexit__(
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -26,10 +26,6 @@
 #: When to come back while no configuration is known, in seconds. A store
 #: that is away is so for seconds, and many callers come back just once.
 _UNKNOWN_RETRY_S = 1.0
-#: How long after the start requests wait for the first routes and searchers,
-#: in seconds. Reading both takes 20 to 90 ms where the store is well; a store
-#: that has not replied by then is away, and refusals say when to come back.
-_FIRST_NEWS_S = 0.3
 #: How long before the caller's deadline the last word is said, in seconds:
 #: the way back to the caller, and the loop's delay on a busy host.
 _LAST_WORD_S = 0.02
@@ -45,10 +41,8 @@
         '_late_by_route',
         '_peers',
         '_share_by_route',
-        '_started_at',
         '_table',
         '_tools',
-        'informed',
     )
 
     def __init__(
@@ -59,9 +53,6 @@
         """Know no configuration yet."""
         self._tools = tools
         self._peers = others
-        self._started_at = asyncio.get_running_loop().time()
-        #: Set once routes and searchers are known.
-        self.informed = asyncio.Event()
         self._table: routing_table.RoutingTable | None = None
         self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
         self._share_by_route: dict[str, weighted_share.WeightedShare] = {}
@@ -85,7 +76,6 @@
         """Return the answer to one request, and write what became of it."""
         clock = asyncio.get_running_loop().time
         trace = request_trace.RequestTrace(clock, request.came_at)
-        await self._until_informed()
         table = self._table
         route = table and table.find(request.host, request.path)
         try:
@@ -101,16 +91,6 @@
             self._tell(request, route, told, trace)
         return told
 
-    async def _until_informed(self) -> None:
-        """Wait for the first news where this gateway has just started."""
-        if self.informed.is_set():
-            return
-        try:
-            async with asyncio.timeout_at(self._started_at + _FIRST_NEWS_S):
-                await self.informed.wait()
-        except TimeoutError:
-            return
-
     async def _answer(
         self,
         request: caller_request.CallerRequest,
--- a/chivepond/gateway/settings_parts.py
+++ b/chivepond/gateway/settings_parts.py
@@ -1,7 +1,5 @@
 """What the parts of a gateway take from its settings."""
 
-import socket
-
 from chivepond.decisions import second_send_budget
 from chivepond.gateway import peer_record
 from chivepond.settings import gateway_settings
@@ -49,20 +47,3 @@
         burst=settings.second_send_burst,
         span_s=settings.second_send_span_s,
     )
-
-
-def bound_for_callers(
-    settings: gateway_settings.GatewaySettings,
-    bound: socket.socket | None,
-) -> socket.socket | None:
-    """Return ``bound`` where it is on the address for callers.
-
-    Another one is closed: whoever started the program named a wrong place.
-    """
-    if bound is None:
-        return None
-    own = address.parse(settings.callers).unwrap()
-    if bound.getsockname()[:2] == (own.ip, own.port):
-        return bound
-    bound.close()
-    return None
--- a/chivepond/tools/gateway_daemon.py
+++ b/chivepond/tools/gateway_daemon.py
@@ -4,7 +4,6 @@
 import gc
 import pathlib
 import signal
-import socket
 import sys
 
 import result
@@ -31,11 +30,10 @@
     sys.exit(main(sys.argv))
 
 
-def main(arguments: list[str], bound: socket.socket | None = None) -> int:
-    """Return the exit code; ``bound`` listens for callers already."""
+def main(arguments: list[str]) -> int:
+    """Return the exit code."""
     program = program_flags.ProgramFlags(_USAGE)
     program.text('settings', '', 'the YAML file with the settings')
-    program.text('listen', '', 'where callers connect; taken at once')
     program.switch('check', 'check the settings and exit')
     ended = program.begin(arguments)
     if ended is not None:
@@ -46,7 +44,7 @@
             if program.flags.check:
                 console.say('the settings are right')
                 return exit_code.ExitCode.OK
-            return _start(settings, path, bound)
+            return _start(settings, path)
         case wrong:
             return console.complain(wrong.unwrap_err())
 
@@ -54,11 +52,10 @@
 def _start(
     settings: gateway_settings.GatewaySettings,
     path: pathlib.Path,
-    bound: socket.socket | None,
 ) -> int:
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     with journal.Journal(settings.log_level, 'json', output):
-        code = uvloop.run(_serve(settings, path, bound))
+        code = uvloop.run(_serve(settings, path))
     output.drain()
     return code
 
@@ -66,7 +63,6 @@
 async def _serve(
     settings: gateway_settings.GatewaySettings,
     path: pathlib.Path,
-    bound: socket.socket | None,
 ) -> int:
     stopping = asyncio.Event()
     changed = asyncio.Event()
@@ -74,7 +70,7 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_signal, stopping)
-    async with gateway.Gateway(settings, bound) as running:
+    async with gateway.Gateway(settings) as running:
         watch = settings_watch.SettingsWatch(path, settings, running, changed)
         watching = asyncio.create_task(watch.run())
         gc.collect()
