A version of the routes waits a moment for its searchers; nothing is gathered by another one

Ruled out: news that were late (version 7 was in force within 0.1 s on all seven); a longer time to come back (callers come back just once).

Change: a version by which fewer routes can be served waits until its searchers are listed, at most a quarter of the bound after it was read; a newer one puts it aside and is due no later. So that two gateways never act by different versions for one search, a gateway gathers for another one only what its own version in force has; the other one asks those searchers itself.

Each half of it has a test that fails without it.

--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -108,6 +108,7 @@
             self._searchers,
             self._way,
             self._telemetry,
+            settings.news_bound_s,
             self._take_news,
         )
         changed = asyncio.Event()
@@ -125,6 +126,7 @@
                 self._replica_by_kind,
                 changed,
                 self._tell_stopping,
+                self._way.gathers,
             ).serve,
         )
         self._metrics_listener = self._make_metrics()
@@ -132,6 +134,7 @@
 
     async def __aenter__(self) -> Self:
         """Listen, and begin to read the store."""
+        self._open.enter_context(self._news)
         self._open.enter_context(self._searchers)
         self._open.enter_context(self._tools.stragglers)
         self._open.enter_context(self._peers)
--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/news.py
@@ -1,10 +1,18 @@
 """Takes what the store tells of routes and searchers."""
 
+import types
 from collections.abc import Callable
+from typing import Self
 
 import result
 
-from chivepond.gateway import requests_way, searchers, telemetry
+from chivepond.gateway import (
+    requests_way,
+    routing_table,
+    searchers,
+    telemetry,
+    version_queue,
+)
 from chivepond.observe import events
 from chivepond.platform import configuration_codec, searcher_codec, store_calls
 
@@ -17,6 +25,7 @@
         '_on_informed',
         '_searchers',
         '_telemetry',
+        '_versions',
         '_way',
     )
 
@@ -25,15 +34,38 @@
         known: searchers.Searchers,
         way: requests_way.RequestsWay,
         told: telemetry.Telemetry,
+        bound_s: float,
         on_informed: Callable[[], None],
     ) -> None:
-        """Call ``on_informed`` after each piece of news."""
+        """Call ``on_informed`` after each piece of news.
+
+        Each version is in force within ``bound_s`` seconds.
+        """
+        self._versions = version_queue.VersionQueue(
+            way,
+            known,
+            bound_s,
+            self._tell_in_force,
+        )
         self._searchers = known
         self._way = way
         self._telemetry = told
         self._on_informed = on_informed
         self._is_listed = False
 
+    def __enter__(self) -> Self:
+        """Return the news."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Put no version in force any more."""
+        self._versions.__exit__(kind, error, trace)
+
     @property
     def is_informed(self) -> bool:
         """Whether both routes and searchers are known."""
@@ -50,6 +82,7 @@
                     self._refuse_entry(stored, str(wrong.unwrap_err()))
         self._searchers.replace(records)
         self._is_listed = True
+        self._versions.look()
         self._on_informed()
 
     def take_searcher_change(self, change: store_calls.Change) -> None:
@@ -61,6 +94,7 @@
         match searcher_codec.decode(name, change.object.spec):
             case result.Ok(record):
                 self._searchers.put(record)
+                self._versions.look()
             case wrong:
                 self._refuse_entry(change.object, str(wrong.unwrap_err()))
                 self._searchers.vanish(name)
@@ -83,15 +117,13 @@
             return
         match configuration_codec.decode(stored.spec):
             case result.Ok(table):
-                if self._way.put_in_force(table):
-                    self._searchers.share_caps(table.connection_cap_by_service)
-                    self._telemetry.gauge('routes_version', table.version)
+                if self._versions.take(table):
                     self._telemetry.tell(
-                        events.ROUTES_IN_FORCE,
+                        events.ROUTES_WAIT,
                         version=table.version,
                         revision=stored.meta.revision,
+                        in_force=self._way.table.version,
                     )
-                    self._on_informed()
             case wrong:
                 self._telemetry.tell(
                     events.ROUTES_REFUSED,
@@ -99,6 +131,12 @@
                     why=str(wrong.unwrap_err()),
                 )
 
+    def _tell_in_force(self, table: routing_table.RoutingTable) -> None:
+        self._searchers.share_caps(table.connection_cap_by_service)
+        self._telemetry.gauge('routes_version', table.version)
+        self._telemetry.tell(events.ROUTES_IN_FORCE, version=table.version)
+        self._on_informed()
+
     def _refuse_entry(
         self,
         stored: store_calls.StoredObject,
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -22,6 +22,7 @@
 _OK = 200
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
+_CONFLICT = 409
 _UNAVAILABLE = 503
 _MS_PER_S = 1000
 _KIND_BY_PATH: Mapping[bytes, type[msgspec.Struct]] = types.MappingProxyType(
@@ -42,6 +43,7 @@
 
     __slots__ = (
         '_changed',
+        '_gathers',
         '_held_by_id',
         '_is_stopping',
         '_late_by_route',
@@ -55,8 +57,14 @@
         replica_by_kind: Mapping[str, replica.Replica],
         changed: asyncio.Event,
         is_stopping: Callable[[], bool],
+        gathers: Callable[[str, list[str]], bool],
     ) -> None:
-        """Begin nothing once ``is_stopping``; tell news when ``changed``."""
+        """Begin nothing once ``is_stopping``; tell news when ``changed``.
+
+        ``gathers`` tells whether the version in force has these shards on a
+        route.
+        """
+        self._gathers = gathers
         self._replica_by_kind = replica_by_kind
         self._changed = changed
         self._tools = tools
@@ -97,6 +105,11 @@
         self,
         asked: gather_request.GatherRequest,
     ) -> answer.Answer:
+        if not self._gathers(asked.route, asked.shards):
+            return answer.refusal(
+                _CONFLICT,
+                'the version in force here has other shards',
+            )
         late = self._late_by_route.setdefault(
             asked.route,
             second_ask_time.SecondAskTime(),
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -1,6 +1,7 @@
 """Takes a caller's request from its route to its answer."""
 
 import asyncio
+from collections.abc import Iterable
 
 from chivepond.decisions import second_ask_time, weighted_share
 from chivepond.gateway import (
@@ -69,6 +70,21 @@
         self._table = table
         return True
 
+    def gathers(self, route_name: str, shards: Iterable[str]) -> bool:
+        """Tell whether the version in force gathers ``shards`` on a route.
+
+        Guards against acts by an older version, or by a newer one than is in
+        force here, for another gateway that has read it later or sooner.
+        """
+        if self._table is None:
+            return False
+        target = self._table.target_by_name.get(route_name)
+        match target:
+            case routing_table.AllShards(shards=own):
+                return set(own).issuperset(shards)
+            case _:
+                return False
+
     async def serve(
         self,
         request: caller_request.CallerRequest,
--- a/chivepond/gateway/routing_table.py
+++ b/chivepond/gateway/routing_table.py
@@ -81,6 +81,7 @@
     routes_by_host: Mapping[bytes, tuple[Route, ...]]
     connection_cap_by_service: Mapping[str, int]
     limits: CallerLimits
+    target_by_name: Mapping[str, Target]
 
     def find(self, host: bytes, path: bytes) -> Route | None:
         """Return the route with the longest prefix that begins ``path``."""
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -155,6 +155,13 @@
             self._misdirected.add(known.record.life)
             self._remove(searcher_id)
 
+    def is_listed(self, service: str) -> bool:
+        """Tell whether any searcher of a service may be asked."""
+        return any(
+            not self._known_by_id[searcher_id].record.is_leaving
+            for searcher_id in self._ids_by_service.get(service, ())
+        )
+
     def candidates(self, service: str) -> Iterator[searcher_choice.Candidate]:
         """Return the searchers of a service that may be asked."""
         region = self.region_by_data_centre.get(self.here)
--- /dev/null
+++ b/chivepond/gateway/version_queue.py
@@ -0,0 +1,114 @@
+"""Puts versions of the routes in force, some of them a little later."""
+
+import asyncio
+import types
+from collections.abc import Callable
+from typing import Self
+
+from chivepond.decisions import version_wait
+from chivepond.gateway import requests_way, routing_table, searchers
+
+
+class VersionQueue:
+    """Holds one version at the most, until it can be served or is due."""
+
+    __slots__ = (
+        '_bound_s',
+        '_due',
+        '_on_in_force',
+        '_searchers',
+        '_waiting',
+        '_way',
+    )
+
+    def __init__(
+        self,
+        way: requests_way.RequestsWay,
+        known: searchers.Searchers,
+        bound_s: float,
+        on_in_force: Callable[[routing_table.RoutingTable], None],
+    ) -> None:
+        """Have each version in force within ``bound_s`` seconds."""
+        self._way = way
+        self._searchers = known
+        self._bound_s = bound_s
+        self._on_in_force = on_in_force
+        self._waiting: routing_table.RoutingTable | None = None
+        self._due: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> Self:
+        """Return the queue."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Put nothing in force any more."""
+        self._forget()
+
+    def take(self, table: routing_table.RoutingTable) -> bool:
+        """Take a version that was read; tell whether it waits.
+
+        One that waits is put aside by a newer one, which is due no later.
+        """
+        newest = self._waiting or self._way.table
+        if newest is not None and table.version <= newest.version:
+            return False
+        if not self._serves_less(table):
+            self._put_in_force(table)
+            return False
+        self._waiting = table
+        if self._due is None:
+            self._due = asyncio.get_running_loop().call_later(
+                version_wait.longest_s(self._bound_s),
+                self._put_waiting,
+            )
+        return True
+
+    def look(self) -> None:
+        """Put what waits in force, if its searchers are listed by now."""
+        if self._waiting is not None and not self._serves_less(self._waiting):
+            self._put_waiting()
+
+    def _put_waiting(self) -> None:
+        if self._waiting is not None:
+            self._put_in_force(self._waiting)
+
+    def _put_in_force(self, table: routing_table.RoutingTable) -> None:
+        self._forget()
+        if self._way.put_in_force(table):
+            self._on_in_force(table)
+
+    def _forget(self) -> None:
+        self._waiting = None
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+
+    def _serves_less(self, table: routing_table.RoutingTable) -> bool:
+        if self._way.table is None:
+            return False
+        return self._unserved(table) > self._unserved(self._way.table)
+
+    def _unserved(self, table: routing_table.RoutingTable) -> int:
+        return sum(
+            not self._is_served(route.target)
+            for routes in table.routes_by_host.values()
+            for route in routes
+        )
+
+    def _is_served(self, target: routing_table.Target) -> bool:
+        match target:
+            case routing_table.OneService(service=service):
+                return self._searchers.is_listed(service)
+            case routing_table.WeightedServices(weight_by_service=weights):
+                return all(map(self._searchers.is_listed, weights))
+            case routing_table.AllShards() as search:
+                return version_wait.is_search_served(
+                    search.shards,
+                    search.least_share,
+                    self._searchers.is_listed,
+                )
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -171,6 +171,12 @@
     'routes in force',
     'A newer version of the routes is in force; says who told it.',
 )
+ROUTES_WAIT = event.Event(
+    6015,
+    'INFO',
+    'routes wait',
+    'A newer version serves less until its searchers are listed; it waits.',
+)
 ROUTES_REFUSED = event.Event(
     6011,
     'WARNING',
--- a/chivepond/platform/configuration_codec.py
+++ b/chivepond/platform/configuration_codec.py
@@ -65,11 +65,11 @@
 
 
 def _table(told: _Configuration) -> routing_table.RoutingTable:
+    routes = [_route(one) for one in told.routes]
     return routing_table.RoutingTable(
         version=told.version,
-        routes_by_host=routing_table.by_host(
-            [_route(one) for one in told.routes],
-        ),
+        routes_by_host=routing_table.by_host(routes),
+        target_by_name={one.name: one.target for one in routes},
         connection_cap_by_service={
             one.name: one.max_conns for one in told.services
         },
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -117,6 +117,10 @@
         self._changes.append(_Change(self._revision, kind, stored, True))
         self._wake()
 
+    def spec(self, kind: str, name: str) -> Any:
+        """Return what an object says."""
+        return self._object_by_place[(kind, name)]['spec']
+
     def names(self, kind: str) -> list[str]:
         """Return the names of the objects of a kind."""
         return sorted(
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -146,6 +146,15 @@
             documents.searcher(service, place, **told),
         )
 
+    def copy_searcher(
+        self,
+        searcher_id: str,
+        to: routed_store.RoutedStore,
+    ) -> None:
+        """Write the entry of a searcher into another store as well."""
+        spec = self.store.spec(store_calls.SEARCHERS, searcher_id)
+        to.put(store_calls.SEARCHERS, searcher_id, spec)
+
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         """Write a configuration."""
         self.store.put(
--- /dev/null
+++ b/chivepond/tests/test_gateway_versions.py
@@ -0,0 +1,165 @@
+"""Which version of the routes a gateway acts by, and from when on."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+
+from chivepond.decisions import version_wait
+from chivepond.standins import routed_store, scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+Got = scripted_searcher.Got
+Told = scripted_searcher.Told
+
+_OLD = ('a', 'b')
+_NEW = ('c', 'd', 'e')
+
+
+async def _part(got: Got) -> Told:
+    return scripted_searcher.good(got, b'')
+
+
+def _search(shards: tuple[str, ...], **told):
+    return gateway_bench.route(
+        'search',
+        '/search/',
+        **{
+            'gather': list(shards),
+            'top_k': 3,
+            'min_shard_ratio': 0.6,
+            'target_latency_ms': 300,
+        }
+        | told,
+    )
+
+
+async def _status(caller) -> int:
+    return gateway_bench.reply_of(await caller.get('/search/x')).status
+
+
+async def _listed(bench: gateway_bench.Bench, shards, **told) -> None:
+    for shard in shards:
+        await bench.searcher(f's-{shard}', shard, _part, **told)
+
+
+def test_new_shards_wait_until_their_searchers_are_listed():
+    """Every search was refused for a second after the index was cut anew.
+
+    The store had been away. The version that names the new shards was read
+    at its return; their searchers registered themselves some heartbeats
+    later, while those of the old shards still served.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await _listed(bench, _OLD)
+            bench.configure(1, _search(_OLD))
+            gate = await bench.ready_gateway(routes_bound_ms=6000)
+            caller = await bench.caller(gate.callers)
+            bench.configure(2, _search(_NEW))
+            for _ in range(6):
+                await asyncio.sleep(0.08)
+                assert await _status(caller) == 200
+            assert gate.figures.routes_version == 1
+            await _listed(bench, _NEW)
+            await gateway_bench.until(lambda: gate.figures.routes_version == 2)
+            assert await _status(caller) == 200
+
+    support.run(play())
+
+
+def test_a_version_that_can_not_be_served_is_in_force_in_time():
+    """A version whose searchers never come takes effect all the same.
+
+    A newer one that comes meanwhile starts no new wait.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await _listed(bench, _OLD)
+            bench.configure(1, _search(_OLD))
+            gate = await bench.ready_gateway(routes_bound_ms=2000)
+            began = asyncio.get_running_loop().time()
+            for version in range(2, 7):
+                bench.configure(version, _search(_NEW))
+                await asyncio.sleep(0.15)
+            await gateway_bench.until(lambda: gate.figures.routes_version == 6)
+            took_s = asyncio.get_running_loop().time() - began
+            assert took_s < 1.4
+            caller = await bench.caller(gate.callers)
+            assert await _status(caller) == 503
+
+    support.run(play())
+
+
+def test_a_version_that_can_be_served_is_in_force_at_once():
+    """A route was added: nothing is missing, nothing is waited for."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await _listed(bench, _OLD)
+            bench.configure(1, _search(_OLD))
+            gate = await bench.ready_gateway(routes_bound_ms=20000)
+            bench.configure(
+                2, _search(_OLD), gateway_bench.route('n', '/n/', service='a')
+            )
+            await gateway_bench.until(lambda: gate.figures.routes_version == 2)
+
+    support.run(play())
+
+
+def test_nothing_is_gathered_by_another_version():
+    """A gateway went back to an older version of the shards.
+
+    It routed by the newer one already, and gathered the old shards for
+    another gateway that had not read it yet. That one asks them itself.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await _listed(bench, (*_OLD, 'q'), zone='hub')
+            bench.configure(1, _search((*_OLD, 'q')))
+            async with routed_store.RoutedStore() as newer:
+                ahead = gateway_bench.Bench()
+                ahead.store = newer
+                ahead.configure(2, _search(_NEW))
+                for shard in (*_OLD, 'q'):
+                    bench.copy_searcher(f's-{shard}', newer)
+                there = await bench.unready_gateway(
+                    node_id='gate-2',
+                    data_centre='hub',
+                    store=str(newer.address),
+                )
+                await gateway_bench.until(
+                    lambda: there.figures.routes_version == 2,
+                )
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(there.peers), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(
+                    lambda: here.figures.gateways_known == 2,
+                )
+                caller = await bench.caller(here.callers)
+                assert await _status(caller) == 200
+                assert not there.figures.searcher_connections
+                assert here.figures.searcher_connections == 3
+
+    support.run(play())
+
+
+@hypothesis.given(
+    strategies.sets(strategies.sampled_from('abcdefgh')),
+    strategies.sets(strategies.sampled_from('abcdefgh'), min_size=1),
+)
+def test_a_version_waits_only_where_it_serves_less(listed, shards):
+    """A search is served where its least share of shards has searchers."""
+    is_served = version_wait.is_search_served(
+        tuple(sorted(shards)),
+        0.5,
+        listed.__contains__,
+    )
+    assert is_served == (len(listed & shards) >= 0.5 * len(shards))
