--- a/chivepond/decisions/gather_plan.py
+++ b/chivepond/decisions/gather_plan.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import itertools
 from collections.abc import Mapping
 
 #: The fewest shards for which another gateway is asked: below that the
@@ -22,11 +21,6 @@
     direct: list[str]
     shards_by_data_centre: dict[str, list[str]]
 
-    def shards(self) -> list[str]:
-        """Return all shards that are asked."""
-        groups = self.shards_by_data_centre.values()
-        return [*self.direct, *itertools.chain.from_iterable(groups)]
-
 
 def plan(
     best_place_by_shard: Mapping[str, str],
--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -105,13 +105,7 @@
         self._waiting_at = now
 
     def is_queued(self, now: float) -> bool:
-        """Tell whether more wait for it than it has slots.
-
-        Either it said so lately, or more requests of this gateway alone are
-        in flight: one whose requests are all given up says nothing.
-        """
-        if self.in_flight > self._slots:
-            return True
+        """Tell whether it lately had more waiting than it has slots."""
         is_recent = now - self._waiting_at < _RECENT_S
         return is_recent and self._waiting >= self._slots
 
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -5,7 +5,7 @@
 import types
 from typing import Self
 
-from chivepond.decisions import search_admission, shard_admission
+from chivepond.decisions import search_admission
 from chivepond.gateway import (
     answer,
     budgets,
@@ -97,7 +97,6 @@
             stragglers=stragglers.Stragglers(),
             telemetry=self._telemetry,
             admission=search_admission.SearchAdmission(),
-            shards=shard_admission.ShardAdmission(),
         )
         self._way = requests_way.RequestsWay(self._tools, self._peers)
         self.figures = figures.Figures(
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -1,7 +1,5 @@
 """The way of a request that every shard answers a part of."""
 
-from collections.abc import Iterable
-
 from chivepond.decisions import gather_plan, gather_time, second_ask_time
 from chivepond.gateway import (
     answer,
@@ -59,8 +57,6 @@
                 'too many searches wait',
                 _RUSH_RETRY_S,
             )
-        for shard in self._leave_out(best_place_by_shard):
-            best_place_by_shard.pop(shard)
         made = gather_plan.plan(best_place_by_shard, work.others.helpers())
         with gather_asks.GatherAsks(
             work.parts,
@@ -101,25 +97,11 @@
                     group_ask.GroupAsk(self._work, link, shards, asks),
                 )
 
-    def _leave_out(self, asked: Iterable[str]) -> list[str]:
-        """Return the shards that this search goes without; note them."""
-        parts = self._work.parts
-        left_out = self._work.tools.shards.left_out(asked, parts.spare)
-        for shard in left_out:
-            parts.miss(shard, 'left out, its queues are long', has_run=False)
-        return left_out
-
     def _learn(self, made: gather_plan.GatherPlan) -> None:
         work = self._work
-        queued = set(filter(work.tools.searchers.is_queued, made.direct))
-        queued |= work.parts.queued
+        queued = sum(map(work.tools.searchers.is_queued, made.direct))
+        queued += work.parts.queued
         work.tools.admission.learn(
-            len(queued) / len(work.parts.shards),
+            queued / len(work.parts.shards),
             is_on_time=work.parts.is_enough,
         )
-        for shard in made.shards():
-            work.tools.shards.learn(
-                shard,
-                is_in_time=shard in work.parts.signature_by_shard,
-                is_queued=shard in queued,
-            )
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -32,8 +32,8 @@
         self.signature_by_shard: dict[str, bytes] = {}
         self.reason_by_shard: dict[str, str] = {}
         self._has_run = False
-        #: Shards that had long queues, as other gateways told.
-        self.queued: set[str] = set()
+        #: How many shards had long queues, as other gateways told.
+        self.queued = 0
         #: Shards whose part won't come and that no searcher was asked for.
         self.unasked: list[str] = []
         #: Set with each part that came, or won't come.
@@ -51,12 +51,6 @@
         """Whether a searcher ran the request, or may still run it."""
         return self._has_run or bool(self.open_among(self.shards))
 
-    @property
-    def spare(self) -> int:
-        """How many more parts may stay out of an answer."""
-        lost = len(self.reason_by_shard)
-        return max(0, len(self.shards) - lost - self._needed)
-
     @property
     def missing(self) -> int:
         """How many shards are left out."""
@@ -110,7 +104,7 @@
         self._has_run |= reply.may_have_run
         self.bodies.append(reply.records)
         self.signature_by_shard.update(reply.signature_by_shard)
-        self.queued.update(reply.queued)
+        self.queued += reply.queued
         for shard, reason in reply.reason_by_shard.items():
             if shard not in reply.unasked:
                 self.reason_by_shard[shard] = reason
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -3,11 +3,7 @@
 import asyncio
 import dataclasses
 
-from chivepond.decisions import (
-    search_admission,
-    second_ask_time,
-    shard_admission,
-)
+from chivepond.decisions import search_admission, second_ask_time
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
@@ -37,7 +33,6 @@
     stragglers: stragglers.Stragglers
     telemetry: telemetry.Telemetry
     admission: search_admission.SearchAdmission
-    shards: shard_admission.ShardAdmission
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -150,7 +145,7 @@
             )
             if not done:
                 self._second_at = None
-                self._send_late()
+                self._send_again()
             for attempt in done:
                 link = self._running.pop(attempt)
                 found = self._take(link.end.name, attempt.result())
@@ -213,17 +208,6 @@
                 if self._route.is_idempotent or not self._may_have_run:
                     self._send_again()
 
-    def _send_late(self) -> None:
-        """Ask a second searcher, unless all of them have long queues.
-
-        Guards against twice the load on a shard that already gets more than
-        it can work off.
-        """
-        if self._tools.searchers.is_queued(self.service):
-            self._trace.note(f'{self.service}: long queues, not sent again')
-        else:
-            self._send_again()
-
     def _send_again(self) -> None:
         if self._sends >= self._route.max_attempts:
             return
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -18,7 +18,6 @@
     searcher_standing,
     second_ask_time,
     second_send_budget,
-    shard_admission,
     weighted_share,
 )
 
@@ -393,74 +392,3 @@
     for _ in range(100):
         admission.learn(0, is_on_time=True)
     assert admission.share == 1
-
-
-def _parts_in_time(shard: shard_admission.ShardAdmission | None) -> float:
-    """Play one shard that can work off 0.65 of the searches.
-
-    Return the share of searches of the last ten seconds that have its part
-    within 160 ms; one that waits 500 ms is given up.
-    """
-    rng = random.Random(1)
-    work_s, slots = 0.137, 4
-    free_at = [0.0] * slots
-    now, asked, in_time = 0.0, 0, 0
-    while now < 20:
-        now += rng.expovariate(45)
-        asked += now > 10
-        if shard is not None and shard.left_out(['a'], 3):
-            continue
-        waited_s = max(0, min(free_at) - now)
-        if waited_s < 0.5:
-            free_at[free_at.index(min(free_at))] = now + waited_s + work_s
-        is_in_time = waited_s + work_s < 0.16
-        in_time += is_in_time and now > 10
-        if shard is not None:
-            shard.learn(
-                'a',
-                is_in_time=is_in_time,
-                is_queued=waited_s > 0.02,
-            )
-    return in_time / asked
-
-
-def test_a_shard_with_too_much_work_is_asked_by_fewer_searches():
-    """No search had the shard in time, though its searchers worked all along.
-
-    Both of them had turned slow. Each search waited behind those before it,
-    and went without the shard when its answer was due.
-    """
-    assert _parts_in_time(None) < 0.05
-    assert _parts_in_time(shard_admission.ShardAdmission()) > 0.4
-
-
-def test_a_shard_that_is_late_without_a_queue_stays_asked():
-    """A dead searcher's shard is asked by all: nothing is gained by less."""
-    shards = shard_admission.ShardAdmission()
-    for _ in range(50):
-        shards.learn('a', is_in_time=False, is_queued=False)
-        assert not shards.left_out(['a', 'b'], 5)
-
-
-@hypothesis.given(
-    strategies.lists(
-        strategies.tuples(
-            strategies.sampled_from('abcdef'),
-            strategies.booleans(),
-            strategies.booleans(),
-        ),
-        max_size=200,
-    ),
-    strategies.integers(0, 6),
-)
-def test_a_search_never_goes_without_more_than_it_can_spare(learnt, spare):
-    """Shards left out alone never make a search fail; one stays in reserve."""
-    shards = shard_admission.ShardAdmission()
-    for shard, is_in_time, is_queued in learnt:
-        shards.learn(shard, is_in_time=is_in_time, is_queued=is_queued)
-        left_out = shards.left_out('abcdef', spare)
-        assert len(left_out) <= max(0, spare - 1)
-    for _ in range(20):
-        for shard in 'abcdef':
-            shards.learn(shard, is_in_time=True, is_queued=False)
-    assert not shards.left_out('abcdef', 6)
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -34,8 +34,8 @@
     unasked: list[str]
     #: Whether too few are in, and the rest can be asked for once more.
     has_more: bool
-    #: The shards that have long queues at all their searchers.
-    queued: list[str]
+    #: How many of the shards have long queues at all their searchers.
+    queued: int
     #: Seconds from the request to this reply.
     took_s: float
     #: Whether a searcher ran the request, or may still run it.
