Who is distrusted stands in the log, states and budgets in the metrics; weights begin anywhere

Cause: an engineer on call could not see why a searcher was passed over, or that another gateway was lost: what is believed of them changed without a line. And, found by reading: gateways that get a request or two each all began a weighted share with its heaviest service, so that a new one got none.

Change: events 6024, 6025, 6032 and 6033 with the reason; gauges for searchers by state, second sends left by service, the age of the routes, and a histogram of waits for a connection. A weighted share begins anywhere in its cycle.

Ruled out: a line for each change of a searcher between sound and overdue, some ten a second in ordinary pauses.

--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -94,6 +94,11 @@
         self._waiting = 0
         self._waiting_at: float = 0
 
+    @property
+    def is_distrusted(self) -> bool:
+        """Whether it failed too often in a row to be asked first."""
+        return self._failures_in_row >= self._failures
+
     @property
     def in_flight(self) -> int:
         """How many requests of this gateway it works on."""
@@ -152,7 +157,7 @@
 
     def trust(self, now: float) -> Trust:
         """Return how good a choice it is now."""
-        if self._failures_in_row >= self._failures:
+        if self.is_distrusted:
             is_on_trial = now >= self._distrusted_until and not self.in_flight
             return Trust.ON_TRIAL if is_on_trial else Trust.DISTRUSTED
         if self._is_overdue(now):
--- a/chivepond/decisions/weighted_share.py
+++ b/chivepond/decisions/weighted_share.py
@@ -2,10 +2,15 @@
 
 Load pattern: a service is replaced by another a tenth at a time. Chance
 alone puts a gateway with few requests far off the weights; taking turns
-keeps each one within a request of them.
+keeps each one within a request of them. Each gateway begins anywhere in the
+cycle of turns: many with a request or two each would all begin with the
+heaviest name, and leave the others without.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+
+#: Turns among which a gateway begins: a cycle of weights in hundredths.
+_FIRST_TURNS = 100
 
 
 class WeightedShare:
@@ -13,13 +18,19 @@
 
     __slots__ = ('_credit_by_name', 'weight_by_name')
 
-    def __init__(self, weight_by_name: Mapping[str, float]) -> None:
-        """Start even."""
+    def __init__(
+        self,
+        weight_by_name: Mapping[str, float],
+        rng: Callable[[], float],
+    ) -> None:
+        """Start anywhere in the cycle, as ``rng`` says from 0 to 1."""
         self.weight_by_name = weight_by_name
         self._credit_by_name: dict[str, float] = dict.fromkeys(
             weight_by_name,
             0,
         )
+        for _ in range(int(rng() * _FIRST_TURNS)):
+            self.take()
 
     def take(self) -> str:
         """Return the name whose turn it is."""
--- a/chivepond/gateway/budgets.py
+++ b/chivepond/gateway/budgets.py
@@ -53,6 +53,12 @@
         """Return how many second sends are left."""
         return self._of(service).left(self._loop.time(), self._peers.sharers)
 
+    def left_by_service(self) -> dict[str, float]:
+        """Return how many second sends are left of each service asked."""
+        return {
+            service: self.left(service) for service in self._budget_by_service
+        }
+
     def _of(self, service: str) -> second_send_budget.SecondSendBudget:
         known = self._budget_by_service.get(service)
         if known is None:
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -5,33 +5,22 @@
 import types
 from typing import Self
 
-from chivepond.decisions import search_admission
 from chivepond.gateway import (
     answer,
-    budgets,
+    assembly,
     caller_connection,
     caller_request,
     figures,
-    settings_parts,
+    gauges,
     listener,
     metrics_page,
-    news,
-    peer_registry,
     peer_service,
-    peers,
-    requests_way,
     routing_table,
-    searchers,
-    service_ask,
-    store_copies,
-    store_news,
-    stragglers,
-    telemetry,
+    settings_parts,
 )
 from chivepond.observe import events
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
-from chivepond.wire import gateway_entry
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -55,17 +44,13 @@
         '_metrics_listener',
         '_news',
         '_open',
+        '_parts',
         '_peer_listener',
-        '_peers',
         '_readers',
         '_readiness',
-        '_replica_by_kind',
-        '_searchers',
         '_settings',
         '_telemetry',
-        '_tools',
         '_was_ready',
-        '_way',
         'figures',
     )
 
@@ -75,58 +60,27 @@
         self._open = contextlib.AsyncExitStack()
         self._is_stopping = False
         self._was_ready = False
-        self._telemetry = telemetry.Telemetry(settings.node_id)
-        self._peers = peers.Peers(
-            settings_parts.own_record(settings),
-            self._telemetry,
-            settings_parts.seeds(settings),
-        )
-        self._searchers = searchers.Searchers(
-            settings.data_centre,
-            settings.region_by_data_centre,
-            self._peers,
-            self._telemetry,
-        )
-        self._tools = service_ask.AskTools(
-            searchers=self._searchers,
-            budgets=budgets.Budgets(
-                settings_parts.budget_limits(settings),
-                self._peers,
-                is_first_start=settings.is_first_start,
-            ),
-            stragglers=stragglers.Stragglers(),
-            telemetry=self._telemetry,
-            admission=search_admission.SearchAdmission(),
-        )
-        self._way = requests_way.RequestsWay(self._tools, self._peers)
+        self._parts = assembly.make(settings, self._take_news)
+        self._telemetry = self._parts.telemetry
+        self._news = self._parts.news
         self.figures = figures.Figures(
-            self._way,
-            self._searchers,
-            self._peers,
-        )
-        self._news = news.News(
-            self._searchers,
-            self._way,
-            self._telemetry,
-            settings.news_bound_s,
-            self._take_news,
+            self._parts.way,
+            self._parts.searchers,
+            self._parts.others,
         )
-        changed = asyncio.Event()
-        self._replica_by_kind = store_copies.by_kind(
-            self._news,
-            self._peers,
-            changed,
+        self._front = self._listener(
+            settings.callers,
+            self._parts.way.serve,
         )
-        self._front = self._listener(settings.callers, self._way.serve)
         self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
             settings.peers,
             peer_service.PeerService(
-                self._tools,
-                self._replica_by_kind,
-                changed,
+                self._parts.tools,
+                self._parts.replica_by_kind,
+                self._parts.changed,
                 self._tell_stopping,
-                self._way.gathers,
+                self._parts.way.gathers,
             ).serve,
         )
         self._metrics_listener = self._make_metrics()
@@ -134,10 +88,7 @@
 
     async def __aenter__(self) -> Self:
         """Listen, and begin to read the store."""
-        self._open.enter_context(self._news)
-        self._open.enter_context(self._searchers)
-        self._open.enter_context(self._tools.stragglers)
-        self._open.enter_context(self._peers)
+        self._open.enter_context(self._parts)
         for one in (
             self._peer_listener,
             self._front,
@@ -146,7 +97,12 @@
         ):
             await self._open.enter_async_context(one)
         self._readers = [
-            asyncio.create_task(reader.run()) for reader in self._make_readers()
+            asyncio.create_task(reader.run())
+            for reader in assembly.readers(
+                self._parts,
+                self._settings,
+                self.peers,
+            )
         ]
         self._telemetry.tell(
             events.GATEWAY_STARTED,
@@ -239,28 +195,10 @@
         """
         self._telemetry.tell(events.SETTINGS_RELOADED, changes=changes)
         self._settings = settings
-        self._searchers.region_by_data_centre = settings.region_by_data_centre
-        self._tools.budgets.change(settings_parts.budget_limits(settings))
-
-    def _make_readers(
-        self,
-    ) -> tuple[store_news.StoreNews, peer_registry.PeerRegistry]:
-        store = address.parse(self._settings.store).unwrap()
-        entry = gateway_entry.GatewayEntry(
-            str(self._peer_listener.address),
-            self._settings.data_centre,
-            self._settings.link_mbps,
-        )
-        return (
-            store_news.StoreNews(
-                self._settings.news_bound_s,
-                store,
-                self._replica_by_kind,
-                self._peers,
-                self._telemetry,
-            ),
-            peer_registry.PeerRegistry(self._settings.node_id, entry, store),
+        self._parts.searchers.region_by_data_centre = (
+            settings.region_by_data_centre
         )
+        self._parts.tools.budgets.change(settings_parts.budget_limits(settings))
 
     def _make_metrics(self) -> listener.Listener:
         page = metrics_page.MetricsPage(self._telemetry, self._read_gauges)
@@ -270,17 +208,13 @@
         )
 
     def _read_gauges(self) -> None:
-        told = self._telemetry
-        told.gauge('ready', int(self.is_ready))
-        told.gauge('caller_connections', self._front.connections)
-        told.gauge('requests_in_work', self._front.working)
-        told.gauge('searches_let_in', self._tools.admission.share)
-        for name in (
-            'gateways_known',
-            'searchers_known',
-            'searcher_connections',
-        ):
-            told.gauge(name, getattr(self.figures, name))
+        gauges.Gauges(
+            front=self._front,
+            figures=self.figures,
+            way=self._parts.way,
+            searchers=self._parts.searchers,
+            tools=self._parts.tools,
+        ).read(self._telemetry, is_ready=self.is_ready)
 
     def _listener(
         self,
@@ -300,7 +234,7 @@
         )
 
     def _limits(self) -> routing_table.CallerLimits:
-        table = self._way.table
+        table = self._parts.way.table
         if table is None:
             return routing_table.DEFAULT_LIMITS
         return table.limits
@@ -313,8 +247,8 @@
             self._was_ready = True
             self._telemetry.tell(
                 events.GATEWAY_READY,
-                version=self._way.table.version,
-                searchers=self._searchers.count,
+                version=self._parts.way.table.version,
+                searchers=self._parts.searchers.count,
             )
 
     async def _tell_ready(
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -1,53 +1,31 @@
 """The connections of this gateway to one searcher or other gateway."""
 
 import asyncio
-import collections
-import dataclasses
 import itertools
+import math
 import re
 import types
 from typing import Protocol, Self
 
 from chivepond.decisions import searcher_standing
-from chivepond.gateway import http_connection, outcome
+from chivepond.gateway import (
+    connection_pool,
+    link_end,
+    outcome,
+    trust_log,
+)
 from chivepond.platform import headers
-from chivepond.transport import address
 
-#: How long a new connection may take, in seconds. A first packet that is lost
-#: is sent again after a second; another searcher is asked by then.
-_CONNECT_S = 0.6
-#: How long before the searcher's own time-out an idle connection is given
-#: up, in seconds, so that a request doesn't cross its end.
-_IDLE_MARGIN_S = 1.0
 #: How long a connection may be idle for a request that must not run twice,
 #: in seconds. Guards against searchers that forget idle connections without
 #: notice: the send is reset, and nobody can tell whether it ran.
 _PROVED_S = 1.0
-#: The time-out of idle connections where the searcher states none.
-_IDLE_S = 10.0
 _SERVER_ERROR = 500
-_STATED_IDLE = re.compile(rb'timeout=(\d+)')
 #: Running requests, waiting requests, slots.
 _LOAD = re.compile(rb'\d+,\s*(\d{1,6}),\s*\d+')
 _attempts = itertools.count()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LinkEnd:
-    """Who is at the other end of a link."""
-
-    name: str
-    address: address.Address
-    #: How many requests it works on at a time.
-    slots: int
-    #: How much longer it is slow after its start, in seconds.
-    warmup_s: float
-    #: Failures in a row after which it is distrusted.
-    failures: int = searcher_standing.USUAL_FAILURES
-    #: How long a new connection may take, in seconds.
-    connect_s: float = _CONNECT_S
-
-
 class Message(Protocol):
     """What a link sends."""
 
@@ -63,22 +41,16 @@
 class Link:
     """Sends requests within a cap of connections; a queue beyond it."""
 
-    __slots__ = (
-        '_cap',
-        '_idle',
-        '_idle_s',
-        '_open',
-        '_waiters',
-        'end',
-        'standing',
-    )
+    __slots__ = ('_log', '_pool', 'end', 'standing')
 
     def __init__(
         self,
-        end: LinkEnd,
+        end: link_end.LinkEnd,
         cap: int,
+        log: trust_log.TrustLog,
     ) -> None:
         """Open at most ``cap`` connections, each when it is needed."""
+        self._log = log
         now = asyncio.get_running_loop().time()
         self.end = end
         self.standing = searcher_standing.SearcherStanding(
@@ -86,13 +58,7 @@
             now + end.warmup_s,
             end.failures,
         )
-        self._cap = cap
-        self._idle: list[http_connection.HttpConnection] = []
-        self._idle_s = _IDLE_S
-        self._open: set[http_connection.HttpConnection] = set()
-        self._waiters: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+        self._pool = connection_pool.ConnectionPool(end, cap, log)
 
     def __enter__(self) -> Self:
         """Return the link."""
@@ -105,18 +71,17 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Close idle connections; those in use end with their exchange."""
-        self._cap = 0
-        for connection in list(self._idle):
-            connection.close()
+        self._pool.close()
+        self._log.forget(self.end.name)
 
     @property
     def connections(self) -> int:
         """How many connections are open."""
-        return len(self._open)
+        return self._pool.connections
 
     def limit(self, cap: int) -> None:
         """Open at most ``cap`` connections from now on."""
-        self._cap = cap
+        self._pool.limit(cap)
 
     async def ask(
         self,
@@ -136,10 +101,11 @@
                 ended = await self._exchange(request, deadline)
         except TimeoutError:
             ended = outcome.Broken('no reply in time')
-            self._drop_idle()
+            self._pool.drop_idle()
         except asyncio.CancelledError:
             if self.standing.given_up(attempt, loop.time()):
-                self._drop_idle()
+                self._pool.drop_idle()
+                self._tell_trust('no reply for long')
             raise
         self._judge(attempt, ended, loop.time())
         return ended
@@ -150,10 +116,8 @@
         deadline: float,
     ) -> outcome.Outcome:
         loop = asyncio.get_running_loop()
-        idle_s = self._idle_s
-        if not request.is_repeatable:
-            idle_s = min(idle_s, _PROVED_S)
-        connection = await self._acquire(idle_s)
+        idle_s = math.inf if request.is_repeatable else _PROVED_S
+        connection = await self._pool.acquire(idle_s)
         if connection is None:
             return outcome.NotSent('no connection')
         message = request.encode(
@@ -169,7 +133,7 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
-        self._release(connection, ended)
+        self._pool.release(connection, ended)
         return ended
 
     def _hear(self, told: bytes | None, now: float) -> None:
@@ -185,105 +149,18 @@
         match ended:
             case outcome.Reply(status=status) if status < _SERVER_ERROR:
                 self.standing.replied(attempt, now)
-            case _:
+                self._tell_trust('')
+            case outcome.Reply(status=status):
                 self.standing.failed(attempt, now)
-
-    async def _acquire(
-        self,
-        idle_s: float,
-    ) -> http_connection.HttpConnection | None:
-        while True:
-            kept = self._take_idle(idle_s)
-            if kept is not None:
-                return kept
-            if len(self._open) < self._cap:
-                return await self._connect()
-            if not self._cap:
-                return None
-            await self._wait()
-
-    def _take_idle(
-        self,
-        idle_s: float,
-    ) -> http_connection.HttpConnection | None:
-        oldest = asyncio.get_running_loop().time() - idle_s
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open and connection.idle_since > oldest:
-                return connection
-            connection.close()
-        return None
-
-    def _drop_idle(self) -> None:
-        """Close the idle connections.
-
-        Guards against connections that fell silent without a reset: it shows
-        as a request without a reply, and would as one on each of them.
-        """
-        for connection in list(self._idle):
-            connection.close()
-
-    async def _connect(self) -> http_connection.HttpConnection | None:
-        connection = http_connection.HttpConnection(
-            headers.REQUEST_ID,
-            self._closed,
-        )
-        self._open.add(connection)
-        place = self.end.address
-        try:
-            async with asyncio.timeout(self.end.connect_s):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: connection,
-                    place.ip,
-                    place.port,
-                )
-        except OSError:
-            # A time-out is an OSError as well.
-            self._closed(connection)
-            return None
-        except asyncio.CancelledError:
-            self._closed(connection)
-            raise
-        return connection
-
-    def _release(
-        self,
-        connection: http_connection.HttpConnection,
-        ended: outcome.Outcome,
-    ) -> None:
-        match ended:
-            case outcome.Reply(headers=told):
-                self._learn_idle(told.get(b'keep-alive'))
-        if connection.is_open and self._cap:
-            self._idle.append(connection)
-        else:
-            connection.close()
-        self._wake()
-
-    def _learn_idle(self, stated: bytes | None) -> None:
-        found = _STATED_IDLE.search(stated or b'')
-        if found:
-            self._idle_s = max(0, int(found[1]) - _IDLE_MARGIN_S)
-
-    def _closed(self, connection: http_connection.HttpConnection) -> None:
-        self._open.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
-        self._wake()
-
-    async def _wait(self) -> None:
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        try:
-            await waiter
-        except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
-                self._wake()
-            raise
-
-    def _wake(self) -> None:
-        while self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
+                self._tell_trust(f'a reply with {status}')
+            case outcome.NotSent(reason=reason) | outcome.Broken(reason=reason):
+                self.standing.failed(attempt, now)
+                self._tell_trust(reason)
+
+    def _tell_trust(self, reason: str) -> None:
+        if not self._pool.is_closed:
+            self._log.look(
+                self.end.name,
+                reason,
+                is_distrusted=self.standing.is_distrusted,
+            )
--- /dev/null
+++ b/chivepond/gateway/link_end.py
@@ -0,0 +1,26 @@
+"""Who is at the other end of a link, and how it is reached."""
+
+import dataclasses
+
+from chivepond.decisions import searcher_standing
+from chivepond.transport import address
+
+#: How long a new connection may take, in seconds. A first packet that is lost
+#: is sent again after a second; another searcher is asked by then.
+_CONNECT_S = 0.6
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkEnd:
+    """Who is at the other end of a link."""
+
+    name: str
+    address: address.Address
+    #: How many requests it works on at a time.
+    slots: int
+    #: How much longer it is slow after its start, in seconds.
+    warmup_s: float
+    #: Failures in a row after which it is distrusted.
+    failures: int = searcher_standing.USUAL_FAILURES
+    #: How long a new connection may take, in seconds.
+    connect_s: float = _CONNECT_S
--- a/chivepond/gateway/metrics_page.py
+++ b/chivepond/gateway/metrics_page.py
@@ -1,6 +1,6 @@
 """Serves counters, gauges and histograms in the form of Prometheus."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from chivepond.gateway import answer, caller_request, telemetry
 
@@ -47,6 +47,12 @@
         for name, told in sorted(self._telemetry.gauge_by_name.items()):
             lines.append(f'# TYPE {_PREFIX}_{name} gauge')
             lines.append(f'{_PREFIX}_{name} {told}')
+        for name, gauges in sorted(self._telemetry.gauges_by_name.items()):
+            lines.append(f'# TYPE {_PREFIX}_{name} gauge')
+            lines.extend(
+                f'{_PREFIX}_{name}{{of="{label.translate(_ESCAPES)}"}} {told}'
+                for label, told in sorted(gauges.items())
+            )
         for name, counts in sorted(self._telemetry.counts_by_name.items()):
             full = f'{_PREFIX}_{name}_total'
             lines.append(f'# TYPE {full} counter')
@@ -54,17 +60,33 @@
                 f'{full}{{of="{label.translate(_ESCAPES)}"}} {count}'
                 for label, count in sorted(counts.items())
             )
-        lines.extend(self._histogram())
+        lines.extend(
+            _histogram(
+                f'{_PREFIX}_request_duration_seconds',
+                'route',
+                self._telemetry.latency_by_route,
+            ),
+        )
+        lines.extend(
+            _histogram(
+                f'{_PREFIX}_connection_wait_seconds',
+                'of',
+                self._telemetry.wait_by_kind,
+            ),
+        )
         return '\n'.join([*lines, ''])
 
-    def _histogram(self) -> list[str]:
-        full = f'{_PREFIX}_request_duration_seconds'
-        lines = [f'# TYPE {full} histogram']
-        for route, latency in sorted(self._telemetry.latency_by_route.items()):
-            label = f'route="{route.translate(_ESCAPES)}"'
-            for bound, count in latency.up_to():
-                told = f'{full}_bucket{{{label},le="{bound}"}} {count}'
-                lines.append(told)
-            lines.append(f'{full}_sum{{{label}}} {latency.total_s}')
-            lines.append(f'{full}_count{{{label}}} {sum(latency.counts)}')
-        return lines
+
+def _histogram(
+    full: str,
+    label_name: str,
+    latency_by_label: Mapping[str, telemetry.Latency],
+) -> list[str]:
+    lines = [f'# TYPE {full} histogram']
+    for label_value, latency in sorted(latency_by_label.items()):
+        label = f'{label_name}="{label_value.translate(_ESCAPES)}"'
+        for bound, count in latency.up_to():
+            lines.append(f'{full}_bucket{{{label},le="{bound}"}} {count}')
+        lines.append(f'{full}_sum{{{label}}} {latency.total_s}')
+        lines.append(f'{full}_count{{{label}}} {sum(latency.counts)}')
+    return lines
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -13,7 +13,7 @@
     searcher_standing,
 )
 from chivepond.gateway import link as links
-from chivepond.gateway import peer_record, telemetry
+from chivepond.gateway import link_end, peer_record, telemetry, trust_log
 from chivepond.observe import events
 from chivepond.transport import address
 
@@ -43,6 +43,7 @@
         '_link_mbps',
         '_seeds',
         '_telemetry',
+        '_trust_log',
         '_way_by_id',
         'own_id',
     )
@@ -58,11 +59,12 @@
         self._here = own.data_centre
         self._is_listed = False
         self._link_mbps = own.link_mbps
+        self._telemetry = told
+        self._trust_log = trust_log.of_peers(told)
         self._seeds = [
-            _link(peer_record.PeerRecord(str(place), place, '', 0))
+            self._link(peer_record.PeerRecord(str(place), place, '', 0))
             for place in seeds
         ]
-        self._telemetry = told
         self._way_by_id: dict[str, round_trip.RoundTrip] = {}
         self._known_by_id: dict[str, peer_record.PeerRecord] = {}
         self._link_by_id: dict[str, links.Link] = {}
@@ -106,7 +108,7 @@
             return
         self.remove(node_id)
         self._known_by_id[node_id] = record
-        self._link_by_id[node_id] = _link(record)
+        self._link_by_id[node_id] = self._link(record)
         self._telemetry.tell(
             events.PEER_LEARNED,
             peer=node_id,
@@ -184,6 +186,20 @@
         )
         return chosen and self._link_by_id[chosen.node_id]
 
+    def _link(self, record: peer_record.PeerRecord) -> links.Link:
+        return links.Link(
+            link_end.LinkEnd(
+                record.node_id,
+                record.address,
+                slots=_SLOTS,
+                warmup_s=0,
+                failures=_FAILURES,
+                connect_s=_CONNECT_S,
+            ),
+            _CONNECTIONS,
+            self._trust_log,
+        )
+
     def _may_help(self, record: peer_record.PeerRecord) -> bool:
         if record.data_centre != self._here:
             return True
@@ -195,17 +211,3 @@
         searcher_standing.Trust.USABLE,
         searcher_standing.Trust.ON_TRIAL,
     }
-
-
-def _link(record: peer_record.PeerRecord) -> links.Link:
-    return links.Link(
-        links.LinkEnd(
-            record.node_id,
-            record.address,
-            slots=_SLOTS,
-            warmup_s=0,
-            failures=_FAILURES,
-            connect_s=_CONNECT_S,
-        ),
-        _CONNECTIONS,
-    )
--- a/chivepond/gateway/registered_searcher.py
+++ b/chivepond/gateway/registered_searcher.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from chivepond.gateway import link as links
-from chivepond.gateway import searcher_record
+from chivepond.gateway import link_end, searcher_record
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,9 +26,9 @@
         return place == (self.record.address, self.record.service)
 
 
-def end(record: searcher_record.SearcherRecord) -> links.LinkEnd:
+def end(record: searcher_record.SearcherRecord) -> link_end.LinkEnd:
     """Return the end of a link to a searcher."""
-    return links.LinkEnd(
+    return link_end.LinkEnd(
         name=record.searcher_id,
         address=record.address,
         slots=record.slots,
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -1,6 +1,7 @@
 """Takes a caller's request from its route to its answer."""
 
 import asyncio
+import random
 from collections.abc import Iterable
 
 from chivepond.decisions import second_ask_time, weighted_share
@@ -44,6 +45,7 @@
         '_share_by_route',
         '_table',
         '_tools',
+        'in_force_since',
     )
 
     def __init__(
@@ -55,6 +57,8 @@
         self._tools = tools
         self._peers = others
         self._table: routing_table.RoutingTable | None = None
+        #: When the version in force was put in force, on the steady clock.
+        self.in_force_since: float | None = None
         self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
         self._share_by_route: dict[str, weighted_share.WeightedShare] = {}
 
@@ -68,6 +72,7 @@
         if self._table is not None and table.version <= self._table.version:
             return False
         self._table = table
+        self.in_force_since = asyncio.get_running_loop().time()
         return True
 
     def gathers(self, route_name: str, shards: Iterable[str]) -> bool:
@@ -174,7 +179,7 @@
             case routing_table.WeightedServices(weight_by_service=weights):
                 share = self._share_by_route.get(route.name)
                 if share is None or share.weight_by_name != weights:
-                    share = weighted_share.WeightedShare(weights)
+                    share = weighted_share.WeightedShare(weights, random.random)
                     self._share_by_route[route.name] = share
                 return share.take()
             case _:
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -12,6 +12,7 @@
     registered_searcher,
     searcher_record,
     telemetry,
+    trust_log,
 )
 from chivepond.observe import events
 from chivepond.transport import address
@@ -39,6 +40,7 @@
         '_peers',
         '_removal_by_id',
         '_telemetry',
+        '_trust_log',
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         self._caps: Mapping[str, int] = {}
         self._peers = others
         self._telemetry = told
+        self._trust_log = trust_log.of_searchers(told)
 
     def __enter__(self) -> Self:
         """Return the searchers."""
@@ -180,6 +183,14 @@
                 is_last_choice=searcher_id in self._removal_by_id,
             )
 
+    def states(self, now: float) -> Iterator[str]:
+        """Return the state of each searcher, as metrics name it."""
+        for known in self._known_by_id.values():
+            if known.record.is_leaving:
+                yield 'leaving'
+            else:
+                yield known.link.standing.trust(now).name.lower()
+
     def best_places(self, services: Iterable[str]) -> dict[str, str]:
         """Return the data centre of the best searcher of each service.
 
@@ -246,7 +257,11 @@
         self._known_by_id[record.searcher_id] = (
             registered_searcher.RegisteredSearcher(
                 record,
-                links.Link(registered_searcher.end(record), self._cap(record)),
+                links.Link(
+                    registered_searcher.end(record),
+                    self._cap(record),
+                    self._trust_log,
+                ),
             )
         )
         self._id_by_address[record.address] = record.searcher_id
--- a/chivepond/gateway/telemetry.py
+++ b/chivepond/gateway/telemetry.py
@@ -5,6 +5,7 @@
 import collections
 import itertools
 import math
+from collections.abc import Mapping
 
 from chivepond.decisions import log_limit
 from chivepond.observe import event, journal
@@ -48,7 +49,9 @@
         '_node_id',
         'counts_by_name',
         'gauge_by_name',
+        'gauges_by_name',
         'latency_by_route',
+        'wait_by_kind',
     )
 
     def __init__(self, node_id: str) -> None:
@@ -58,7 +61,11 @@
         #: Counters by name, each by its label.
         self.counts_by_name: dict[str, collections.Counter[str]] = {}
         self.gauge_by_name: dict[str, float] = {}
+        #: Gauges with a label, each by the label's value.
+        self.gauges_by_name: dict[str, Mapping[str, float]] = {}
         self.latency_by_route: dict[str, Latency] = {}
+        #: Time that requests waited for a connection.
+        self.wait_by_kind: dict[str, Latency] = {}
 
     def count(self, name: str, label: str) -> None:
         """Add one to a counter."""
@@ -68,6 +75,14 @@
         """Set a gauge."""
         self.gauge_by_name[name] = told
 
+    def labelled_gauge(self, name: str, told: Mapping[str, float]) -> None:
+        """Set a gauge for each value of its label."""
+        self.gauges_by_name[name] = told
+
+    def waited(self, kind: str, took_s: float) -> None:
+        """Count how long a request waited for a connection, in seconds."""
+        self.wait_by_kind.setdefault(kind, Latency()).add(took_s)
+
     def took(self, route: str, took_s: float) -> None:
         """Count the time of one answer."""
         self.latency_by_route.setdefault(route, Latency()).add(took_s)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -225,6 +225,18 @@
     'searcher entry refused',
     'An entry of the list names no searcher that can be used.',
 )
+SEARCHER_DISTRUSTED = event.Event(
+    6024,
+    'WARNING',
+    'searcher distrusted',
+    'A searcher failed a few requests in a row; others are asked first.',
+)
+SEARCHER_TRUSTED = event.Event(
+    6025,
+    'INFO',
+    'searcher trusted again',
+    'A searcher that was distrusted replied well.',
+)
 PEER_LEARNED = event.Event(
     6030,
     'INFO',
@@ -237,6 +249,18 @@
     'peer gone',
     'Another gateway is registered no more, or elsewhere.',
 )
+PEER_LOST = event.Event(
+    6032,
+    'WARNING',
+    'peer lost',
+    'Another gateway gave no good reply; it is asked for nothing for a while.',
+)
+PEER_FOUND = event.Event(
+    6033,
+    'INFO',
+    'peer found',
+    'A gateway that was lost replied well.',
+)
 REQUEST_ANSWERED = event.Event(
     6100,
     'INFO',
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -303,13 +303,29 @@
 )
 def test_any_run_of_turns_keeps_the_weights(weight_by_name, turns):
     """Each part is within two requests of its share at any moment."""
-    share = weighted_share.WeightedShare(weight_by_name)
+    share = weighted_share.WeightedShare(weight_by_name, random.random)
     taken = [share.take() for _ in range(turns)]
     whole = sum(weight_by_name.values())
     for name, weight in weight_by_name.items():
         assert abs(taken.count(name) - turns * weight / whole) < 2
 
 
+def test_many_gateways_with_few_requests_keep_the_weights():
+    """A tenth of the requests should have gone to a new service; none did.
+
+    Eighty gateways got a request or two each, and all of them began with the
+    heaviest service.
+    """
+    rng = random.Random(4)
+    taken = [
+        weighted_share.WeightedShare(
+            {'old': 0.7, 'new': 0.3}, rng.random
+        ).take()
+        for _ in range(200)
+    ]
+    assert 0.2 < taken.count('new') / len(taken) < 0.4
+
+
 def test_groups_are_asked_where_their_searchers_are():
     """Parts of twenty shards crossed regions one by one."""
     best = {'a': 'hub', 'b': 'hub', 'c': 'hub', 'd': 'base', 'e': 'far'}
--- a/chivepond/tests/test_gateway_logs.py
+++ b/chivepond/tests/test_gateway_logs.py
@@ -230,3 +230,44 @@
     assert 's-2' not in told
     assert operator_cli.main([*program, 'unknown']) == 1
     assert 'no line tells' in capsys.readouterr().err
+
+
+def test_a_searcher_that_fails_is_named_and_so_is_its_return():
+    """Answers got slower; the log has to say which searcher is passed over."""
+    moods = {'reply': _reset}
+
+    async def moody(got: Got) -> Told:
+        return await moods['reply'](got)
+
+    async def scene() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', moody)
+            bench.configure(
+                1,
+                gateway_bench.route('r', '/r/', service='desk', max_attempts=1),
+            )
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            for _ in range(3):
+                await caller.get('/r/')
+            page = await bench.caller(gate.metrics)
+            metrics = gateway_bench.reply_of(await page.get('/metrics')).body
+            assert b'gateway_searchers{of="distrusted"} 1' in metrics
+            assert b'gateway_second_sends_left{of="desk"}' in metrics
+            moods['reply'] = _echo
+            await caller.get('/r/')
+
+    lines = _played(scene)
+    lost = [
+        line
+        for line in lines
+        if line['event'] == events.SEARCHER_DISTRUSTED.number
+    ]
+    assert [line['name'] for line in lost] == ['s-1']
+    assert lost[0]['why'] == 'connection ended before the reply'
+    found = [
+        line
+        for line in lines
+        if line['event'] == events.SEARCHER_TRUSTED.number
+    ]
+    assert [line['name'] for line in found] == ['s-1']
