The soak replaces and crashes searchers, plays two data centres, and checks second sends and attempts

Cause: the soak's gateways were all in one data centre, so that none gathered for another; faults came each 0.45 s on the mean, most searchers were sound, and second sends, attempts and leaving searchers were not checked.

Change: two data centres; five searchers spoilt from the start; searchers that leave as planned or crash and are replaced; faults twice as often, and now and then a calm spell of seven seconds, in which bounds in time are checked; checks of attempts, second sends in any span, and requests at searchers that leave.

--- a/chivepond/soak/gateway_checks.py
+++ b/chivepond/soak/gateway_checks.py
@@ -1,17 +1,26 @@
 """What callers of gateways were promised, checked on what they got."""
 
+import bisect
 import collections
 import time
 
 from chivepond.gateway import outcome
 from chivepond.platform import headers
-from chivepond.soak import searcher_ledger, violation
+from chivepond.soak import gateway_process, searcher_ledger, violation
 
 #: Answers by which a gateway says that a request did not run.
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _OK = 200
 TOP_COUNT = 7
 LEAST_SHARE = 0.6
+#: Searchers of one shard that may run one request.
+MOST_ATTEMPTS = 2
+#: Requests that may run once more often: their gateway was killed between.
+_FEW = 3
+#: Second sends as a share of the requests, and the span that is looked at,
+#: in seconds; the defaults of the settings.
+_SHARE = 0.2
+_SPAN_S = 10.0
 
 
 class GatewayChecks:
@@ -82,6 +91,45 @@
                 self.broken('at most once', f'{request_id!r}: {runs} runs')
             if request_id in self._refused:
                 self.broken('not run means not run', repr(request_id))
+        self._attempts()
+        if self._ledger.late_arrivals:
+            seen = repr(self._ledger.late_arrivals[:_FEW])
+            self.broken('a leaving searcher gets nothing new', seen)
+        for service, arrivals in self._ledger.arrivals_by_service.items():
+            self._second_sends(service, arrivals)
+
+    def _attempts(self) -> None:
+        over = [
+            request_id
+            for (_, request_id), runs in self._ledger.runs.items()
+            if runs > MOST_ATTEMPTS
+        ]
+        if len(over) > _FEW:
+            self.broken('attempts within bounds', repr(over[:_FEW]))
+
+    def _second_sends(
+        self,
+        service: str,
+        arrivals: list[searcher_ledger.Arrival],
+    ) -> None:
+        """Check that repeats of any span stay within share and burst."""
+        seen: set[bytes] = set()
+        firsts: list[float] = []
+        repeats: list[float] = []
+        for one in arrivals:
+            (repeats if one.request_id in seen else firsts).append(one.at)
+            seen.add(one.request_id)
+        for begin in repeats:
+            spent = _within(repeats, begin)
+            allowed = gateway_process.BURST + _SHARE * max(
+                _within(firsts, begin),
+                _within(firsts, begin - _SPAN_S / 2),
+                _within(firsts, begin - _SPAN_S),
+            )
+            if spent > allowed:
+                seen_text = f'{service}: {spent} of {allowed:.0f}'
+                self.broken('second sends within the budget', seen_text)
+                return
 
     def _coverage(
         self,
@@ -100,6 +148,11 @@
         self.statuses[reply.status] += 1
 
 
+def _within(moments: list[float], begin: float) -> int:
+    first = bisect.bisect_left(moments, begin)
+    return bisect.bisect_left(moments, begin + _SPAN_S) - first
+
+
 def _greatest(shards: list[str], request_id: bytes) -> bytes:
     found = [
         record
--- a/chivepond/soak/gateway_process.py
+++ b/chivepond/soak/gateway_process.py
@@ -14,12 +14,22 @@
 _READINESS = 8102
 _PEERS = 8103
 _METRICS = 8104
+#: Second sends that a service may get in a span, beside a share.
+BURST = 40
 
 
 class GatewayProcess:
     """Starts, signals and restarts the real program."""
 
-    __slots__ = ('_folder', '_ip', '_log', '_store', 'name', 'process')
+    __slots__ = (
+        '_data_centre',
+        '_folder',
+        '_ip',
+        '_log',
+        '_store',
+        'name',
+        'process',
+    )
 
     def __init__(
         self,
@@ -27,8 +37,10 @@
         ip: str,
         store: str,
         folder: pathlib.Path,
+        data_centre: str,
     ) -> None:
         """Listen on ``ip``; keep settings and log in ``folder``."""
+        self._data_centre = data_centre
         self.name = name
         self._ip = ip
         self._store = store
@@ -95,7 +107,7 @@
     def _settings(self) -> dict[str, object]:
         return {
             'node_id': self.name,
-            'data_centre': 'base',
+            'data_centre': self._data_centre,
             'region_by_data_centre': {'base': 'coast', 'hub': 'inland'},
             'callers': f'{self._ip}:{_CALLERS}',
             'readiness': f'{self._ip}:{_READINESS}',
@@ -103,5 +115,5 @@
             'metrics_port': _METRICS,
             'store': self._store,
             'stop_grace_s': 6,
-            'second_send_burst': 100,
+            'second_send_burst': BURST,
         }
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import signal
+import time
 import types
 from typing import Any, Self
 
@@ -24,6 +25,7 @@
 _READS = 'reads'
 _SHARD_SETS = (('a1', 'a2', 'a3', 'a4', 'a5'), ('b1', 'b2', 'b3', 'b4'))
 _COPIES = 2
+_DATA_CENTRES = ('base', 'hub')
 _TARGET_MS = 200
 _CALLERS = 10
 _TRIES = 400
@@ -32,6 +34,13 @@
 #: where no fault has touched the gateway or the store meanwhile.
 _IN_FORCE_S = 3.0
 _CALM_S = 4.0
+#: How many faults are followed by a calm spell.
+_CALM_SHARE = 0.02
+#: Searchers that are spoilt from the start.
+_FIRST_SPOILT = 5
+#: How long a searcher serves after it said that it leaves, in seconds; news
+#: of that must be in force within three.
+_LEAVES_S = 3.5
 _PATH_BY_KIND = types.MappingProxyType(
     {'search': '/search/', 'stamp': '/stamp/', 'read': '/read/'},
 )
@@ -57,6 +66,7 @@
         self._harmed_at: dict[str, float] = {}
         self.processes: list[gateway_process.GatewayProcess] = []
         self._ways: list[loopback_proxy.LoopbackProxy] = []
+        self._searcher_by_id: dict[str, scripted_searcher.ScriptedSearcher] = {}
         self._stopping: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -66,6 +76,8 @@
         for service in (*itertools.chain(*_SHARD_SETS), _STAMPS, _READS):
             for copy in range(_COPIES):
                 await self._add_searcher(f's-{service}-{copy}', service)
+        for _ in range(_FIRST_SPOILT):
+            await self._spoil_searcher()
         self._configure()
         net = self._random.randrange(1, 250)  # noqa: WPS432
         for number in range(1, self._gateways + 1):
@@ -77,6 +89,7 @@
                 f'127.{net}.77.{number}',
                 str(way.address),
                 self._folder,
+                _DATA_CENTRES[number % len(_DATA_CENTRES)],
             )
             self.processes.append(process)
             await self._open.enter_async_context(process)
@@ -111,6 +124,7 @@
             self._ledger.replier(searcher_id, service),
         )
         await self._open.enter_async_context(searcher)
+        self._searcher_by_id[searcher_id] = searcher
         way = loopback_proxy.LoopbackProxy(searcher.address)
         await self._open.enter_async_context(way)
         self._ways.append(way)
@@ -120,7 +134,7 @@
             documents.searcher(
                 service,
                 way.address,
-                zone=self._random.choice(('base', 'hub')),
+                zone=self._random.choice(_DATA_CENTRES),
                 slots=4,
             ),
         )
@@ -203,6 +217,9 @@
                     self._harm_way,
                     self._spoil_searcher,
                     self._spoil_searcher,
+                    self._spoil_searcher,
+                    self._replace_searcher,
+                    self._crash_searcher,
                     self._pause_gateway,
                     self._kill_gateway,
                     self._stop_gateway,
@@ -214,7 +231,11 @@
             task = asyncio.create_task(fault())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._random.uniform(0.1, 0.8))
+            pause_s = self._random.uniform(0.05, 0.4)
+            if self._random.random() < _CALM_SHARE:
+                # Bounds in time are checked where nothing happened for long.
+                pause_s = _CALM_S + _IN_FORCE_S
+            await asyncio.sleep(pause_s)
 
     async def _harm_way(self) -> None:
         way = self._random.choice(self._ways)
@@ -230,6 +251,36 @@
             searcher_ledger.MOODS,
         )
 
+    async def _replace_searcher(self) -> None:
+        """Let one searcher leave as planned; another takes its place."""
+        searcher_id = self._random.choice(self._store.names('servers'))
+        entry = self._store.spec(store_calls.SEARCHERS, searcher_id)
+        if entry['state'] != 'ready':
+            return
+        service = entry['service']
+        await self._add_searcher(f's-{service}-{next(self._ids)}', service)
+        self._store.put(
+            store_calls.SEARCHERS,
+            searcher_id,
+            entry | {'state': 'draining'},
+        )
+        self._ledger.leaving_at_by_id[searcher_id] = time.monotonic()
+        await asyncio.sleep(_LEAVES_S)
+        self._store.remove(store_calls.SEARCHERS, searcher_id)
+        self._searcher_by_id.pop(searcher_id).stop()
+
+    async def _crash_searcher(self) -> None:
+        """End one searcher without notice; its entry lapses later."""
+        searcher_id = self._random.choice(self._store.names('servers'))
+        entry = self._store.spec(store_calls.SEARCHERS, searcher_id)
+        if entry['state'] != 'ready':
+            return
+        service = entry['service']
+        self._searcher_by_id[searcher_id].stop()
+        await self._add_searcher(f's-{service}-{next(self._ids)}', service)
+        await asyncio.sleep(1)
+        self._store.remove(store_calls.SEARCHERS, searcher_id)
+
     async def _pause_gateway(self) -> None:
         process = self._random.choice(self.processes)
         self._touch_all()
@@ -279,6 +330,7 @@
 
     def _touch_all(self) -> None:
         now = asyncio.get_running_loop().time()
+        self._ledger.harmed_at = time.monotonic()
         for process in self.processes:
             self._harmed_at[process.name] = now
 
--- a/chivepond/soak/searcher_ledger.py
+++ b/chivepond/soak/searcher_ledger.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import dataclasses
 import hashlib
 import random
+import time
 
 from chivepond.platform import headers
 from chivepond.standins import scripted_searcher
@@ -13,6 +15,10 @@
 _SLOW_S = 0.25
 _HANG_S = 2.5
 _WORK_S = 0.01
+#: Within what time a searcher that leaves gets no more requests, and how long
+#: nothing may have been harmed before for that to hold, in seconds.
+_LEAVING_BOUND_S = 3.0
+_CALM_S = 4.0
 
 #: How a searcher may behave, each as likely as the others but the first.
 MOODS = ('sound', 'sound', 'sound', 'slow', 'hang', 'reset', 'full', 'twice')
@@ -34,10 +40,26 @@
     return f'{shard}.{request_id.decode()}'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """One request at one searcher."""
+
+    request_id: bytes
+    at: float
+
+
 class SearcherLedger:
     """Counts runs by request and shard; replies by the mood of a searcher."""
 
-    __slots__ = ('_random', 'mood_by_id', 'runs')
+    __slots__ = (
+        '_random',
+        'arrivals_by_service',
+        'harmed_at',
+        'late_arrivals',
+        'leaving_at_by_id',
+        'mood_by_id',
+        'runs',
+    )
 
     def __init__(self, rng: random.Random) -> None:
         """Draw from ``rng``."""
@@ -49,6 +71,18 @@
             collections.Counter()
         )
 
+        #: When requests arrived at the searchers of a service, those that
+        #: were turned away too; on the steady clock.
+        #: When a fault last touched a gateway or the store, and when searchers
+        #: said that they leave; on the steady clock.
+        self.harmed_at: float = 0
+        self.leaving_at_by_id: dict[str, float] = {}
+        #: Requests that came to a searcher long after it said that it leaves.
+        self.late_arrivals: list[str] = []
+        self.arrivals_by_service: dict[str, list[Arrival]] = (
+            collections.defaultdict(list)
+        )
+
     def replier(
         self,
         searcher_id: str,
@@ -72,6 +106,10 @@
         expected = got.value_by_name.get(headers.EXPECTED_SEARCHER, b'')
         if expected.decode() != searcher_id:
             return scripted_searcher.not_run(421)  # noqa: WPS432
+        self.arrivals_by_service[shard].append(
+            Arrival(got.request_id, time.monotonic()),
+        )
+        self._check_leaving(searcher_id, got.request_id)
         mood = self.mood_by_id[searcher_id]
         if mood == 'full' and self._random.random() < 0.5:  # noqa: WPS459
             return scripted_searcher.not_run(503)  # noqa: WPS432
@@ -87,6 +125,13 @@
         )
         return self._spoil(mood, told)
 
+    def _check_leaving(self, searcher_id: str, request_id: bytes) -> None:
+        leaving_at = self.leaving_at_by_id.get(searcher_id)
+        if leaving_at is None or self.harmed_at > leaving_at - _CALM_S:
+            return
+        if time.monotonic() - leaving_at > _LEAVING_BOUND_S:
+            self.late_arrivals.append(f'{searcher_id}: {request_id!r}')
+
     def _spoil(
         self,
         mood: str,
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -96,6 +96,25 @@
     assert seen == {'at most once', 'not run means not run'}
 
 
+def test_too_many_attempts_and_second_sends_are_seen():
+    """A shard ran requests three times each; a service got too many repeats."""
+    checks, ledger = _checks()
+    for number in range(5):
+        ledger.runs[('a', b'%d' % number)] = 3
+    ledger.arrivals_by_service['b'] = [
+        searcher_ledger.Arrival(b'%d' % (at // 2), 100 + at / 100)
+        for at in range(200)
+    ]
+    ledger.arrivals_by_service['c'] = [
+        searcher_ledger.Arrival(b'%d' % (at // 2), 100 + at / 2)
+        for at in range(200)
+    ]
+    checks.at_the_end('stamps')
+    seen = [one.promise for one in checks.violations]
+    assert seen == ['attempts within bounds', 'second sends within the budget']
+    assert checks.violations[1].seen.startswith('b: 100')
+
+
 def test_a_proxy_holds_resets_and_passes():
     """Each harm shows at both ends, and ends with its removal."""
 
