A soak takes addresses that nobody uses, and sees gateways that end by themselves

Its own gateways had ended at once (address in use); its callers talked to gateways left behind by a soak that was killed while this was built, on the addresses that the seed drew.

Ruled out: a fault of the gateways (their logs hold only the failed bind).

Change: addresses are tried before they are taken; a gateway that ends with an error breaks a promise.

--- a/chivepond/soak/gateway_process.py
+++ b/chivepond/soak/gateway_process.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import types
 from typing import Self
@@ -14,10 +15,26 @@
 _READINESS = 8102
 _PEERS = 8103
 _METRICS = 8104
+#: How many second numbers of loopback addresses are tried.
+_NETS = 250
 #: Second sends that a service may get in a span, beside a share.
 BURST = 40
 
 
+def free_net(wanted: int) -> int:
+    """Return the second number of loopback addresses that nobody uses.
+
+    Guards against another soak, or gateways that one left behind when it was
+    killed: callers would talk to those, and see nothing of this one's.
+    """
+    for number in range(wanted, wanted + _NETS):
+        net = number % _NETS + 1
+        with socket.socket() as probe:
+            if probe.connect_ex((f'127.{net}.77.1', _CALLERS)):
+                return net
+    raise RuntimeError('no loopback addresses are free; end other soaks')
+
+
 class GatewayProcess:
     """Starts, signals and restarts the real program."""
 
@@ -79,6 +96,13 @@
         """Whether the process has not ended."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether it ended with an error, not by a signal or as planned."""
+        return self.process is not None and bool(
+            (self.process.returncode or 0) > 0,
+        )
+
     async def start(self) -> None:
         """Start the process anew."""
         path = self._folder / f'{self.name}.yaml'
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -79,7 +79,7 @@
         for _ in range(_FIRST_SPOILT):
             await self._spoil_searcher()
         self._configure()
-        net = self._random.randrange(1, 250)  # noqa: WPS432
+        net = gateway_process.free_net(self._random.randrange(1, 250))
         for number in range(1, self._gateways + 1):
             way = loopback_proxy.LoopbackProxy(self._store.address)
             await self._open.enter_async_context(way)
@@ -117,6 +117,9 @@
                 group.create_task(self._call_until(until))
             group.create_task(self._break_until(until))
         await asyncio.sleep(1)
+        for process in self.processes:
+            if process.ended_by_itself:
+                self.checks.broken('a gateway runs on', process.name)
         self.checks.at_the_end(_STAMPS)
 
     async def _add_searcher(self, searcher_id: str, service: str) -> None:
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 import pytest
 
@@ -9,6 +10,7 @@
 from chivepond.platform import headers
 from chivepond.soak import (
     gateway_checks,
+    gateway_process,
     gateway_soak,
     loopback_proxy,
     searcher_ledger,
@@ -151,3 +153,29 @@
                 ]
 
     support.run(play())
+
+
+def test_a_soak_takes_addresses_that_nobody_uses():
+    """A soak saw only refusals: its callers talked to another one's gateways.
+
+    Those had been left behind by a soak that was killed, on the addresses
+    that this one's seed drew; its own gateways ended at once, unseen.
+    """
+    with socket.socket() as left_behind:
+        left_behind.bind(('127.201.77.1', 8101))
+        left_behind.listen()
+        assert gateway_process.free_net(200) != 201
+
+
+def test_a_gateway_that_ends_with_an_error_is_seen(tmp_path):
+    """A program that can't start must not pass for one that runs."""
+
+    async def play() -> bool:
+        process = gateway_process.GatewayProcess(
+            'gate-1', '203.0.113.1', '127.0.0.1:1', tmp_path, 'base'
+        )
+        async with process:
+            await process.wait()
+            return process.ended_by_itself
+
+    assert asyncio.run(play())
