One other region is asked where two hold the shards

Cause: a data centre without searchers in its region sent each search to two other regions, and got the greatest records of both halves back; bytes between regions cost more than anything else but machines.

Change: the data centre that is best for most shards of another region is asked for all that it can give within 20 ms of the best; slow searchers there still send their shard elsewhere.

--- a/chivepond/decisions/gather_plan.py
+++ b/chivepond/decisions/gather_plan.py
@@ -4,14 +4,22 @@
 no searcher near. Parts that cross to another region one by one cost twenty
 times the bytes of one message with the greatest records of them all, and
 hold a narrow link up. A gateway beside the searchers gathers them instead.
+Where two other regions hold the same shards, one message to one of them is less
+than two, each with the greatest records of its half.
 """
 
+import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
+
+from chivepond.decisions import searcher_choice
 
 #: The fewest shards for which another gateway is asked: below that the
 #: message with its signatures saves nothing over the parts.
 _FEWEST_SHARDS = 3
+#: How much slower a searcher may be to be asked along with the others of its
+#: data centre, in seconds: a fifth of what is usual from first to last part.
+_MOVE_S = 0.02
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,16 +31,18 @@
 
 
 def plan(
-    best_place_by_shard: Mapping[str, str],
+    places_by_shard: Mapping[str, Sequence[searcher_choice.Place]],
     helpers: frozenset[str],
 ) -> GatherPlan:
-    """Group shards by where their best searcher is.
+    """Group shards by where they are asked, the best place first in each.
 
     ``helpers`` are the data centres with a gateway to ask, the own one only
     where its link is so much wider that the hop is worth it.
     """
     made = GatherPlan([], {})
-    for shard, place in best_place_by_shard.items():
+    main = _main(places_by_shard.values(), helpers)
+    for shard, places in places_by_shard.items():
+        place = _place(places, main)
         if place in helpers:
             made.shards_by_data_centre.setdefault(place, []).append(shard)
         else:
@@ -41,3 +51,31 @@
         if len(made.shards_by_data_centre[place]) < _FEWEST_SHARDS:
             made.direct.extend(made.shards_by_data_centre.pop(place))
     return made
+
+
+def _main(
+    all_places: Iterable[Sequence[searcher_choice.Place]],
+    helpers: frozenset[str],
+) -> str | None:
+    """Return the data centre of another region that is best for most."""
+    counts = collections.Counter(
+        places[0].data_centre
+        for places in all_places
+        if places[0].is_far and places[0].data_centre in helpers
+    )
+    return counts.most_common(1)[0][0] if counts else None
+
+
+def _place(
+    places: Sequence[searcher_choice.Place],
+    main: str | None,
+) -> str:
+    """Return where a shard is asked: at ``main`` if that is nearly as good."""
+    best = places[0]
+    if not best.is_far:
+        return best.data_centre
+    is_near_enough = any(
+        one.data_centre == main and one.cost_s <= best.cost_s + _MOVE_S
+        for one in places
+    )
+    return main if main and is_near_enough else best.data_centre
--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import operator
 from collections.abc import Iterable
 
 from chivepond.decisions import searcher_standing
@@ -31,6 +32,34 @@
     is_last_choice: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Where a service may be asked."""
+
+    data_centre: str
+    #: Whether that is in another region.
+    is_far: bool
+    #: What it costs to ask there, in seconds.
+    cost_s: float
+
+
+def places(candidates: Iterable[Candidate], now: float) -> list[Place]:
+    """Return where a service may be asked, the best place first.
+
+    The others are those of searchers that are as sound as the best one.
+    """
+    best: tuple[bool, int, float] | None = None
+    found: list[Place] = []
+    ranked = [(_rank(now, it, is_idempotent=True), it) for it in candidates]
+    ranked.sort(key=operator.itemgetter(0))
+    for rank, one in ranked:
+        best = best or rank
+        if rank[:-1] == best[:-1]:
+            is_far = not one.is_in_region
+            found.append(Place(one.data_centre, is_far, rank[-1]))
+    return found
+
+
 def choose(
     candidates: Iterable[Candidate],
     now: float,
@@ -45,15 +74,16 @@
 
     return min(
         candidates,
-        key=functools.partial(_rank, now, is_idempotent),
+        key=functools.partial(_rank, now, is_idempotent=is_idempotent),
         default=None,
     )
 
 
 def _rank(
     now: float,
-    is_idempotent: bool,
     one: Candidate,
+    *,
+    is_idempotent: bool,
 ) -> tuple[bool, int, float]:
     trust = one.standing.trust(now)
     if is_idempotent and trust is searcher_standing.Trust.ON_TRIAL:
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -1,6 +1,11 @@
 """The way of a request that every shard answers a part of."""
 
-from chivepond.decisions import gather_plan, gather_time, second_ask_time
+from chivepond.decisions import (
+    gather_plan,
+    gather_time,
+    searcher_choice,
+    second_ask_time,
+)
 from chivepond.gateway import (
     answer,
     gather_asks,
@@ -47,7 +52,7 @@
     async def serve(self) -> answer.Answer:
         """Return the merged answer, or why there are too few parts."""
         work = self._work
-        best_place_by_shard = self._best_places()
+        places_by_shard = self._places()
         if work.parts.settled.is_set():
             return gathered_answer.not_run(work.parts)
         if not work.tools.admission.admit():
@@ -57,7 +62,7 @@
                 'too many searches wait',
                 _RUSH_RETRY_S,
             )
-        made = gather_plan.plan(best_place_by_shard, work.others.helpers())
+        made = gather_plan.plan(places_by_shard, work.others.helpers())
         with gather_asks.GatherAsks(
             work.parts,
             work.search.route,
@@ -71,10 +76,10 @@
             await asks.wait_enough(work.search.deadline)
         return gathered_answer.of(work.search, work.parts)
 
-    def _best_places(self) -> dict[str, str]:
-        """Return where each shard is best asked; note those without any."""
+    def _places(self) -> dict[str, list[searcher_choice.Place]]:
+        """Return where each shard may be asked; note those without any."""
         shards = self._work.search.target.shards
-        found = self._work.tools.searchers.best_places(shards)
+        found = self._work.tools.searchers.places(shards)
         for shard in shards:
             if shard not in found:
                 reason = 'no searcher is registered'
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -191,21 +191,20 @@
             else:
                 yield known.link.standing.trust(now).name.lower()
 
-    def best_places(self, services: Iterable[str]) -> dict[str, str]:
-        """Return the data centre of the best searcher of each service.
+    def places(
+        self,
+        services: Iterable[str],
+    ) -> dict[str, list[searcher_choice.Place]]:
+        """Return where each service may be asked, the best place first.
 
         Services without a searcher are left out.
         """
         now = self._loop.time()
         found = {}
         for service in services:
-            best = searcher_choice.choose(
-                self.candidates(service),
-                now,
-                is_idempotent=True,
-            )
-            if best is not None:
-                found[service] = best.data_centre
+            places = searcher_choice.places(self.candidates(service), now)
+            if places:
+                found[service] = places
         return found
 
     def is_queued(self, service: str) -> bool:
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -326,14 +326,44 @@
     assert 0.2 < taken.count('new') / len(taken) < 0.4
 
 
+def _far(data_centre: str, cost_s: float = 0.03) -> searcher_choice.Place:
+    return searcher_choice.Place(data_centre, is_far=True, cost_s=cost_s)
+
+
 def test_groups_are_asked_where_their_searchers_are():
     """Parts of twenty shards crossed regions one by one."""
-    best = {'a': 'hub', 'b': 'hub', 'c': 'hub', 'd': 'base', 'e': 'far'}
-    made = gather_plan.plan(best, frozenset(('hub', 'far')))
+    near = searcher_choice.Place('base', is_far=False, cost_s=0.03)
+    places_by_shard = {
+        'a': [_far('hub')],
+        'b': [_far('hub')],
+        'c': [_far('hub')],
+        'd': [near],
+        'e': [_far('far')],
+    }
+    made = gather_plan.plan(places_by_shard, frozenset(('hub', 'far')))
     assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c']}
     assert set(made.direct) == {'d', 'e'}
-    alone = gather_plan.plan(best, frozenset())
-    assert set(alone.direct) == set(best)
+    alone = gather_plan.plan(places_by_shard, frozenset())
+    assert set(alone.direct) == set(places_by_shard)
+
+
+def test_one_region_is_asked_where_two_hold_the_shards():
+    """Two regions sent their greatest records for the halves of each search.
+
+    Both hold all shards. One of them is asked for all that it can give nearly
+    as soon; a shard whose searcher there is slow is asked at the other one.
+    """
+    places_by_shard = {
+        'a': [_far('hub'), _far('far')],
+        'b': [_far('hub'), _far('far')],
+        'c': [_far('far'), _far('hub', 0.04)],
+        'd': [_far('far'), _far('hub', 0.2)],
+        'e': [_far('far')],
+        'f': [_far('hub')],
+    }
+    made = gather_plan.plan(places_by_shard, frozenset(('hub', 'far')))
+    assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c', 'f']}
+    assert made.direct == ['d', 'e']
 
 
 def test_a_flood_of_one_event_leaves_the_others_their_lines():
