Gateways that gather for others have most of the burst of second sends

The burst was split evenly, so that five sixths of it lay with gateways that ask no searcher.

Ruled out: the share of requests (a gateway that gathers counts them); a larger part of the burst for all (the sum would pass the bound).

Change: the burst is shared by weights that add up to the number of gateways, from the links that all of them have registered; alike links mean alike parts. A property test holds the sum; another plays two wide links beside ten narrow.

--- a/chivepond/decisions/helper_choice.py
+++ b/chivepond/decisions/helper_choice.py
@@ -16,6 +16,9 @@
 #: How many times wider a link in the own data centre must be to be worth a
 #: hop and its time.
 _WORTH_FACTOR = 3.0
+#: The weight of a gateway with a narrow link beside wide ones: it gathers
+#: only where the wide ones can't be reached.
+_NARROW_WEIGHT = 0.2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,6 +36,27 @@
     return link_mbps >= _WORTH_FACTOR * own_mbps
 
 
+def gather_weight(own_mbps: float, links_mbps: Sequence[float]) -> float:
+    """Return what part of its data centre's gathers a gateway works on.
+
+    One stands for an even part. ``links_mbps`` are the links of all gateways
+    of the data centre, the own one included; the weights of all of them add
+    up to their number, so that a bound which is shared by weight holds.
+    """
+    widest = max(links_mbps)
+    wide = [
+        mbps
+        for mbps in links_mbps
+        if mbps >= _WIDE_SHARE * widest and is_wider(mbps, min(links_mbps))
+    ]
+    if not wide:
+        return 1
+    if own_mbps < min(wide):
+        return _NARROW_WEIGHT
+    narrow = len(links_mbps) - len(wide)
+    return 1 + (1 - _NARROW_WEIGHT) * narrow / len(wide)
+
+
 def choose(
     helpers: Sequence[Helper],
     rng: Callable[[], float],
--- a/chivepond/decisions/second_send_budget.py
+++ b/chivepond/decisions/second_send_budget.py
@@ -5,7 +5,8 @@
 burst, over any span of some seconds and from all gateways together. No
 gateway knows what the others spend. So each one spends its share of its own
 requests, which adds up to the share of all, and its part of the burst: the
-burst through the gateways there may be. This holds whatever the gateways
+burst through the gateways there may be, larger where it gathers more of the
+searches (`helper_choice.gather_weight`). This holds whatever the gateways
 know of each other; who is cut off spends no more than its part.
 
 A gateway that starts in place of one that was killed does not know what that
@@ -65,6 +66,7 @@
     def left(self, now: float, gateways: float) -> float:
         """Return how many second sends are left, one of ``gateways``.
 
+        A gateway that gathers more than others counts as one of fewer.
         Infinitely many stand for a number that is not known yet.
         """
         allowed = self.limits.share * self._requests.read(now)
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -90,8 +90,22 @@
 
     @property
     def sharers(self) -> float:
-        """How many gateways share a bound; infinitely many until listed."""
-        return self.gateways if self._is_listed else math.inf
+        """Through how many a shared bound goes; infinitely many until listed.
+
+        Fewer than there are for a gateway that gathers more than others, and
+        more for one that gathers less.
+        """
+        if not self._is_listed:
+            return math.inf
+        links_mbps = [
+            record.link_mbps
+            for record in self._known_by_id.values()
+            if record.data_centre == self._here
+        ]
+        return self.gateways / helper_choice.gather_weight(
+            self._link_mbps,
+            [self._link_mbps, *links_mbps],
+        )
 
     def listed(self) -> None:
         """Take the news that all gateways of the store's list are known."""
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -9,6 +9,7 @@
 from chivepond.decisions import (
     gather_plan,
     gather_time,
+    helper_choice,
     log_limit,
     news_source,
     recent_count,
@@ -158,6 +159,42 @@
     assert way.slow_s < way_s + 1.5 * spread_s + 0.001
 
 
+@hypothesis.given(
+    strategies.lists(
+        strategies.lists(
+            strategies.sampled_from((12, 20, 100, 1000)),
+            min_size=1,
+            max_size=15,
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+)
+def test_weights_of_all_gateways_add_up_to_their_number(data_centres):
+    """A bound shared by weight must not grow with uneven links."""
+    weights = [
+        helper_choice.gather_weight(own, links)
+        for links in data_centres
+        for own in links
+    ]
+    assert abs(sum(weights) - len(weights)) < 1e-6
+
+
+def test_those_that_gather_have_most_of_the_burst():
+    """Second sends ran out at the few gateways that gather for all others.
+
+    Two of twelve have wide links and gather for the ten with narrow ones,
+    which kept five sixths of the burst and spent none of it.
+    """
+    links = [*(12 for _ in range(10)), 100, 100]
+    wide = helper_choice.gather_weight(100, links)
+    assert wide == 5
+    assert helper_choice.gather_weight(12, links) == 0.2
+    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    spent = sum(budget.spend(1, len(links) / wide) for _ in range(100))
+    assert spent == 18
+
+
 def test_a_budget_forgets_what_is_older_than_its_span():
     """A spent budget is whole again after the span."""
     budget = second_send_budget.SecondSendBudget(_LIMITS)
