--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import dataclasses
-import types
 from collections.abc import Callable, Mapping
 from typing import Self
 
 from chivepond.decisions import search_admission
 from chivepond.gateway import (
     budgets,
+    closing,
     news,
     peer_registry,
     peers,
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Parts:
+class Parts(closing.Closing):
     """What serves requests; leaving it closes links and ends exchanges."""
 
     telemetry: telemetry.Telemetry
@@ -54,12 +54,7 @@
             self.opened.enter_context(part)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Leave what was entered, the last one first."""
         self.opened.close()
 
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -4,11 +4,11 @@
 import itertools
 import math
 import re
-import types
-from typing import Protocol, Self
+from typing import Protocol
 
 from chivepond.decisions import searcher_standing
 from chivepond.gateway import (
+    closing,
     connection_pool,
     link_end,
     outcome,
@@ -38,7 +38,7 @@
         """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
 
 
-class Link:
+class Link(closing.Closing):
     """Sends requests within a cap of connections; a queue beyond it."""
 
     __slots__ = ('_log', '_pool', 'end', 'standing')
@@ -60,16 +60,7 @@
         )
         self._pool = connection_pool.ConnectionPool(end, cap, log)
 
-    def __enter__(self) -> Self:
-        """Return the link."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Close idle connections; those in use end with their exchange."""
         self._pool.close()
         self._log.forget(self.end.name)
--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/news.py
@@ -1,12 +1,11 @@
 """Takes what the store tells of routes and searchers."""
 
-import types
 from collections.abc import Callable
-from typing import Self
 
 import result
 
 from chivepond.gateway import (
+    closing,
     requests_way,
     routing_table,
     searchers,
@@ -17,7 +16,7 @@
 from chivepond.platform import configuration_codec, searcher_codec, store_calls
 
 
-class News:
+class News(closing.Closing):
     """Decodes objects and hands them on; what can't be read is logged."""
 
     __slots__ = (
@@ -53,18 +52,9 @@
         self._on_informed = on_informed
         self._is_listed = False
 
-    def __enter__(self) -> Self:
-        """Return the news."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Put no version in force any more."""
-        self._versions.__exit__(kind, error, trace)
+        self._versions.close()
 
     @property
     def is_informed(self) -> bool:
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -3,16 +3,14 @@
 import asyncio
 import math
 import random
-import types
 from collections.abc import Iterable
-from typing import Self
 
 from chivepond.decisions import (
     helper_choice,
     round_trip,
     searcher_standing,
 )
-from chivepond.gateway import link as links
+from chivepond.gateway import closing, link as links
 from chivepond.gateway import link_end, peer_record, telemetry, trust_log
 from chivepond.observe import events
 from chivepond.transport import address
@@ -32,7 +30,7 @@
 _CONNECT_S = 0.1
 
 
-class Peers:
+class Peers(closing.Closing):
     """Links to the other gateways by name."""
 
     __slots__ = (
@@ -69,16 +67,7 @@
         self._known_by_id: dict[str, peer_record.PeerRecord] = {}
         self._link_by_id: dict[str, links.Link] = {}
 
-    def __enter__(self) -> Self:
-        """Return the peers."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Close all links."""
         for node_id in self.known():
             self.remove(node_id)
@@ -132,7 +121,7 @@
     def remove(self, node_id: str) -> None:
         """Take the news that a gateway is gone."""
         if self._known_by_id.pop(node_id, None) is not None:
-            self._link_by_id.pop(node_id).__exit__(None, None, None)
+            self._link_by_id.pop(node_id).close()
             self._telemetry.tell(events.PEER_GONE, peer=node_id)
 
     def link(self, node_id: str) -> links.Link:
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -1,13 +1,12 @@
 """The searchers that are registered, and what is believed of each."""
 
 import asyncio
-import types
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Self
 
 from chivepond.decisions import searcher_choice, searcher_standing
 from chivepond.gateway import link as links
 from chivepond.gateway import (
+    closing,
     peers,
     registered_searcher,
     searcher_record,
@@ -25,7 +24,7 @@
 _HOLD_S = 2.0
 
 
-class Searchers:
+class Searchers(closing.Closing):
     """Links by searcher, kept in step with the list of the store."""
 
     __slots__ = (
@@ -67,16 +66,7 @@
         self._telemetry = told
         self._trust_log = trust_log.of_searchers(told)
 
-    def __enter__(self) -> Self:
-        """Return the searchers."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Close all links."""
         for searcher_id in list(self._known_by_id):
             self._remove(searcher_id)
@@ -279,7 +269,7 @@
     def _remove(self, searcher_id: str) -> None:
         self._keep(searcher_id)
         known = self._known_by_id.pop(searcher_id)
-        known.link.__exit__(None, None, None)
+        known.link.close()
         self._telemetry.tell(
             events.SEARCHER_GONE,
             searcher=searcher_id,
--- a/chivepond/gateway/store_client.py
+++ b/chivepond/gateway/store_client.py
@@ -1,10 +1,8 @@
 """Calls on the platform's store, over one kept connection a caller of it."""
 
 import asyncio
-import types
-from typing import Self
 
-from chivepond.gateway import http_connection, outcome
+from chivepond.gateway import closing, http_connection, outcome
 from chivepond.platform import headers
 from chivepond.transport import address
 
@@ -12,7 +10,7 @@
 _CONNECT_S = 0.7
 
 
-class StoreClient:
+class StoreClient(closing.Closing):
     """One connection; a failed or late call ends it, the next one is new.
 
     Guards against a connection that fell silent without a reset: it shows as
@@ -27,16 +25,7 @@
         self._host = str(place).encode()
         self._connection: http_connection.HttpConnection | None = None
 
-    def __enter__(self) -> Self:
-        """Return the client."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """End the connection."""
         self._drop()
 
--- a/chivepond/gateway/stragglers.py
+++ b/chivepond/gateway/stragglers.py
@@ -1,8 +1,8 @@
 """Exchanges that nobody waits for any more, ended after a while."""
 
 import asyncio
-import types
-from typing import Self
+
+from chivepond.gateway import closing
 
 #: How long an exchange may go on after its request was answered, in seconds.
 #: Its end keeps the connection and tells how the searcher does; a searcher
@@ -10,7 +10,7 @@
 _LEFT_S = 0.35
 
 
-class Stragglers:
+class Stragglers(closing.Closing):
     """Holds exchanges until they end by themselves or are cancelled."""
 
     __slots__ = ('_tasks',)
@@ -19,16 +19,7 @@
         """Hold none."""
         self._tasks: set[asyncio.Task[object]] = set()
 
-    def __enter__(self) -> Self:
-        """Return the stragglers."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """End them all."""
         for task in self._tasks:
             task.cancel()
--- a/chivepond/gateway/version_queue.py
+++ b/chivepond/gateway/version_queue.py
@@ -1,15 +1,13 @@
 """Puts versions of the routes in force, some of them a little later."""
 
 import asyncio
-import types
 from collections.abc import Callable
-from typing import Self
 
 from chivepond.decisions import version_wait
-from chivepond.gateway import requests_way, routing_table, searchers
+from chivepond.gateway import closing, requests_way, routing_table, searchers
 
 
-class VersionQueue:
+class VersionQueue(closing.Closing):
     """Holds one version at the most, until it can be served or is due."""
 
     __slots__ = (
@@ -36,16 +34,7 @@
         self._waiting: routing_table.RoutingTable | None = None
         self._due: asyncio.TimerHandle | None = None
 
-    def __enter__(self) -> Self:
-        """Return the queue."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Put nothing in force any more."""
         self._forget()
 
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -8,11 +8,12 @@
 import signal
 import time
 import types
-from typing import Any, Self
+from typing import Self
 
 from chivepond.gateway import http_connection, outcome, routing_table
-from chivepond.platform import documents, headers, store_calls
+from chivepond.platform import documents, store_calls
 from chivepond.soak import (
+    gateway_calls,
     gateway_checks,
     gateway_process,
     loopback_proxy,
@@ -20,13 +21,10 @@
 )
 from chivepond.standins import routed_store, scripted_searcher
 
-_HOST = 'desk.example'
 _STAMPS = 'stamps'
 _READS = 'reads'
-_SHARD_SETS = (('a1', 'a2', 'a3', 'a4', 'a5'), ('b1', 'b2', 'b3', 'b4'))
 _COPIES = 2
 _DATA_CENTRES = ('base', 'hub')
-_TARGET_MS = 200
 _CALLERS = 10
 _TRIES = 400
 _POLL_S = 0.05
@@ -41,9 +39,6 @@
 #: How long a searcher serves after it said that it leaves, in seconds; news
 #: of that must be in force within three.
 _LEAVES_S = 3.5
-_PATH_BY_KIND = types.MappingProxyType(
-    {'search': '/search/', 'stamp': '/stamp/', 'read': '/read/'},
-)
 
 
 class GatewaySoak:
@@ -60,7 +55,7 @@
         self.checks = gateway_checks.GatewayChecks(self._ledger)
         self._ids = itertools.count(1)
         self._version = 0
-        self._shards = _SHARD_SETS[0]
+        self._shards = gateway_calls.SHARD_SETS[0]
         #: When versions were written, and when a fault last touched each.
         self._written_at: float = 0
         self._harmed_at: dict[str, float] = {}
@@ -73,7 +68,11 @@
     async def __aenter__(self) -> Self:
         """Start everything, and wait until the gateways are ready."""
         await self._open.enter_async_context(self._store)
-        for service in (*itertools.chain(*_SHARD_SETS), _STAMPS, _READS):
+        for service in (
+            *itertools.chain(*gateway_calls.SHARD_SETS),
+            _STAMPS,
+            _READS,
+        ):
             for copy in range(_COPIES):
                 await self._add_searcher(f's-{service}-{copy}', service)
         for _ in range(_FIRST_SPOILT):
@@ -151,10 +150,16 @@
             documents.configuration(
                 self._version,
                 [
-                    _route('search', **_gathered(self._shards)),
-                    _route('stamp', service=_STAMPS, kind='non_idempotent'),
-                    _route('read', service=_READS),
-                    _route(f'only-{self._version}', service=_READS),
+                    gateway_calls.route(
+                        'search', **gateway_calls.gathered(self._shards)
+                    ),
+                    gateway_calls.route(
+                        'stamp', service=_STAMPS, kind='non_idempotent'
+                    ),
+                    gateway_calls.route('read', service=_READS),
+                    gateway_calls.route(
+                        f'only-{self._version}', service=_READS
+                    ),
                 ],
                 routing_table.DEFAULT_LIMITS,
             ),
@@ -167,7 +172,7 @@
         while loop.time() < until:
             if connection is None or not connection.is_open:
                 process = self._random.choice(self.processes)
-                connection = await _connect(process)
+                connection = await gateway_calls.connect(process)
             if connection is None:
                 await asyncio.sleep(_POLL_S)
                 continue
@@ -182,12 +187,12 @@
         kind = self._random.choice(('search', 'search', 'stamp', 'read'))
         request_id = b'r%d' % next(self._ids)
         shards = self._shards
-        ended = await _exchange(connection, kind, request_id)
+        ended = await gateway_calls.exchange(connection, kind, request_id)
         match ended:
             case outcome.Reply() if kind == 'search':
                 own = shards
                 if shards != self._shards or not self._is_in_force(process):
-                    own = _set_of(ended) or shards
+                    own = gateway_calls.set_of(ended) or shards
                 self.checks.search(request_id, own, ended)
             case outcome.Reply():
                 self.checks.single(
@@ -314,7 +319,7 @@
 
     async def _reload_gateway(self) -> None:
         process = self._random.choice(self.processes)
-        if process.readiness and await _is_ready(process):
+        if process.readiness and await gateway_calls.is_ready(process):
             process.signal(signal.SIGHUP)
 
     async def _harm_store(self) -> None:
@@ -328,7 +333,7 @@
         self._harmed_at['store'] = asyncio.get_running_loop().time()
 
     async def _change_configuration(self) -> None:
-        self._shards = self._random.choice(_SHARD_SETS)
+        self._shards = self._random.choice(gateway_calls.SHARD_SETS)
         self._configure()
 
     def _touch_all(self) -> None:
@@ -342,76 +347,7 @@
         process: gateway_process.GatewayProcess,
     ) -> None:
         for _ in range(_TRIES):
-            if await _is_ready(process):
+            if await gateway_calls.is_ready(process):
                 return
             await asyncio.sleep(_POLL_S)
         self.checks.broken('a gateway starts', process.name)
-
-
-def _route(name: str, **told: Any) -> dict[str, Any]:
-    prefix = _PATH_BY_KIND.get(name, f'/{name}/')
-    return documents.route(name, _HOST, prefix, timeout_ms=1500, **told)
-
-
-def _gathered(shards: tuple[str, ...]) -> dict[str, Any]:
-    return documents.gathered(
-        list(shards),
-        gateway_checks.TOP_COUNT,
-        gateway_checks.LEAST_SHARE,
-        _TARGET_MS,
-    )
-
-
-def _set_of(reply: outcome.Reply) -> tuple[str, ...] | None:
-    told = reply.headers.get(headers.PART_SIGNATURES) or b''
-    first = told.partition(b'.')[0].decode()
-    return next((one for one in _SHARD_SETS if first in one), None)
-
-
-async def _connect(
-    process: gateway_process.GatewayProcess,
-) -> http_connection.HttpConnection | None:
-    connection = http_connection.HttpConnection(
-        headers.REQUEST_ID,
-        lambda closed: None,
-    )
-    try:
-        async with asyncio.timeout(1):
-            await asyncio.get_running_loop().create_connection(
-                lambda: connection,
-                *process.callers,
-            )
-    except OSError:
-        return None
-    return connection
-
-
-async def _exchange(
-    connection: http_connection.HttpConnection,
-    kind: str,
-    request_id: bytes,
-) -> outcome.Outcome:
-    method = 'POST' if kind == 'stamp' else 'GET'
-    raw = (
-        f'{method} {_PATH_BY_KIND[kind]}x HTTP/1.1\r\nHost: {_HOST}\r\n'
-        f'{headers.REQUEST_ID.decode()}: {request_id.decode()}\r\n'
-        f'{headers.TIME_LEFT_MS.decode()}: 1500\r\nContent-Length: 0\r\n\r\n'
-    )
-    try:
-        async with asyncio.timeout(4):
-            return await connection.begin(raw.encode(), request_id)
-    except TimeoutError:
-        connection.abort()
-        return outcome.NotSent('the caller gave up')
-
-
-async def _is_ready(process: gateway_process.GatewayProcess) -> bool:
-    try:
-        async with asyncio.timeout(1):
-            reader, writer = await asyncio.open_connection(*process.readiness)
-            writer.write(b'GET /ready HTTP/1.1\r\nHost: x\r\n\r\n')
-            line = await reader.readline()
-            writer.close()
-    except OSError:
-        return False
-    return b' 200 ' in line
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -58,6 +58,37 @@
     return searchers, await bench.ready_gateway()
 
 
+async def _start_apart(bench: gateway_bench.Bench, *near, **reply_by_shard):
+    """Start a searcher for each shard in another data centre but ``near``.
+
+    Return them by shard.
+    """
+    searchers = {}
+    for number, shard in enumerate(_SHARDS):
+        searchers[shard] = await bench.searcher(
+            f's-{shard}',
+            shard,
+            reply_by_shard.get(shard, _part(shard, number)),
+            zone='base' if shard in near else 'hub',
+        )
+    bench.configure(1, _search())
+    return searchers
+
+
+async def _start_helper(bench: gateway_bench.Bench, **told):
+    """Start a gateway beside those searchers."""
+    return await bench.ready_gateway(
+        **{'node_id': 'gate-2', 'data_centre': 'hub'} | told,
+    )
+
+
+async def _start_here(bench: gateway_bench.Bench, **told):
+    """Start the gateway that callers use, and wait until it knows another."""
+    here = await bench.ready_gateway(**told)
+    await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+    return here
+
+
 def _signatures(reply) -> set[bytes]:
     told = reply.headers.get(headers.PART_SIGNATURES)
     return set(told.split(b', '))
@@ -209,26 +240,14 @@
 
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
-            searchers = [
-                await bench.searcher(
-                    f's-{shard}',
-                    shard,
-                    _part(shard, number),
-                    zone='hub',
-                )
-                for number, shard in enumerate(_SHARDS)
-            ]
-            bench.configure(1, _search())
-            there = await bench.ready_gateway(
-                node_id='gate-2', data_centre='hub'
-            )
-            here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            searchers = await _start_apart(bench)
+            there = await _start_helper(bench)
+            here = await _start_here(bench)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
             assert reply.body == b''.join(map(_record, (3, 2, 1)))
             assert _signatures(reply) == {b'a', b'b', b'c', b'd'}
-            assert all(len(one.got) == 1 for one in searchers)
+            assert all(len(one.got) == 1 for one in searchers.values())
             assert there.figures.searcher_connections == 4
             assert here.figures.searcher_connections == 0
 
@@ -240,19 +259,9 @@
 
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
-            for number, shard in enumerate(_SHARDS):
-                await bench.searcher(
-                    f's-{shard}',
-                    shard,
-                    _part(shard, number),
-                    zone='hub',
-                )
-            bench.configure(1, _search())
-            there = await bench.ready_gateway(
-                node_id='gate-2', data_centre='hub'
-            )
-            here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            await _start_apart(bench)
+            there = await _start_helper(bench)
+            here = await _start_here(bench)
             await there.__aexit__(None, None, None)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
@@ -270,16 +279,7 @@
 
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
-            searchers = [
-                await bench.searcher(
-                    f's-{shard}',
-                    shard,
-                    _part(shard, number),
-                    zone='hub',
-                )
-                for number, shard in enumerate(_SHARDS)
-            ]
-            bench.configure(1, _search())
+            searchers = await _start_apart(bench)
             silent = scripted_searcher.ScriptedSearcher(_hang)
             async with silent:
                 bench.store.put(
@@ -287,14 +287,11 @@
                     'gate-2',
                     {'address': str(silent.address), 'data_centre': 'hub'},
                 )
-                here = await bench.ready_gateway()
-                await gateway_bench.until(
-                    lambda: here.figures.gateways_known == 2
-                )
+                here = await _start_here(bench)
                 caller = await bench.caller(here.callers)
                 reply = gateway_bench.reply_of(await caller.get('/search/x'))
                 assert reply.status == 502
-                assert not any(one.got for one in searchers)
+                assert not any(one.got for one in searchers.values())
                 # The next search knows better and asks from here.
                 reply = gateway_bench.reply_of(await caller.get('/search/x'))
                 assert reply.status == 200
@@ -321,13 +318,8 @@
             ]
             bench.configure(1, _search())
             spent = {'second_send_burst': 0, 'second_send_share': 0}
-            await bench.ready_gateway(
-                node_id='gate-2',
-                data_centre='hub',
-                **spent,
-            )
-            here = await bench.ready_gateway(**spent)
-            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            await _start_helper(bench, **spent)
+            here = await _start_here(bench, **spent)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
             assert reply.status in {502, 503}
@@ -360,14 +352,7 @@
 
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
-            for number, shard in enumerate(_SHARDS):
-                await bench.searcher(
-                    f's-{shard}',
-                    shard,
-                    _part(shard, number),
-                    zone='hub',
-                )
-            bench.configure(1, _search())
+            await _start_apart(bench)
             async with routed_store.RoutedStore() as empty:
                 there = await bench.unready_gateway(
                     node_id='gate-2',
@@ -379,10 +364,7 @@
                     'gate-2',
                     {'address': str(there.peers), 'data_centre': 'hub'},
                 )
-                here = await bench.ready_gateway()
-                await gateway_bench.until(
-                    lambda: here.figures.gateways_known == 2
-                )
+                here = await _start_here(bench)
                 caller = await bench.caller(here.callers)
                 reply = gateway_bench.reply_of(await caller.get('/search/x'))
                 assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
@@ -405,9 +387,8 @@
                     reply = _slowly(0.5, reply)
                 await bench.searcher(f's-{shard}', shard, reply, zone='hub')
             bench.configure(1, _search())
-            await bench.ready_gateway(node_id='gate-2', data_centre='hub')
-            here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            await _start_helper(bench)
+            here = await _start_here(bench)
             caller = await bench.caller(here.callers)
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
             assert reply.status == 200
@@ -437,20 +418,8 @@
 
     async def play() -> None:
         async with gateway_bench.Bench() as bench:
-            searchers = [
-                await bench.searcher(
-                    f's-{shard}',
-                    shard,
-                    _part(shard, number),
-                    zone='hub',
-                )
-                for number, shard in enumerate(_SHARDS)
-            ]
-            bench.configure(1, _search())
-            there = await bench.ready_gateway(
-                node_id='gate-2',
-                data_centre='hub',
-            )
+            searchers = await _start_apart(bench)
+            there = await _start_helper(bench)
             async with gateway_bench.Gate(there.peers) as gate:
                 gate.hold_replies(1)
                 bench.store.put(
@@ -458,14 +427,16 @@
                     'gate-2',
                     {'address': str(gate.address), 'data_centre': 'hub'},
                 )
-                here = await bench.ready_gateway()
-                await gateway_bench.until(
-                    lambda: here.figures.gateways_known == 2,
-                )
+                here = await _start_here(bench)
                 caller = await bench.caller(here.callers)
                 reply = gateway_bench.reply_of(await caller.get('/search/x'))
                 assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
-                assert [len(one.got) for one in searchers] == [1, 1, 1, 1]
+                assert [len(one.got) for one in searchers.values()] == [
+                    1,
+                    1,
+                    1,
+                    1,
+                ]
 
     support.run(play())
 
@@ -486,20 +457,14 @@
                 zone = 'base' if shard == 'a' else 'hub'
                 await bench.searcher(f's-{shard}', shard, reply, zone=zone)
             bench.configure(1, _search(min_shard_ratio=0.25))
-            there = await bench.ready_gateway(
-                node_id='gate-2',
-                data_centre='hub',
-            )
+            there = await _start_helper(bench)
             async with gateway_bench.Gate(there.peers, 0.03) as gate:
                 bench.store.put(
                     'chivepond-gateways',
                     'gate-2',
                     {'address': str(gate.address), 'data_centre': 'hub'},
                 )
-                here = await bench.ready_gateway()
-                await gateway_bench.until(
-                    lambda: here.figures.gateways_known == 2,
-                )
+                here = await _start_here(bench)
                 before = gate.connections
                 caller = await bench.caller(here.callers)
                 for _ in range(4):
@@ -535,9 +500,8 @@
                     zone='base' if shard == 'a' else 'hub',
                 )
             bench.configure(1, _search())
-            await bench.ready_gateway(node_id='gate-2', data_centre='hub')
-            here = await bench.ready_gateway()
-            await gateway_bench.until(lambda: here.figures.gateways_known == 2)
+            await _start_helper(bench)
+            here = await _start_here(bench)
             caller = await bench.caller(here.callers)
             began = asyncio.get_running_loop().time()
             reply = gateway_bench.reply_of(await caller.get('/search/x'))
