--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -274,8 +274,8 @@
         )
         self._ledger.leaving_at_by_id[searcher_id] = time.monotonic()
         await asyncio.sleep(_LEAVES_S)
-        self._store.remove(store_calls.SEARCHERS, searcher_id)
-        self._searcher_by_id.pop(searcher_id).stop()
+        self._remove_entry(searcher_id)
+        self._searcher_by_id[searcher_id].stop()
 
     async def _crash_searcher(self) -> None:
         """End one searcher without notice; its entry lapses later."""
@@ -287,7 +287,12 @@
         self._searcher_by_id[searcher_id].stop()
         await self._add_searcher(f's-{service}-{next(self._ids)}', service)
         await asyncio.sleep(1)
-        self._store.remove(store_calls.SEARCHERS, searcher_id)
+        self._remove_entry(searcher_id)
+
+    def _remove_entry(self, searcher_id: str) -> None:
+        # One that leaves may crash as well; its entry goes once.
+        if searcher_id in self._store.names(store_calls.SEARCHERS):
+            self._store.remove(store_calls.SEARCHERS, searcher_id)
 
     async def _pause_gateway(self) -> None:
         process = self._random.choice(self.processes)
