Each mechanism of a gateway can be switched off by an operator

On call, a mechanism that misbehaves under a load nobody has seen could only go with a release, and none had ever been measured by its absence. `switched_off` in the settings names mechanisms (20 of them); an unknown name is refused with its place. It is taken at a reload, told by event 6008 and by the gauge `mechanism_is_on`, and passed to the decisions as an object that they ask.

--- a/chivepond/decisions/gather_plan.py
+++ b/chivepond/decisions/gather_plan.py
@@ -12,7 +12,8 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
-from chivepond.decisions import searcher_choice
+from chivepond.decisions import searcher_choice, switches
+from chivepond.settings import mechanism
 
 #: The fewest shards for which another gateway is asked: below that the
 #: message with its signatures saves nothing over the parts.
@@ -33,6 +34,7 @@
 def plan(
     places_by_shard: Mapping[str, Sequence[searcher_choice.Place]],
     helpers: frozenset[str],
+    switched: switches.Switches,
 ) -> GatherPlan:
     """Group shards by where they are asked, the best place first in each.
 
@@ -40,7 +42,12 @@
     where its link is so much wider that the hop is worth it.
     """
     made = GatherPlan([], {})
-    main = _main(places_by_shard.values(), helpers)
+    if not switched.is_on(mechanism.Mechanism.REMOTE_GATHER):
+        made.direct.extend(places_by_shard)
+        return made
+    main = None
+    if switched.is_on(mechanism.Mechanism.ONE_REGION):
+        main = _main(places_by_shard.values(), helpers)
     for shard, places in places_by_shard.items():
         place = _place(places, main)
         if place in helpers:
--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -10,7 +10,8 @@
 import operator
 from collections.abc import Iterable
 
-from chivepond.decisions import searcher_standing
+from chivepond.decisions import searcher_standing, switches
+from chivepond.settings import mechanism
 
 #: What a searcher in another data centre of the region, and in another
 #: region, counts as slower, in seconds, beside the time that the link takes
@@ -43,14 +44,20 @@
     cost_s: float
 
 
-def places(candidates: Iterable[Candidate], now: float) -> list[Place]:
+def places(
+    candidates: Iterable[Candidate],
+    now: float,
+    switched: switches.Switches,
+) -> list[Place]:
     """Return where a service may be asked, the best place first.
 
     The others are those of searchers that are as sound as the best one.
     """
     best: tuple[bool, int, float] | None = None
     found: list[Place] = []
-    ranked = [(_rank(now, it, is_idempotent=True), it) for it in candidates]
+    ranked = [
+        (_rank(now, switched, it, is_idempotent=True), it) for it in candidates
+    ]
     ranked.sort(key=operator.itemgetter(0))
     for rank, one in ranked:
         best = best or rank
@@ -63,6 +70,7 @@
 def choose(
     candidates: Iterable[Candidate],
     now: float,
+    switched: switches.Switches,
     *,
     is_idempotent: bool,
 ) -> Candidate | None:
@@ -74,26 +82,59 @@
 
     return min(
         candidates,
-        key=functools.partial(_rank, now, is_idempotent=is_idempotent),
+        key=functools.partial(
+            _rank,
+            now,
+            switched,
+            is_idempotent=is_idempotent,
+        ),
         default=None,
     )
 
 
+def trust(
+    one: Candidate,
+    now: float,
+    switched: switches.Switches,
+) -> searcher_standing.Trust:
+    """Return how good a choice a searcher is, by what is switched on."""
+    found = one.standing.trust(now)
+    match found:
+        case searcher_standing.Trust.OVERDUE:
+            is_on = switched.is_on(mechanism.Mechanism.OVERDUE)
+        case searcher_standing.Trust.USABLE:
+            is_on = True
+        case _:
+            is_on = switched.is_on(mechanism.Mechanism.DISTRUST)
+    return found if is_on else searcher_standing.Trust.USABLE
+
+
 def _rank(
     now: float,
+    switched: switches.Switches,
     one: Candidate,
     *,
     is_idempotent: bool,
 ) -> tuple[bool, int, float]:
-    trust = one.standing.trust(now)
-    if is_idempotent and trust is searcher_standing.Trust.ON_TRIAL:
-        trust = searcher_standing.Trust.USABLE
-    return (one.is_last_choice, trust, _cost_s(one, now))
+    found = trust(one, now, switched)
+    may_try = is_idempotent and switched.is_on(mechanism.Mechanism.TRIALS)
+    if may_try and found is searcher_standing.Trust.ON_TRIAL:
+        found = searcher_standing.Trust.USABLE
+    return (one.is_last_choice, found, _cost_s(one, now, switched))
 
 
-def _cost_s(one: Candidate, now: float) -> float:
+def _cost_s(
+    one: Candidate,
+    now: float,
+    switched: switches.Switches,
+) -> float:
     cost_s = one.standing.expected_s(now)
-    if one.is_in_data_centre:
+    if one.standing.is_cold(now) and switched.is_on(
+        mechanism.Mechanism.COLD_STARTS,
+    ):
+        cost_s *= searcher_standing.COLD_FACTOR
+    is_priced = switched.is_on(mechanism.Mechanism.LINK_PRICE)
+    if one.is_in_data_centre or not is_priced:
         return cost_s
     if one.is_in_region:
         return cost_s + _NEXT_DATA_CENTRE_S
--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -40,7 +40,7 @@
 #: How long a searcher's word on its queue holds, in seconds.
 _RECENT_S = 0.5
 #: How many times slower a searcher is just after its start.
-_COLD_FACTOR = 1.6
+COLD_FACTOR = 1.6
 
 
 class Trust(enum.IntEnum):
@@ -167,10 +167,11 @@
     def expected_s(self, now: float) -> float:
         """Return how long one more request would take."""
         expected_s = self._usual_s(now) * (1 + self.in_flight / self._slots)
-        expected_s *= 1 + _FAILURE_WEIGHT * self._failing(now)
-        if now < self._cold_until:
-            expected_s *= _COLD_FACTOR
-        return expected_s
+        return expected_s * (1 + _FAILURE_WEIGHT * self._failing(now))
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it started so lately that it is slower."""
+        return now < self._cold_until
 
     def _is_overdue(self, now: float) -> bool:
         oldest = next(iter(self._sent_at_by_attempt.values()), now)
--- a/chivepond/decisions/second_ask_time.py
+++ b/chivepond/decisions/second_ask_time.py
@@ -6,6 +6,9 @@
 Asked later it comes late; asked sooner it spends the budget on sound ones.
 """
 
+from chivepond.decisions import switches
+from chivepond.settings import mechanism
+
 #: The latest second ask, as a share of the target latency: what is left
 #: holds a usual reply twice. Measured against waiting: 113 ms in place of
 #: 141 ms for the middle search of 20 shards.
@@ -38,10 +41,15 @@
         self._mean_s += _NEWEST * off_s
         self._deviation_s += _NEWEST * (abs(off_s) - self._deviation_s)
 
-    def delay_s(self, target_latency_s: float) -> float:
+    def delay_s(
+        self,
+        target_latency_s: float,
+        switched: switches.Switches,
+    ) -> float:
         """Return how long after the first ask, in seconds."""
         latest_s = _LATEST_SHARE * target_latency_s
-        if not self._mean_s:
+        is_learned = switched.is_on(mechanism.Mechanism.LEARNED_ASK_TIME)
+        if not self._mean_s or not is_learned:
             return latest_s
         late_s = self._mean_s + _DEVIATIONS * self._deviation_s
         return min(latest_s, max(late_s, _EARLIEST_SHARE * target_latency_s))
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Self
 
-from chivepond.decisions import search_admission
+from chivepond.decisions import search_admission, switches
 from chivepond.gateway import (
     budgets,
     closing,
@@ -65,16 +65,19 @@
 ) -> Parts:
     """Return parts that know nothing yet; ``on_news`` hears what comes."""
     told = telemetry.Telemetry(settings.node_id)
+    switched = switches.Switches(settings.switched_off)
     others = peers.Peers(
         settings_parts.own_record(settings),
         told,
         settings_parts.seeds(settings),
+        switched,
     )
     known = searchers.Searchers(
         settings.data_centre,
         settings.region_by_data_centre,
         others,
         told,
+        switched,
     )
     tools = service_ask.AskTools(
         searchers=known,
@@ -86,9 +89,17 @@
         stragglers=stragglers.Stragglers(),
         telemetry=told,
         admission=search_admission.SearchAdmission(),
+        switches=switched,
     )
     way = requests_way.RequestsWay(tools, others)
-    taken = news.News(known, way, told, settings.news_bound_s, on_news)
+    taken = news.News(
+        known,
+        way,
+        told,
+        settings.news_bound_s,
+        on_news,
+        switched,
+    )
     changed = asyncio.Event()
     return Parts(
         telemetry=told,
@@ -122,6 +133,7 @@
             parts.replica_by_kind,
             parts.others,
             parts.telemetry,
+            parts.tools.switches,
         ),
         peer_registry.PeerRegistry(settings.node_id, entry, store),
     )
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -109,6 +109,8 @@
             data_centre=self._settings.data_centre,
             callers=self._settings.callers,
         )
+        if self._settings.switched_off:
+            self._tell_switches()
         return self
 
     async def __aexit__(
@@ -199,11 +201,20 @@
         """
         self._telemetry.tell(events.SETTINGS_RELOADED, changes=changes)
         self._settings = settings
+        self._parts.tools.switches.off = frozenset(settings.switched_off)
+        if 'switched_off' in changes:
+            self._tell_switches()
         self._parts.searchers.region_by_data_centre = (
             settings.region_by_data_centre
         )
         self._parts.tools.budgets.change(settings_parts.budget_limits(settings))
 
+    def _tell_switches(self) -> None:
+        self._telemetry.tell(
+            events.MECHANISMS_SWITCHED,
+            off=self._settings.switched_off,
+        )
+
     def _make_metrics(self) -> listener.Listener:
         page = metrics_page.MetricsPage(self._telemetry, self._read_gauges)
         return self._listener(
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -17,6 +17,7 @@
     service_ask,
 )
 from chivepond.gateway import search as searches
+from chivepond.settings import mechanism
 
 _UNAVAILABLE = 503
 #: When to come back after a refusal in a rush, in seconds: the queues of
@@ -55,14 +56,18 @@
         places_by_shard = self._places()
         if work.parts.settled.is_set():
             return gathered_answer.not_run(work.parts)
-        if not work.tools.admission.admit():
+        if not self._is_let_in():
             work.tools.telemetry.count('searches_turned_away', 'queues')
             return answer.refusal(
                 _UNAVAILABLE,
                 'too many searches wait',
                 _RUSH_RETRY_S,
             )
-        made = gather_plan.plan(places_by_shard, work.others.helpers())
+        made = gather_plan.plan(
+            places_by_shard,
+            work.others.helpers(),
+            work.tools.switches,
+        )
         with gather_asks.GatherAsks(
             work.parts,
             work.search.route,
@@ -71,11 +76,24 @@
             work.trace,
         ) as asks:
             self._begin(made, asks)
-            await asks.wait_all(work.search.answer_at)
+            await asks.wait_all(self._answer_at())
             self._learn(made)
             await asks.wait_enough(work.search.deadline)
         return gathered_answer.of(work.search, work.parts)
 
+    def _is_let_in(self) -> bool:
+        tools = self._work.tools
+        if tools.switches.is_on(mechanism.Mechanism.SEARCH_ADMISSION):
+            return tools.admission.admit()
+        return True
+
+    def _answer_at(self) -> float:
+        search = self._work.search
+        is_on = self._work.tools.switches.is_on(
+            mechanism.Mechanism.TARGET_ANSWER,
+        )
+        return search.answer_at if is_on else search.deadline
+
     def _places(self) -> dict[str, list[searcher_choice.Place]]:
         """Return where each shard may be asked; note those without any."""
         shards = self._work.search.target.shards
--- a/chivepond/gateway/gauges.py
+++ b/chivepond/gateway/gauges.py
@@ -13,6 +13,7 @@
     service_ask,
     telemetry,
 )
+from chivepond.settings import mechanism
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,11 +40,18 @@
             told.gauge(name, getattr(self.figures, name))
         told.gauge('routes_age_seconds', self._routes_age_s())
         told.labelled_gauge('searchers', self._searchers_by_state())
+        told.labelled_gauge('mechanism_is_on', self._mechanisms())
         told.labelled_gauge(
             'second_sends_left',
             self.tools.budgets.left_by_service(),
         )
 
+    def _mechanisms(self) -> dict[str, float]:
+        switched = self.tools.switches
+        return {
+            str(one): int(switched.is_on(one)) for one in mechanism.Mechanism
+        }
+
     def _routes_age_s(self) -> float:
         if self.way.in_force_since is None:
             return 0
--- a/chivepond/gateway/group_ask.py
+++ b/chivepond/gateway/group_ask.py
@@ -18,6 +18,7 @@
 )
 from chivepond.gateway import link as links
 from chivepond.gateway import search as searches
+from chivepond.settings import mechanism
 from chivepond.wire import gather_request
 
 _OK = 200
@@ -104,7 +105,9 @@
         one more way there and back, and its group comes too late again. 57
         of 187 searches of five seconds were late so.
         """
-        self._is_left_running = True
+        self._is_left_running = self._work.tools.switches.is_on(
+            mechanism.Mechanism.KEPT_GROUPS,
+        )
 
     async def _first_reply(self) -> outcome.Outcome:
         search = self._work.search
@@ -113,13 +116,9 @@
             self._request(),
             search.answer_at - self._work.others.slow_way_s(self._name),
         )
-        first = self._begin(
-            self._link.ask(
-                message,
-                min(late_at + _AGAIN_S, search.deadline),
-            ),
-        )
-        await _wait_until(first, late_at)
+        until = min(late_at + _AGAIN_S, search.deadline)
+        first = self._begin(self._link.ask(message, until))
+        await _wait_until(first, late_at if self._may_repeat() else until)
         if first.done():
             ended = first.result()
         else:
@@ -128,6 +127,11 @@
         self._learn_way(message, ended)
         return ended
 
+    def _may_repeat(self) -> bool:
+        return self._work.tools.switches.is_on(
+            mechanism.Mechanism.REPEATED_GROUPS,
+        )
+
     async def _either(
         self,
         first: Exchange,
--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/news.py
@@ -4,6 +4,7 @@
 
 import result
 
+from chivepond.decisions import switches
 from chivepond.gateway import (
     closing,
     requests_way,
@@ -35,6 +36,7 @@
         told: telemetry.Telemetry,
         bound_s: float,
         on_informed: Callable[[], None],
+        switched: switches.Switches,
     ) -> None:
         """Call ``on_informed`` after each piece of news.
 
@@ -45,6 +47,7 @@
             known,
             bound_s,
             self._tell_in_force,
+            switched,
         )
         self._searchers = known
         self._way = way
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -9,10 +9,12 @@
     helper_choice,
     round_trip,
     searcher_standing,
+    switches,
 )
 from chivepond.gateway import closing, link as links
 from chivepond.gateway import link_end, peer_record, telemetry, trust_log
 from chivepond.observe import events
+from chivepond.settings import mechanism
 from chivepond.transport import address
 
 #: Connections to one other gateway; each carries one gather at a time.
@@ -40,6 +42,7 @@
         '_link_by_id',
         '_link_mbps',
         '_seeds',
+        '_switches',
         '_telemetry',
         '_trust_log',
         '_way_by_id',
@@ -51,10 +54,12 @@
         own: peer_record.PeerRecord,
         told: telemetry.Telemetry,
         seeds: Iterable[address.Address],
+        switched: switches.Switches,
     ) -> None:
         """Know no gateway but ``seeds``, which may be stale."""
         self.own_id = own.node_id
         self._here = own.data_centre
+        self._switches = switched
         self._is_listed = False
         self._link_mbps = own.link_mbps
         self._telemetry = told
@@ -86,6 +91,8 @@
         """
         if not self._is_listed:
             return math.inf
+        if not self._switches.is_on(mechanism.Mechanism.UNEVEN_BUDGET):
+            return self.gateways
         links_mbps = [
             record.link_mbps
             for record in self._known_by_id.values()
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Iterable, Iterator, Mapping
 
-from chivepond.decisions import searcher_choice, searcher_standing
+from chivepond.decisions import (
+    searcher_choice,
+    searcher_standing,
+    switches,
+)
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     closing,
@@ -14,6 +18,7 @@
     trust_log,
 )
 from chivepond.observe import events
+from chivepond.settings import mechanism
 from chivepond.transport import address
 
 #: Gateways that share a cap while fewer are known: more may start.
@@ -38,6 +43,7 @@
         'region_by_data_centre',
         '_peers',
         '_removal_by_id',
+        '_switches',
         '_telemetry',
         '_trust_log',
     )
@@ -48,6 +54,7 @@
         region_by_data_centre: Mapping[str, str],
         others: peers.Peers,
         told: telemetry.Telemetry,
+        switched: switches.Switches,
     ) -> None:
         """Start empty, in the data centre ``here``."""
         self.here = here
@@ -63,6 +70,7 @@
         self._misdirected: set[tuple[str, int]] = set()
         self._caps: Mapping[str, int] = {}
         self._peers = others
+        self._switches = switched
         self._telemetry = told
         self._trust_log = trust_log.of_searchers(told)
 
@@ -126,7 +134,8 @@
         known = self._known_by_id.get(searcher_id)
         if known is None or searcher_id in self._removal_by_id:
             return
-        if known.record.is_leaving:
+        is_held = self._switches.is_on(mechanism.Mechanism.LAST_CHOICE)
+        if known.record.is_leaving or not is_held:
             self._remove(searcher_id)
             return
         self._removal_by_id[searcher_id] = self._loop.call_later(
@@ -192,7 +201,11 @@
         now = self._loop.time()
         found = {}
         for service in services:
-            places = searcher_choice.places(self.candidates(service), now)
+            places = searcher_choice.places(
+                self.candidates(service),
+                now,
+                self._switches,
+            )
             if places:
                 found[service] = places
         return found
@@ -206,9 +219,12 @@
 
     def is_doubtful(self, service: str) -> bool:
         """Tell whether no searcher of a service replied well lately."""
+        if not self._switches.is_on(mechanism.Mechanism.HOPELESS_SHARDS):
+            return False
         now = self._loop.time()
         return all(
-            one.standing.trust(now) >= searcher_standing.Trust.ON_TRIAL
+            searcher_choice.trust(one, now, self._switches)
+            >= searcher_standing.Trust.ON_TRIAL
             for one in self.candidates(service)
         )
 
@@ -227,6 +243,7 @@
                 if one.searcher_id not in tried
             ),
             self._loop.time(),
+            self._switches,
             is_idempotent=is_idempotent,
         )
         return chosen and self._known_by_id[chosen.searcher_id].link
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -3,7 +3,11 @@
 import asyncio
 import dataclasses
 
-from chivepond.decisions import search_admission, second_ask_time
+from chivepond.decisions import (
+    search_admission,
+    second_ask_time,
+    switches,
+)
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
@@ -16,6 +20,7 @@
     telemetry,
 )
 from chivepond.platform import headers
+from chivepond.settings import mechanism
 
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
@@ -33,6 +38,7 @@
     stragglers: stragglers.Stragglers
     telemetry: telemetry.Telemetry
     admission: search_admission.SearchAdmission
+    switches: switches.Switches
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -112,9 +118,11 @@
         self._deadline = deadline
         self._tools.budgets.count_request(self.service)
         started = loop.time()
-        if self._route.is_idempotent:
-            delay_s = late.delay_s(self._route.target_latency_s)
-            self._second_at = started + delay_s
+        if self._may_ask_twice():
+            self._second_at = started + late.delay_s(
+                self._route.target_latency_s,
+                self._tools.switches,
+            )
         self._send()
         try:
             found = await self._first_good()
@@ -156,6 +164,10 @@
                 )
         return None
 
+    def _may_ask_twice(self) -> bool:
+        is_on = self._tools.switches.is_on(mechanism.Mechanism.SECOND_ASKS)
+        return is_on and self._route.is_idempotent
+
     def _until_second(self) -> float | None:
         if self._second_at is None:
             return None
@@ -245,8 +257,9 @@
         self._running[attempt] = link
 
     def _drop_running(self, *, is_left: bool = False) -> None:
+        may_go_on = self._tools.switches.is_on(mechanism.Mechanism.STRAGGLERS)
         for attempt in self._running:
-            if is_left or self._is_left_running:
+            if may_go_on and (is_left or self._is_left_running):
                 self._tools.stragglers.keep(attempt)
             else:
                 attempt.cancel()
--- a/chivepond/gateway/store_news.py
+++ b/chivepond/gateway/store_news.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chivepond.decisions import news_source
+from chivepond.decisions import news_source, switches
 from chivepond.gateway import (
     kind_reader,
     outcome,
@@ -18,6 +18,7 @@
 from chivepond.gateway import link as links
 from chivepond.observe import events
 from chivepond.platform import store_calls
+from chivepond.settings import mechanism
 from chivepond.transport import address
 from chivepond.wire import gateway_news
 
@@ -48,6 +49,7 @@
         '_replica_by_kind',
         '_stale_until_by_id',
         '_store',
+        '_switches',
         '_tasks',
         '_telemetry',
     )
@@ -59,9 +61,11 @@
         replica_by_kind: Mapping[str, replica.Replica],
         others: peers.Peers,
         told: telemetry.Telemetry,
+        switched: switches.Switches,
     ) -> None:
         """Have news in force within ``bound_s`` seconds."""
         self._bound_s = bound_s
+        self._switches = switched
         self._store = store
         self._replica_by_kind = replica_by_kind
         self._peers = others
@@ -84,7 +88,7 @@
         if followed is None:
             self._begin_reading()
             self._tell_following('')
-            if self._is_store_lost():
+            if self._may_follow_any():
                 await self._follow_any()
             else:
                 await asyncio.sleep(_LOOK_S)
@@ -94,7 +98,13 @@
         elif self._age_s() > news_source.oldest_s(self._bound_s):
             self._begin_reading()
 
+    def _may_follow_any(self) -> bool:
+        is_on = self._switches.is_on(mechanism.Mechanism.PEER_NEWS)
+        return is_on and self._is_store_lost()
+
     def _leader(self) -> links.Link | None:
+        if not self._switches.is_on(mechanism.Mechanism.SHARED_READER):
+            return None
         now = asyncio.get_running_loop().time()
         members = [
             news_source.Member(
--- a/chivepond/gateway/version_queue.py
+++ b/chivepond/gateway/version_queue.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from chivepond.decisions import version_wait
+from chivepond.decisions import switches, version_wait
 from chivepond.gateway import closing, requests_way, routing_table, searchers
+from chivepond.settings import mechanism
 
 
 class VersionQueue(closing.Closing):
@@ -15,6 +16,7 @@
         '_due',
         '_on_in_force',
         '_searchers',
+        '_switches',
         '_waiting',
         '_way',
     )
@@ -25,9 +27,11 @@
         known: searchers.Searchers,
         bound_s: float,
         on_in_force: Callable[[routing_table.RoutingTable], None],
+        switched: switches.Switches,
     ) -> None:
         """Have each version in force within ``bound_s`` seconds."""
         self._way = way
+        self._switches = switched
         self._searchers = known
         self._bound_s = bound_s
         self._on_in_force = on_in_force
@@ -78,7 +82,8 @@
             self._due = None
 
     def _serves_less(self, table: routing_table.RoutingTable) -> bool:
-        if self._way.table is None:
+        is_on = self._switches.is_on(mechanism.Mechanism.VERSION_WAIT)
+        if self._way.table is None or not is_on:
             return False
         return self._unserved(table) > self._unserved(self._way.table)
 
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -165,6 +165,12 @@
     'fault of the program',
     'A request or a task met a fault of the program; please report it.',
 )
+MECHANISMS_SWITCHED = event.Event(
+    6008,
+    'WARNING',
+    'mechanisms switched',
+    'An operator switched mechanisms off or on; says which are off.',
+)
 ROUTES_IN_FORCE = event.Event(
     6010,
     'INFO',
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chivepond.settings import setting_trouble
+from chivepond.settings import mechanism, setting_trouble
 from chivepond.transport import address
 
 _Address = typing.Annotated[str, msgspec.Meta(description='ip:port')]
@@ -17,6 +17,10 @@
 _MS_PER_S = 1000
 _Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 _Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Mechanisms = typing.Annotated[
+    list[mechanism.Mechanism],
+    msgspec.Meta(description='names of mechanisms, see OPERATIONS.md'),
+]
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +32,8 @@
     ``leaving_bound_ms`` are the times within which newer routes, and the news
     that a searcher leaves, must be in force. ``is_first_start`` says that no
     gateway has run before: second sends have their whole burst at once.
+    ``switched_off`` names mechanisms that are not to act; it is taken at a
+    reload as well.
     """
 
     node_id: str
@@ -49,6 +55,7 @@
     second_send_burst: float = 10
     second_send_span_s: _Seconds = 10
     is_first_start: bool = False
+    switched_off: _Mechanisms = msgspec.field(default_factory=list)
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
     @property
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -19,6 +19,7 @@
     searcher_standing,
     second_ask_time,
     second_send_budget,
+    switches,
     weighted_share,
 )
 
@@ -44,6 +45,7 @@
     chosen = searcher_choice.choose(
         candidates,
         now,
+        switches.Switches(),
         is_idempotent=is_idempotent,
     )
     return chosen and chosen.searcher_id
@@ -303,13 +305,13 @@
 def test_second_asks_follow_the_usual_reply():
     """Late is slower than usual, and never so late that it is no use."""
     late = second_ask_time.SecondAskTime()
-    assert late.delay_s(0.2) == 0.2 * 0.38
+    assert late.delay_s(0.2, switches.Switches()) == 0.2 * 0.38
     for _ in range(300):
         late.learn(0.02)
-    assert 0.029 < late.delay_s(0.2) < 0.031
+    assert 0.029 < late.delay_s(0.2, switches.Switches()) < 0.031
     for _ in range(300):
         late.learn(0.5)
-    assert late.delay_s(0.2) == 0.2 * 0.38
+    assert late.delay_s(0.2, switches.Switches()) == 0.2 * 0.38
 
 
 @hypothesis.given(
@@ -377,10 +379,12 @@
         'd': [near],
         'e': [_far('far')],
     }
-    made = gather_plan.plan(places_by_shard, frozenset(('hub', 'far')))
+    made = gather_plan.plan(
+        places_by_shard, frozenset(('hub', 'far')), switches.Switches()
+    )
     assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c']}
     assert set(made.direct) == {'d', 'e'}
-    alone = gather_plan.plan(places_by_shard, frozenset())
+    alone = gather_plan.plan(places_by_shard, frozenset(), switches.Switches())
     assert set(alone.direct) == set(places_by_shard)
 
 
@@ -398,7 +402,9 @@
         'e': [_far('far')],
         'f': [_far('hub')],
     }
-    made = gather_plan.plan(places_by_shard, frozenset(('hub', 'far')))
+    made = gather_plan.plan(
+        places_by_shard, frozenset(('hub', 'far')), switches.Switches()
+    )
     assert made.shards_by_data_centre == {'hub': ['a', 'b', 'c', 'f']}
     assert made.direct == ['d', 'e']
 
--- /dev/null
+++ b/chivepond/tests/test_gateway_switches.py
@@ -0,0 +1,267 @@
+"""An operator switches mechanisms of a gateway off, and on again."""
+
+import asyncio
+
+import pytest
+import result
+
+from chivepond.decisions import (
+    gather_plan,
+    searcher_choice,
+    searcher_standing,
+    second_ask_time,
+    switches,
+)
+from chivepond.platform import documents, headers, store_calls
+from chivepond.settings import gateway_settings, loader, mechanism
+from chivepond.standins import scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+_SETTINGS = """
+node_id: gate-1
+data_centre: base
+region_by_data_centre: {base: coast}
+callers: 127.0.0.1:1
+readiness: 127.0.0.1:2
+store: 127.0.0.1:3
+peers: 127.0.0.1:4
+"""
+
+
+def _without(*off):
+    return switches.Switches(off)
+
+
+def _candidate(standing, *, near=True):
+    return searcher_choice.Candidate(
+        searcher_id='near' if near else 'far',
+        standing=standing,
+        data_centre='base' if near else 'hub',
+        is_in_data_centre=near,
+        is_in_region=near,
+        is_last_choice=False,
+    )
+
+
+def _chosen(near, far, switched, now=1.0, *, is_idempotent=True):
+    return searcher_choice.choose(
+        (_candidate(near), _candidate(far, near=False)),
+        now,
+        switched,
+        is_idempotent=is_idempotent,
+    ).searcher_id
+
+
+def _standing(cold_until=0):
+    return searcher_standing.SearcherStanding(2, cold_until)
+
+
+def test_unknown_mechanism_is_refused_by_its_place():
+    """A name that is no mechanism is told with its place in the file."""
+    text = f'{_SETTINGS}switched_off: [second_asks, warp]\n'.encode()
+    found = loader.parse(gateway_settings.GatewaySettings, text, 'here')
+    assert 'switched_off' in str(found.unwrap_err())
+    right = f'{_SETTINGS}switched_off: [second_asks]\n'.encode()
+    match loader.parse(gateway_settings.GatewaySettings, right, 'here'):
+        case result.Ok(settings):
+            assert settings.switched_off == [mechanism.Mechanism.SECOND_ASKS]
+        case wrong:
+            pytest.fail(str(wrong))
+
+
+def test_distrust_off_asks_a_searcher_that_fails():
+    """With distrust off, a searcher that failed twice is still a choice."""
+    near, far = _standing(), _standing()
+    near.failed(1, 1.0)
+    near.failed(2, 1.0)
+    off = _without(mechanism.Mechanism.DISTRUST)
+    assert _chosen(near, far, _without()) == 'far'
+    found = searcher_choice.trust(_candidate(near), 1.0, off)
+    assert found is searcher_standing.Trust.USABLE
+
+
+def test_trials_off_leave_a_distrusted_searcher_alone():
+    """With trials off, a searcher that is due for a try is not asked."""
+    near, far = _standing(), _standing()
+    for attempt in range(2):
+        near.failed(attempt, 1.0)
+        far.failed(attempt, 20.0)
+    assert _chosen(near, far, _without(), 20.1) == 'near'
+    near_only = _candidate(near)
+    found = searcher_choice.trust(near_only, 20.1, _without())
+    assert found is searcher_standing.Trust.ON_TRIAL
+    sound = _standing()
+    off = _without(mechanism.Mechanism.TRIALS)
+    assert _chosen(near, sound, off, 20.1) == 'far'
+
+
+def test_overdue_off_asks_a_searcher_in_a_pause():
+    """With overdue off, a reply that is owed for long moves nothing."""
+    near, far = _standing(), _standing()
+    near.sent(1, 0.8)
+    assert _chosen(near, far, _without()) == 'far'
+    off = _without(mechanism.Mechanism.OVERDUE)
+    assert searcher_choice.trust(_candidate(near), 1.0, off) is (
+        searcher_standing.Trust.USABLE
+    )
+
+
+def test_cold_starts_and_link_price_off():
+    """Without them a cold searcher, or one across a link, costs no more."""
+    cold, far = _standing(cold_until=5), _standing()
+    price = mechanism.Mechanism.LINK_PRICE
+    assert _chosen(cold, far, _without(price)) == 'far'
+    off = _without(price, mechanism.Mechanism.COLD_STARTS)
+    assert _chosen(cold, far, off) == 'near'
+    assert _chosen(_standing(), far, _without()) == 'near'
+
+
+def test_learned_ask_time_off_is_the_latest_moment():
+    """Without it a second ask comes at 0.38 of the target latency."""
+    late = second_ask_time.SecondAskTime()
+    for _ in range(100):
+        late.learn(0.02)
+    off = _without(mechanism.Mechanism.LEARNED_ASK_TIME)
+    assert late.delay_s(0.2, _without()) < late.delay_s(0.2, off)
+    assert late.delay_s(0.2, off) == 0.38 * 0.2
+
+
+def _far(data_centre, cost_s=0.03):
+    return searcher_choice.Place(data_centre, is_far=True, cost_s=cost_s)
+
+
+def test_gathers_elsewhere_switched_off():
+    """Without them all shards are asked from here, or each at its best."""
+    places_by_shard = {
+        f's{number}': [_far('hub'), _far('end', 0.031)] for number in range(6)
+    }
+    places_by_shard |= {
+        f't{number}': [_far('end'), _far('hub', 0.031)] for number in range(4)
+    }
+    helpers = frozenset(('hub', 'end'))
+    one = gather_plan.plan(places_by_shard, helpers, _without())
+    assert set(one.shards_by_data_centre) == {'hub'}
+    off = _without(mechanism.Mechanism.ONE_REGION)
+    two = gather_plan.plan(places_by_shard, helpers, off)
+    assert set(two.shards_by_data_centre) == {'hub', 'end'}
+    off = _without(mechanism.Mechanism.REMOTE_GATHER)
+    none = gather_plan.plan(places_by_shard, helpers, off)
+    assert len(none.direct) == 10
+    assert not none.shards_by_data_centre
+
+
+async def _quick(got):
+    return scripted_searcher.good(got, b'', 'quick')
+
+
+async def _slow(got):
+    await asyncio.sleep(0.3)
+    return scripted_searcher.good(got, b'', 'slow')
+
+
+def _all_shards():
+    return gateway_bench.route(
+        'all',
+        '/all/',
+        **documents.gathered(['one', 'two'], 5, 0.5, 200),
+    )
+
+
+async def _search(gate, bench):
+    """Return the reply to a search, and its seconds."""
+    caller = await bench.caller(gate.callers)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    reply = gateway_bench.reply_of(await caller.get('/all/'))
+    return reply, loop.time() - began
+
+
+def test_target_answer_switched_at_a_reload():
+    """On call, a mechanism goes and comes back without a restart.
+
+    A search with one slow shard is answered at the target latency; switched
+    off, it waits for the whole; metrics tell which holds.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('a', 'one', _quick)
+            await bench.searcher('b', 'two', _slow)
+            bench.configure(1, _all_shards())
+            gate = await bench.ready_gateway()
+            soon, took_s = await _search(gate, bench)
+            assert soon.headers.get(headers.MISSING_SHARDS) == b'1'
+            assert took_s < 0.25
+            told = gateway_bench.settings(
+                store=str(bench.store.address),
+                switched_off=[mechanism.Mechanism.TARGET_ANSWER],
+            )
+            gate.reload(told, ['switched_off'])
+            whole, took_s = await _search(gate, bench)
+            assert whole.headers.get(headers.MISSING_SHARDS) == b'0'
+            assert took_s > 0.28
+            asked = await bench.caller(gate.metrics)
+            page = gateway_bench.reply_of(await asked.get('/metrics')).body
+            name = b'chivepond_gateway_mechanism_is_on{of="%s"} %d'
+            assert name % (b'target_answer', 0) in page
+            assert name % (b'second_asks', 1) in page
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_second_asks(is_on):
+    """A late reply is asked for elsewhere, unless that is switched off."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            first = await bench.searcher('a', 'one', _slow)
+            second = await bench.searcher('b', 'one', _slow)
+            bench.configure(
+                1,
+                gateway_bench.route('all', '/all/', service='one'),
+            )
+            off = () if is_on else (mechanism.Mechanism.SECOND_ASKS,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            await _search(gate, bench)
+            assert len(first.got) + len(second.got) == 1 + is_on
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_last_choice(is_on):
+    """A searcher whose entry vanished serves on, unless switched off."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('a', 'one', _quick)
+            await bench.searcher('b', 'two', _quick)
+            bench.configure(1, _all_shards())
+            off = () if is_on else (mechanism.Mechanism.LAST_CHOICE,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            bench.store.remove(store_calls.SEARCHERS, 'b')
+            await asyncio.sleep(0.2)
+            reply, _ = await _search(gate, bench)
+            missing = reply.headers.get(headers.MISSING_SHARDS)
+            assert missing == b'%d' % (not is_on)
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_version_wait(is_on):
+    """A version without searchers waits for them, unless switched off."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('a', 'one', _quick)
+            route = gateway_bench.route('all', '/all/', service='one')
+            bench.configure(1, route)
+            off = () if is_on else (mechanism.Mechanism.VERSION_WAIT,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            bench.configure(2, route | {'service': 'none'})
+            await asyncio.sleep(0.2)
+            assert gate.figures.routes_version == 2 - is_on
+
+    support.run(play())
