The price of a link to another region follows the target latency

A reply that comes sooner than it has to earns nothing; its bytes are paid.

Change: the price counts as 0.25 of the route's target latency in another region and 0.1 in another data centre, in place of 15 and 8 ms.

--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -2,7 +2,8 @@
 
 Load pattern: a few searchers hold the same shard, one near and the others
 across links that are slow and priced. Requests go to the near one while it
-is sound; a pause, a fault or a longer expected time moves them at once.
+is sound and would still reply well within the target latency; a pause or a
+fault moves them at once.
 """
 
 import dataclasses
@@ -14,10 +15,20 @@
 from chivepond.settings import mechanism
 
 #: What a searcher in another data centre of the region, and in another
-#: region, counts as slower, in seconds, beside the time that the link takes
-#: and that its measured latency holds. It stands for the price of the bytes.
-_NEXT_DATA_CENTRE_S = 0.008
-_OTHER_REGION_S = 0.015
+#: region, counts as slower, as a share of the target latency, beside the time
+#: that the link takes and that its measured latency holds. It stands for the
+#: price of the bytes: a reply that comes sooner than it has to is worth none.
+_NEXT_DATA_CENTRE_SHARE = 0.1
+_OTHER_REGION_SHARE = 0.25
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Need:
+    """What a request asks of the searcher that it goes to."""
+
+    #: Within how many seconds a reply is worth most.
+    target_latency_s: float
+    is_idempotent: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,16 +59,16 @@
     candidates: Iterable[Candidate],
     now: float,
     switched: switches.Switches,
+    target_latency_s: float,
 ) -> list[Place]:
     """Return where a service may be asked, the best place first.
 
     The others are those of searchers that are as sound as the best one.
     """
+    need = Need(target_latency_s)
     best: tuple[bool, int, float] | None = None
     found: list[Place] = []
-    ranked = [
-        (_rank(now, switched, it, is_idempotent=True), it) for it in candidates
-    ]
+    ranked = [(_rank(now, switched, need, it), it) for it in candidates]
     ranked.sort(key=operator.itemgetter(0))
     for rank, one in ranked:
         best = best or rank
@@ -71,8 +82,7 @@
     candidates: Iterable[Candidate],
     now: float,
     switched: switches.Switches,
-    *,
-    is_idempotent: bool,
+    need: Need,
 ) -> Candidate | None:
     """Return the best of the candidates, or none where there is none.
 
@@ -82,12 +92,7 @@
 
     return min(
         candidates,
-        key=functools.partial(
-            _rank,
-            now,
-            switched,
-            is_idempotent=is_idempotent,
-        ),
+        key=functools.partial(_rank, now, switched, need),
         default=None,
     )
 
@@ -112,30 +117,36 @@
 def _rank(
     now: float,
     switched: switches.Switches,
+    need: Need,
     one: Candidate,
-    *,
-    is_idempotent: bool,
 ) -> tuple[bool, int, float]:
     found = trust(one, now, switched)
-    may_try = is_idempotent and switched.is_on(mechanism.Mechanism.TRIALS)
+    may_try = need.is_idempotent and switched.is_on(
+        mechanism.Mechanism.TRIALS,
+    )
     if may_try and found is searcher_standing.Trust.ON_TRIAL:
         found = searcher_standing.Trust.USABLE
-    return (one.is_last_choice, found, _cost_s(one, now, switched))
+    cost_s = _work_s(one, now, switched)
+    if switched.is_on(mechanism.Mechanism.LINK_PRICE):
+        cost_s += _link_price_s(one, need.target_latency_s)
+    return (one.is_last_choice, found, cost_s)
 
 
-def _cost_s(
+def _work_s(
     one: Candidate,
     now: float,
     switched: switches.Switches,
 ) -> float:
-    cost_s = one.standing.expected_s(now)
-    if one.standing.is_cold(now) and switched.is_on(
-        mechanism.Mechanism.COLD_STARTS,
-    ):
-        cost_s *= searcher_standing.COLD_FACTOR
-    is_priced = switched.is_on(mechanism.Mechanism.LINK_PRICE)
-    if one.is_in_data_centre or not is_priced:
-        return cost_s
+    expected_s = one.standing.expected_s(now)
+    is_cold = one.standing.is_cold(now)
+    if is_cold and switched.is_on(mechanism.Mechanism.COLD_STARTS):
+        expected_s *= searcher_standing.COLD_FACTOR
+    return expected_s
+
+
+def _link_price_s(one: Candidate, target_latency_s: float) -> float:
+    if one.is_in_data_centre:
+        return 0
     if one.is_in_region:
-        return cost_s + _NEXT_DATA_CENTRE_S
-    return cost_s + _OTHER_REGION_S
+        return _NEXT_DATA_CENTRE_SHARE * target_latency_s
+    return _OTHER_REGION_SHARE * target_latency_s
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -97,7 +97,10 @@
     def _places(self) -> dict[str, list[searcher_choice.Place]]:
         """Return where each shard may be asked; note those without any."""
         shards = self._work.search.target.shards
-        found = self._work.tools.searchers.places(shards)
+        found = self._work.tools.searchers.places(
+            shards,
+            self._work.search.route.target_latency_s,
+        )
         for shard in shards:
             if shard not in found:
                 reason = 'no searcher is registered'
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -193,6 +193,7 @@
     def places(
         self,
         services: Iterable[str],
+        target_latency_s: float,
     ) -> dict[str, list[searcher_choice.Place]]:
         """Return where each service may be asked, the best place first.
 
@@ -205,6 +206,7 @@
                 self.candidates(service),
                 now,
                 self._switches,
+                target_latency_s,
             )
             if places:
                 found[service] = places
@@ -232,8 +234,7 @@
         self,
         service: str,
         tried: set[str],
-        *,
-        is_idempotent: bool,
+        need: searcher_choice.Need,
     ) -> links.Link | None:
         """Return the best searcher that was not tried yet."""
         chosen = searcher_choice.choose(
@@ -244,7 +245,7 @@
             ),
             self._loop.time(),
             self._switches,
-            is_idempotent=is_idempotent,
+            need,
         )
         return chosen and self._known_by_id[chosen.searcher_id].link
 
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -5,6 +5,7 @@
 
 from chivepond.decisions import (
     search_admission,
+    searcher_choice,
     second_ask_time,
     switches,
 )
@@ -242,7 +243,10 @@
         link = self._tools.searchers.choose(
             self.service,
             self._tried,
-            is_idempotent=self._route.is_idempotent,
+            searcher_choice.Need(
+                self._route.target_latency_s,
+                self._route.is_idempotent,
+            ),
         )
         if link is None:
             return
--- /dev/null
+++ b/chivepond/tests/load_play.py
@@ -0,0 +1,115 @@
+"""Plays a load on the choice of a searcher alone, without a network."""
+
+import dataclasses
+import heapq
+import random
+from collections.abc import Callable
+
+from chivepond.decisions import (
+    searcher_choice,
+    searcher_standing,
+    switches,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Searcher:
+    """One searcher as it is: slots, speed, and where it stands."""
+
+    name: str
+    #: Seconds of work of a request that comes at a time, by that time.
+    work_s: Callable[[float], float]
+    #: One way, in seconds.
+    link_s: float = 0.0002
+    slots: int = 2
+    is_near: bool = True
+    free_at: list[float] = dataclasses.field(default_factory=list)
+
+    def ends_at(self, now: float) -> float:
+        """Return when a request that is sent now has its reply."""
+        if not self.free_at:
+            self.free_at = [float(0) for _ in range(self.slots)]
+        begins = max(now + self.link_s, heapq.heappop(self.free_at))
+        ends = begins + self.work_s(begins)
+        heapq.heappush(self.free_at, ends)
+        return ends + self.link_s
+
+
+@dataclasses.dataclass(slots=True)
+class Played:
+    """What callers got, in seconds, and which searcher replied."""
+
+    took_s: list[float]
+    names: list[str]
+
+    def late(self, target_s: float) -> int:
+        """Return how many replies came after the target latency."""
+        return sum(took > target_s for took in self.took_s)
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """What one gateway believes of each searcher."""
+
+    standing_by_name: dict[str, searcher_standing.SearcherStanding]
+    owed: list[tuple[float, int, str]] = dataclasses.field(
+        default_factory=list,
+    )
+
+    def hear(self, now: float) -> None:
+        """Take the replies that came."""
+        while self.owed and self.owed[0][0] <= now:
+            at, attempt, name = heapq.heappop(self.owed)
+            self.standing_by_name[name].replied(attempt, at)
+
+
+def play(
+    searchers: list[Searcher],
+    gateways: list[Gateway],
+    arrivals: list[float],
+    need: searcher_choice.Need,
+    seed: int = 1,
+) -> Played:
+    """Send each arrival through one of the gateways, drawn by ``seed``."""
+    rng = random.Random(seed)
+    by_name = {one.name: one for one in searchers}
+    played = Played([], [])
+    for attempt, now in enumerate(arrivals):
+        gateway = rng.choice(gateways)
+        gateway.hear(now)
+        chosen = searcher_choice.choose(
+            [_candidate(one, gateway) for one in searchers],
+            now,
+            switches.Switches(),
+            need,
+        )
+        name = chosen.searcher_id
+        ends = by_name[name].ends_at(now)
+        gateway.standing_by_name[name].sent(attempt, now)
+        heapq.heappush(gateway.owed, (ends, attempt, name))
+        played.took_s.append(ends - now)
+        played.names.append(name)
+    return played
+
+
+def arrivals(per_s: float, until_s: float, seed: int = 1) -> list[float]:
+    """Return times of arrival at random, ``per_s`` a second."""
+    rng = random.Random(seed)
+    times = [rng.expovariate(per_s)]
+    while times[-1] < until_s:
+        times.append(times[-1] + rng.expovariate(per_s))
+    return times
+
+
+def _candidate(
+    one: Searcher,
+    gateway: Gateway,
+) -> searcher_choice.Candidate:
+    return searcher_choice.Candidate(
+        searcher_id=one.name,
+        standing=gateway.standing_by_name[one.name],
+        data_centre='base' if one.is_near else 'hub',
+        is_in_data_centre=one.is_near,
+        is_in_region=one.is_near,
+        is_last_choice=False,
+    )
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -41,12 +41,12 @@
     )
 
 
-def _choose(candidates, now, *, is_idempotent=True):
+def _choose(candidates, now, *, is_idempotent=True, target_s=0.2):
     chosen = searcher_choice.choose(
         candidates,
         now,
         switches.Switches(),
-        is_idempotent=is_idempotent,
+        searcher_choice.Need(target_s, is_idempotent),
     )
     return chosen and chosen.searcher_id
 
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -48,7 +48,7 @@
         (_candidate(near), _candidate(far, near=False)),
         now,
         switched,
-        is_idempotent=is_idempotent,
+        searcher_choice.Need(0.2, is_idempotent=is_idempotent),
     ).searcher_id
 
 
