Searchers of a service are listed once for all parts; fields are found at once

In a profile of 200 searches over 20 shards (stand-ins in the same process) a fifth of the calls are candidates made anew four to five times a part and header fields sought through all pairs.

Change: the candidates of a service are kept until one of its entries changes; the first value of each field is kept by name; a searcher that owes nothing is not asked whether it is overdue, and thirty good replies end what a failure costs. 1,908,000 calls to 1,541,000 for the 200 searches, stand-ins included.

--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -46,6 +46,9 @@
 _FORGET_S = 2.0
 #: How many times slower a searcher that fails each request counts.
 _FAILURE_WEIGHT = 8.0
+#: A share of failures below this counts as none: thirty good replies after a
+#: failure.
+_NO_FAILURES = 0.001
 #: How long a searcher's word on its queue holds, in seconds.
 _RECENT_S = 0.5
 #: How many times slower a searcher is just after its start.
@@ -192,7 +195,9 @@
         return now < self._cold_until
 
     def _is_overdue(self, now: float) -> bool:
-        oldest = next(iter(self._sent_at_by_attempt.values()), now)
+        if not self._sent_at_by_attempt:
+            return False
+        oldest = next(iter(self._sent_at_by_attempt.values()))
         late_s = self._usual_s(now) * _OVERDUE_FACTOR
         return now - oldest > max(_OVERDUE_S, late_s)
 
@@ -211,6 +216,8 @@
         return max(_NEWEST, 1 - math.exp(-age_s / _MEMORY_S))
 
     def _failing(self, now: float) -> float:
+        if self._failure_share < _NO_FAILURES:
+            return 0
         return self._failure_share * self._fading(now)
 
     def _fading(self, now: float) -> float:
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -204,9 +204,7 @@
         self._parts.tools.switches.off = frozenset(settings.switched_off)
         if 'switched_off' in changes:
             self._tell_switches()
-        self._parts.searchers.region_by_data_centre = (
-            settings.region_by_data_centre
-        )
+        self._parts.searchers.relocate(settings.region_by_data_centre)
         self._parts.tools.budgets.change(settings_parts.budget_limits(settings))
 
     def _tell_switches(self) -> None:
--- a/chivepond/gateway/header_list.py
+++ b/chivepond/gateway/header_list.py
@@ -20,21 +20,28 @@
 
 
 class HeaderList:
-    """Fields as pairs of name and value; names compare without case."""
+    """Fields as pairs of name and value; names compare without case.
 
-    __slots__ = ('pairs',)
+    The first value of each name is kept apart: eight fields are looked up in
+    each part of a search, and to go through all pairs each time took a tenth
+    of a gateway's processor time.
+    """
+
+    __slots__ = ('_first_by_name', 'pairs')
 
     def __init__(self) -> None:
         """Start empty."""
         self.pairs: list[tuple[bytes, bytes]] = []
+        self._first_by_name: dict[bytes, bytes] = {}
 
     def add(self, name: bytes, told: bytes) -> None:
         """Append one field."""
         self.pairs.append((name, told))
+        self._first_by_name.setdefault(name.lower(), told)
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a field, whose name is in lower case."""
-        return next(self.all_of(name), None)
+        return self._first_by_name.get(name)
 
     def all_of(self, name: bytes) -> Iterator[bytes]:
         """Return all values of a field, whose name is in lower case."""
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -34,6 +34,7 @@
     """Links by searcher, kept in step with the list of the store."""
 
     __slots__ = (
+        '_candidates_by_service',
         '_caps',
         'here',
         '_id_by_address',
@@ -73,6 +74,9 @@
         self._caps: Mapping[str, int] = {}
         self._peers = others
         self._switches = switched
+        self._candidates_by_service: dict[
+            str, list[searcher_choice.Candidate]
+        ] = {}
         self._usual_by_service: dict[str, usual_latency.UsualLatency] = {}
         self._telemetry = told
         self._trust_log = trust_log.of_searchers(told)
@@ -92,6 +96,11 @@
         """How many connections to searchers are open."""
         return sum(one.link.connections for one in self._known_by_id.values())
 
+    def relocate(self, region_by_data_centre: Mapping[str, str]) -> None:
+        """Take which data centre lies in which region."""
+        self.region_by_data_centre = region_by_data_centre
+        self._candidates_by_service.clear()
+
     def share_caps(self, caps: Mapping[str, int]) -> None:
         """Share the caps of services out among all gateways."""
         self._caps = caps
@@ -125,6 +134,7 @@
                 self._keep(record.searcher_id)
                 self._tell_leaving(known.record, record)
                 known.record = record
+                self._candidates_by_service.pop(record.service, None)
                 return
             self._remove(record.searcher_id)
         self._add(record)
@@ -146,6 +156,7 @@
             self._remove,
             searcher_id,
         )
+        self._candidates_by_service.pop(known.record.service, None)
 
     def drop_misdirected(self, searcher_id: str) -> None:
         """Take the news that another searcher runs at its address.
@@ -167,23 +178,18 @@
             for searcher_id in self._ids_by_service.get(service, ())
         )
 
-    def candidates(self, service: str) -> Iterator[searcher_choice.Candidate]:
-        """Return the searchers of a service that may be asked."""
-        region = self.region_by_data_centre.get(self.here)
-        for searcher_id in self._ids_by_service.get(service, ()):
-            known = self._known_by_id[searcher_id]
-            record = known.record
-            if record.is_leaving:
-                continue
-            its_region = self.region_by_data_centre.get(record.data_centre)
-            yield searcher_choice.Candidate(
-                searcher_id=searcher_id,
-                standing=known.link.standing,
-                data_centre=record.data_centre,
-                is_in_data_centre=record.data_centre == self.here,
-                is_in_region=its_region == region,
-                is_last_choice=searcher_id in self._removal_by_id,
-            )
+    def candidates(self, service: str) -> list[searcher_choice.Candidate]:
+        """Return the searchers of a service that may be asked.
+
+        The list is kept until one of them changes: each part of a search
+        reads it four times.
+        """
+        kept = self._candidates_by_service.get(service)
+        if kept is None:
+            kept = list(self._made_candidates(service))
+            if kept:
+                self._candidates_by_service[service] = kept
+        return kept
 
     def states(self, now: float) -> Iterator[str]:
         """Return the state of each searcher, as metrics name it."""
@@ -252,6 +258,26 @@
         )
         return chosen and self._known_by_id[chosen.searcher_id].link
 
+    def _made_candidates(
+        self,
+        service: str,
+    ) -> Iterator[searcher_choice.Candidate]:
+        region = self.region_by_data_centre.get(self.here)
+        for searcher_id in self._ids_by_service.get(service, ()):
+            known = self._known_by_id[searcher_id]
+            record = known.record
+            if record.is_leaving:
+                continue
+            its_region = self.region_by_data_centre.get(record.data_centre)
+            yield searcher_choice.Candidate(
+                searcher_id=searcher_id,
+                standing=known.link.standing,
+                data_centre=record.data_centre,
+                is_in_data_centre=record.data_centre == self.here,
+                is_in_region=its_region == region,
+                is_last_choice=searcher_id in self._removal_by_id,
+            )
+
     def _is_superseded(self, record: searcher_record.SearcherRecord) -> bool:
         """Tell whether a later searcher has the address; drop earlier ones."""
         holder = self._id_by_address.get(record.address, record.searcher_id)
@@ -287,6 +313,7 @@
         )
         same = self._ids_by_service.setdefault(record.service, set())
         same.add(record.searcher_id)
+        self._candidates_by_service.pop(record.service, None)
 
     def _usual(self, service: str) -> usual_latency.UsualLatency:
         known = self._usual_by_service.get(service)
@@ -307,6 +334,7 @@
         )
         self._id_by_address.pop(known.record.address)
         service = known.record.service
+        self._candidates_by_service.pop(service, None)
         self._ids_by_service[service].discard(searcher_id)
         if not self._ids_by_service[service]:
             self._ids_by_service.pop(service)
--- a/chivepond/tests/test_gateway_load.py
+++ b/chivepond/tests/test_gateway_load.py
@@ -71,8 +71,8 @@
         return rng.lognormvariate(-2.1, 0.45)
 
     def slow_s(now):
-        is_slow = 10 <= now < 18
-        return work_s(now) * (10 if is_slow else 1)
+        took_s = work_s(now)
+        return 10 * took_s if 10 <= now < 18 else took_s
 
     searchers = [
         load_play.Searcher('a', slow_s, slots=3),
