--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -442,3 +442,45 @@
     deleted: bool = False,
 ) -> store_calls.Change:
     return store_calls.Change(_stored(name, revision), deleted=deleted)
+
+
+def test_callers_that_come_before_the_first_news_are_served():
+    """Callers waited for a gateway to start, and were turned away by it.
+
+    All processes had been killed. The first one to listen had not read the
+    store yet; it told its callers to come back in a second, and a caller with
+    a second of patience was never served.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            behind = bench.store.address
+            async with gateway_bench.Gate(behind, delay_s=0.02) as slow:
+                gate = await bench.unready_gateway(store=str(slow.address))
+                caller = await bench.caller(gate.callers)
+                assert not gate.is_ready
+                reply = gateway_bench.reply_of(await caller.get('/r/'))
+                assert reply.status == 200
+
+    support.run(play())
+
+
+def test_callers_are_turned_away_at_once_when_the_first_news_stay_out():
+    """A store that is away holds nobody for longer than a start takes."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            gate = await bench.unready_gateway(store='127.0.0.1:1')
+            caller = await bench.caller(gate.callers)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            first = gateway_bench.reply_of(await caller.get('/r/'))
+            assert loop.time() - began < 0.4
+            began = loop.time()
+            second = gateway_bench.reply_of(await caller.get('/r/'))
+            assert loop.time() - began < 0.1
+            assert (first.status, second.status) == (503, 503)
+
+    support.run(play())
