--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/news.py
@@ -76,7 +76,7 @@
         self._searchers.replace(records)
         self._is_listed = True
         self._versions.look()
-        self._tell_informed()
+        self._on_informed()
 
     def take_searcher_change(self, change: store_calls.Change) -> None:
         """Take the news of one searcher."""
@@ -128,11 +128,6 @@
         self._searchers.share_caps(table.connection_cap_by_service)
         self._telemetry.gauge('routes_version', table.version)
         self._telemetry.tell(events.ROUTES_IN_FORCE, version=table.version)
-        self._tell_informed()
-
-    def _tell_informed(self) -> None:
-        if self.is_informed:
-            self._way.all_known()
         self._on_informed()
 
     def _refuse_entry(
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -8,7 +8,6 @@
 from chivepond.gateway import (
     answer,
     caller_request,
-    first_news,
     forwarded_request,
     gathered_request,
     peers,
@@ -41,7 +40,6 @@
     """Routes requests by the version in force when they come."""
 
     __slots__ = (
-        '_first',
         '_late_by_route',
         '_peers',
         '_share_by_route',
@@ -58,7 +56,6 @@
         """Know no configuration yet."""
         self._tools = tools
         self._peers = others
-        self._first = first_news.FirstNews()
         self._table: routing_table.RoutingTable | None = None
         #: When the version in force was put in force, on the steady clock.
         self.in_force_since: float | None = None
@@ -78,10 +75,6 @@
         self.in_force_since = asyncio.get_running_loop().time()
         return True
 
-    def all_known(self) -> None:
-        """Take the news that routes and searchers are known."""
-        self._first.came()
-
     def gathers(self, route_name: str, shards: Iterable[str]) -> bool:
         """Tell whether the version in force gathers ``shards`` on a route.
 
@@ -104,14 +97,10 @@
         """Return the answer to one request, and write what became of it."""
         clock = asyncio.get_running_loop().time
         trace = request_trace.RequestTrace(clock, request.came_at)
-        route = None
+        table = self._table
+        route = table and table.find(request.host, request.path)
         try:
-            await self._first.wait()
-            route = self._table and self._table.find(
-                request.host,
-                request.path,
-            )
-            told = await self._answer(request, route, trace)
+            told = await self._answer(request, table, route, trace)
         except asyncio.CancelledError:
             told = answer.refusal(0, 'the caller left')
             raise
@@ -126,10 +115,11 @@
     async def _answer(
         self,
         request: caller_request.CallerRequest,
+        table: routing_table.RoutingTable | None,
         route: routing_table.Route | None,
         trace: request_trace.RequestTrace,
     ) -> answer.Answer:
-        if self._table is None:
+        if table is None:
             text = 'no configuration is known yet'
             return answer.refusal(_UNAVAILABLE, text, _UNKNOWN_RETRY_S)
         if route is None:
