Starts and outages cost fewer calls on the store

A store that turns a gateway away is tried by its three readers, each on its own (23 calls in four seconds). The watch for other gateways, whose news may be old, is paid like the others.

Change: the first list may be old, at a tenth of the price; a watch of 0.1 s from the oldest of its pages tells what it lacked, before others may follow this gateway. A gateway that begins to follow gets its first reply at once. One reader tries a store that is away for all three, less often while a peer tells the news.

The test of the tries failed without the change.

--- a/chivepond/decisions/news_source.py
+++ b/chivepond/decisions/news_source.py
@@ -29,6 +29,18 @@
 _ALONE_PART = 0.75
 #: How much longer than its wait a watch may take, in seconds.
 WATCH_GRACE_S = 0.5
+#: The first pause before the store is called again after a failure, in
+#: seconds; each further one is twice as long.
+FIRST_RETRY_S = 0.1
+#: The longest such pause: where nothing is known yet, each caller is refused
+#: meanwhile; where all is known from another gateway, nobody waits for it.
+_LONGEST_BLIND_S = 0.25
+_LONGEST_RETRY_S = 0.8
+_LONGEST_FRESH_S = 1.6
+#: How long a reader leaves it to another one to try the store, in seconds.
+OTHERS_RETRY_S = 2.4
+#: Spreads the calls of gateways that failed at the same moment.
+JITTER = (0.7, 1.3)
 #: A watch for other gateways, in seconds, at most as long as the store waits.
 _GATEWAYS_WATCH_S = 12.0
 
@@ -84,5 +96,17 @@
     return _ASK_PART * bound_s
 
 
+def retry_s(before_s: float, *, is_known: bool, is_fresh: bool) -> float:
+    """Return the pause after one of ``before_s``, in seconds.
+
+    ``is_known`` says that something is known, ``is_fresh`` that it is what
+    another gateway reads now.
+    """
+    longest_s = _LONGEST_RETRY_S if is_known else _LONGEST_BLIND_S
+    if is_fresh:
+        longest_s = _LONGEST_FRESH_S
+    return min(longest_s, 2 * before_s)
+
+
 def _node_id(one: Member) -> str:
     return one.node_id
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -1,30 +1,31 @@
 """Keeps in step with one kind of object in the platform's store."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
 from chivepond.decisions import news_source
-from chivepond.gateway import outcome, replica, store_client, telemetry
+from chivepond.gateway import (
+    outcome,
+    replica,
+    store_client,
+    store_outage,
+    telemetry,
+)
 from chivepond.observe import events
 from chivepond.platform import store_calls
 from chivepond.transport import address
 
 _CALL_S = 1.0
-#: How long to wait before another call after a failed one, in seconds.
-_FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 0.8
-#: The longest where nothing is known yet: each caller is refused meanwhile.
-_BLIND_PAUSE_S = 0.25
+#: How long the watch after a list that may be old waits, in seconds: what the
+#: list lacked comes at once, and others may follow this gateway only then.
+_PROOF_S = 0.1
 #: Between two watches, in seconds: changes that come together cost one call.
 #: News may be seconds old by the operators' bounds; a quarter of a second
 #: takes little of that.
 _GATHER_S = 0.25
-#: Spreads the calls of gateways that failed at the same moment.
-_JITTER = (0.7, 1.3)
 _MS_PER_S = 1000
 _OK = 200
 
@@ -36,8 +37,10 @@
 
     __slots__ = (
         '_client',
+        '_is_proved',
         '_kind',
-        '_pause_s',
+        '_is_fresh',
+        '_outage',
         '_replica',
         '_telemetry',
         '_watch_s',
@@ -51,16 +54,24 @@
         copy: replica.Replica,
         told: telemetry.Telemetry,
         watch_s: Callable[[], float],
+        outage: store_outage.StoreOutage,
+        is_fresh: Callable[[], bool],
     ) -> None:
-        """Keep ``copy`` in step; a watch waits for ``watch_s`` seconds."""
+        """Keep ``copy`` in step; a watch waits for ``watch_s`` seconds.
+
+        ``is_fresh`` tells whether the copies are fresh, the store aside.
+        """
+        self._outage = outage
+        self._is_fresh = is_fresh
         self._kind = kind
         self._client = store_client.StoreClient(place)
         self._replica = copy
         self._telemetry = told
         self._watch_s = watch_s
+        #: Whether what is known was confirmed by a list or watch that is new.
+        self._is_proved = True
         #: Whether the last call failed.
         self.is_lost = False
-        self._pause_s = _FIRST_PAUSE_S
 
     async def run(self) -> None:
         """Keep in step until cancelled."""
@@ -72,38 +83,57 @@
                 revision = await self._list()
 
     async def _list(self) -> int:
-        """Return the revision to watch from, zero where a call failed."""
+        """Return the revision to watch from, zero where a call failed.
+
+        The first list may be seconds old, at a tenth of the price: the watch
+        that follows tells at once what changed since. After that a list is
+        read where the history is gone, and an old one might end there again.
+        Pages that may be old count as of the oldest of them, so that the watch
+        tells what only the newer ones had.
+        """
         found: list[store_calls.StoredObject] = []
         after = ''
         as_of = 0
+        may_be_old = not self._replica.as_of
         began = asyncio.get_running_loop().time()
         while True:
-            path = store_calls.list_path(self._kind, after)
+            path = store_calls.list_path(
+                self._kind,
+                after,
+                may_be_old=may_be_old,
+            )
             page = await self._read(path, store_calls.Page, _CALL_S)
             if page is None:
                 return 0
-            as_of = as_of or page.as_of
+            as_of = min(as_of or page.as_of, page.as_of)
             found.extend(page.items)
             if not page.has_more or not page.items:
                 self._replica.take_list(found, as_of)
-                self._replica.confirm(began)
+                self._prove(began, is_new=not may_be_old)
                 return as_of
             after = page.items[-1].meta.name
 
+    def _prove(self, began: float, *, is_new: bool) -> None:
+        self._is_proved = is_new or not self._replica.is_bound
+        if self._is_proved:
+            self._replica.confirm(began)
+
     async def _watch(self, revision: int) -> None:
         while True:
-            wait_s = self._watch_s()
+            wait_s = self._watch_s() if self._is_proved else _PROOF_S
             changes = await self._read(
                 store_calls.watch_path(
                     self._kind,
                     revision,
                     int(wait_s * _MS_PER_S),
+                    may_be_old=not self._replica.is_bound,
                 ),
                 store_calls.Changes,
                 wait_s + news_source.WATCH_GRACE_S,
             )
             if changes is None:
                 return
+            self._is_proved = True
             revision = changes.as_of
             self._replica.take_changes(changes.events, revision)
             self._replica.confirm(asyncio.get_running_loop().time())
@@ -136,19 +166,18 @@
         if not self.is_lost:
             self.is_lost = True
             self._telemetry.tell(events.SOURCE_LOST, kind=self._kind, why=why)
-        await self._pause()
+        await self._outage.pause(
+            self._kind,
+            is_known=bool(self._replica.as_of),
+            is_fresh=self._is_fresh(),
+        )
 
     def _regain(self) -> None:
-        self._pause_s = _FIRST_PAUSE_S
+        self._outage.over()
         if self.is_lost:
             self.is_lost = False
             self._telemetry.tell(events.SOURCE_REGAINED, kind=self._kind)
 
-    async def _pause(self) -> None:
-        await asyncio.sleep(self._pause_s * random.uniform(*_JITTER))
-        longest_s = _LONGEST_PAUSE_S if self._replica.as_of else _BLIND_PAUSE_S
-        self._pause_s = min(longest_s, 2 * self._pause_s)
-
 
 def _decode(body: bytes, kind: type[Told]) -> tuple[str, Told | None]:
     try:
--- a/chivepond/gateway/store_news.py
+++ b/chivepond/gateway/store_news.py
@@ -13,6 +13,7 @@
     peer_message,
     peers,
     replica,
+    store_outage,
     telemetry,
 )
 from chivepond.gateway import link as links
@@ -87,10 +88,10 @@
         followed = self._leader()
         if followed is None:
             self._begin_reading()
-            self._tell_following('')
             if self._may_follow_any():
                 await self._follow_any()
             else:
+                self._tell_following('')
                 await asyncio.sleep(_LOOK_S)
             return
         if await self._follow(followed):
@@ -119,6 +120,7 @@
     def _begin_reading(self) -> None:
         if self._tasks:
             return
+        outage = store_outage.StoreOutage()
         self._readers = [
             kind_reader.KindReader(
                 kind,
@@ -126,6 +128,8 @@
                 copy,
                 self._telemetry,
                 self._watch_of(kind),
+                outage,
+                self._is_fresh,
             )
             for kind, copy in self._replica_by_kind.items()
         ]
@@ -158,6 +162,11 @@
         now = asyncio.get_running_loop().time()
         return max(one.age_s(now) for one in self._copies())
 
+    def _is_fresh(self) -> bool:
+        """Tell whether another gateway's news are taken, and fresh."""
+        oldest_s = news_source.oldest_s(self._bound_s)
+        return bool(self._following) and self._age_s() < oldest_s
+
     def _copies(self) -> list[replica.Replica]:
         return list(self._replica_by_kind.values())
 
@@ -168,7 +177,8 @@
 
     async def _follow(self, link: links.Link) -> bool:
         """Return whether fresh news came."""
-        wait_s = news_source.ask_s(self._bound_s)
+        # The first reply comes at once: until it does, the store is read too.
+        wait_s = news_source.ask_s(self._bound_s) if self._following else 0
         asked = gateway_news.NewsRequest(
             {kind: one.as_of for kind, one in self._replica_by_kind.items()},
             wait_s,
--- /dev/null
+++ b/chivepond/gateway/store_outage.py
@@ -0,0 +1,50 @@
+"""Lets one reader of the store try it again for all while it is away."""
+
+import asyncio
+import random
+
+from chivepond.decisions import news_source
+
+
+class StoreOutage:
+    """Shared by the readers of one gateway.
+
+    Guards against tries that grow with the kinds that are read: a store that
+    turns a gateway away for nine seconds was called 39 times by its three
+    readers, and each call is paid for, refused or not.
+    """
+
+    __slots__ = ('_ended', '_pause_s', '_trying')
+
+    def __init__(self) -> None:
+        """Begin with a store that replies."""
+        self._trying = ''
+        self._ended = asyncio.Event()
+        self._pause_s = news_source.FIRST_RETRY_S
+
+    def over(self) -> None:
+        """Take the news that the store replied; all may go on."""
+        self._trying = ''
+        self._pause_s = news_source.FIRST_RETRY_S
+        self._ended.set()
+
+    async def pause(self, kind: str, *, is_known: bool, is_fresh: bool) -> None:
+        """Return when the reader of ``kind`` shall call the store again."""
+        if not self._trying:
+            self._ended.clear()
+        self._trying = self._trying or kind
+        if self._trying == kind:
+            spread = random.uniform(*news_source.JITTER)
+            await asyncio.sleep(spread * self._pause_s)
+            self._pause_s = news_source.retry_s(
+                self._pause_s,
+                is_known=is_known,
+                is_fresh=is_fresh,
+            )
+            return
+        try:
+            async with asyncio.timeout(news_source.OTHERS_RETRY_S):
+                await self._ended.wait()
+        except TimeoutError:
+            # What fails may be the one kind that is tried, and not the store.
+            return
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -47,6 +47,8 @@
         '_changes',
         '_listener',
         '_object_by_place',
+        '_old_object_by_place',
+        '_old_revision',
         '_oldest',
         '_revision',
         'calls',
@@ -56,6 +58,9 @@
     def __init__(self) -> None:
         """Start with no object."""
         self._object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
+        #: What lists that may be old are answered by, where they lag.
+        self._old_object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
+        self._old_revision = 0
         self._changes: list[_Change] = []
         self._revision = 1
         self._oldest = 0
@@ -95,6 +100,11 @@
         """Reset all connections."""
         self._listener.abort_all()
 
+    def lag(self) -> None:
+        """Answer lists that may be old by what holds now, from here on."""
+        self._old_revision = self._revision
+        self._old_object_by_place = dict(self._object_by_place)
+
     def forget(self) -> None:
         """Drop the history."""
         self._oldest = self._revision
@@ -159,17 +169,14 @@
             wait_s = int(query['wait_ms']) / _MS_PER_S  # noqa: WPS529
             since = int(query['watch'])
             return await self._watch(kind, since, wait_s)
-        return self._list(kind, query.pop('after', ''))
-
-    def _list(self, kind: str, after: str) -> answer.Answer:
-        names = [name for name in self.names(kind) if name > after]
-        shown = names[:_PAGE]
-        page = {
-            'items': [self._object_by_place[(kind, name)] for name in shown],
-            'as_of': self._revision,
-            'has_more': len(names) > len(shown),
-        }
-        return _json(_OK, page)
+        after = query.pop('after', '')
+        if query and self._old_revision:
+            return _page(
+                self._old_object_by_place,
+                (kind, after),
+                self._old_revision,
+            )
+        return _page(self._object_by_place, (kind, after), self._revision)
 
     async def _watch(
         self,
@@ -215,5 +222,24 @@
     return None  # noqa: WPS324
 
 
+def _page(
+    object_by_place: dict[tuple[str, str], dict[str, Any]],
+    after: tuple[str, str],
+    as_of: int,
+) -> answer.Answer:
+    places = sorted(
+        place
+        for place in object_by_place
+        if place[0] == after[0] and place > after
+    )
+    shown = places[:_PAGE]
+    page = {
+        'items': [object_by_place[place] for place in shown],
+        'as_of': as_of,
+        'has_more': len(places) > len(shown),
+    }
+    return _json(_OK, page)
+
+
 def _json(status: int, told: object) -> answer.Answer:
     return answer.Answer(status, [], msgspec.json.encode(told))
--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -8,8 +8,9 @@
 
 from chivepond.gateway import replica
 from chivepond.platform import documents, store_calls
-from chivepond.standins import scripted_searcher
+from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
 
 Got = scripted_searcher.Got
 Told = scripted_searcher.Told
@@ -442,3 +443,62 @@
     deleted: bool = False,
 ) -> store_calls.Change:
     return store_calls.Change(_stored(name, revision), deleted=deleted)
+
+
+def test_a_store_that_turns_away_is_tried_by_one_reader():
+    """Each gateway that was turned away paid for its tries threefold.
+
+    The store turned a gateway away for seconds. Its three readers each called
+    again and again, though the news came from another gateway meanwhile: 23
+    calls in four seconds. One reader tries for all, less often while a peer
+    tells the news; at the store's return all three read at once.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            other = routed_store.RoutedStore()
+            await bench._open.enter_async_context(other)
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            peer = await bench.ready_gateway(node_id='gate-2')
+            bench.copy_searcher('s-1', other)
+            other.put(
+                'config', 'main', gateway_bench.configuration(1, _route())
+            )
+            gate = await bench.ready_gateway(
+                store=str(other.address),
+                seeds=[str(peer.peers)],
+            )
+            other.refuse = _always(503)
+            other.cut()
+            await asyncio.sleep(0.5)
+            before = other.calls
+            await asyncio.sleep(4)
+            assert other.calls - before < 10
+            other.refuse = lambda path: None
+            bench.configure(2, _route())
+            await _until_version(gate, 2)
+
+    support.run(play())
+
+
+def test_a_first_list_that_is_old_is_made_good_at_once():
+    """A gateway that had just started routed by a version of seconds ago.
+
+    The store may answer a cheap list from a copy that lags; the watch from the
+    age of that list tells at once what it lacked.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            bench.store.lag()
+            bench.configure(2, _route())
+            bench.register('s-2', 'desk', address.parse('127.0.0.1:9').unwrap())
+            gate = await bench.ready_gateway()
+            await asyncio.sleep(0.6)
+            assert gate.figures.routes_version == 2
+            assert gate.figures.searchers_known == 2
+
+    support.run(play())
