A command sums up where a run lost answers, by cause and window

Lines of requests tell whether they were late and how many shards there are; a late answer has its line like a partial one.

--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -198,14 +198,18 @@
         telemetry = self._tools.telemetry
         telemetry.count('requests', f'{label} {kind.text}')
         telemetry.took(label, took_s)
+        is_late = route is not None and took_s > route.target_latency_s
+        is_ordinary = kind is events.REQUEST_ANSWERED and not trace.notes
         telemetry.tell(
             kind,
-            is_ordinary=kind is events.REQUEST_ANSWERED and not trace.notes,
+            is_ordinary=is_ordinary and not is_late,
             request=request.request_id.decode(errors='replace'),
             route=label,
             version=self._table.version if self._table else None,
             status=told.status,
             took_ms=round(took_s * _MS_PER_S),
+            is_late=is_late,
+            shards=_shard_count(route),
             reason=told.reason,
             missing=told.reason_by_shard,
             sends=trace.sends,
@@ -214,6 +218,14 @@
         )
 
 
+def _shard_count(route: routing_table.Route | None) -> int:
+    match route:
+        case routing_table.Route(target=routing_table.AllShards(shards=shards)):
+            return len(shards)
+        case _:
+            return 0
+
+
 def _kind(told: answer.Answer) -> event.Event:
     if told.status in _SUCCESSES:
         if told.reason_by_shard:
--- a/chivepond/observe/request_story.py
+++ b/chivepond/observe/request_story.py
@@ -12,7 +12,8 @@
 
 #: Changes of belief this long before a request's last line may explain it.
 _BEFORE = datetime.timedelta(seconds=10)
-_BELIEFS = frozenset(
+#: Events by which a gateway changes what it believes.
+BELIEFS = frozenset(
     one.number
     for one in (
         events.ROUTES_IN_FORCE,
@@ -76,7 +77,7 @@
     named: str,
     until: datetime.datetime,
 ) -> bool:
-    if line.number not in _BELIEFS or line.told.get('node') not in nodes:
+    if line.number not in BELIEFS or line.told.get('node') not in nodes:
         return False
     if not until - _BEFORE <= line.at <= until:
         return False
--- /dev/null
+++ b/chivepond/observe/run_summary.py
@@ -0,0 +1,165 @@
+"""Sums up from the logs of gateways where answers were lost, and why."""
+
+import collections
+import dataclasses
+import re
+from collections.abc import Iterable, Iterator
+
+from chivepond.observe import events, request_story
+
+#: The length of a window, in seconds: about what a fault takes to show.
+_WINDOW_S = 2
+_WORST = 5
+_MINUTE_S = 60
+_ENDS = frozenset(
+    one.number
+    for one in (
+        events.REQUEST_ANSWERED,
+        events.REQUEST_ANSWERED_IN_PART,
+        events.REQUEST_REFUSED,
+        events.REQUEST_UNANSWERED,
+    )
+)
+#: Names of hosts, searchers and shards, and figures: what differs between two
+#: requests that were lost for the same reason.
+_NAME = re.compile(r'\b[\w-]*\d[\w-]*\b')
+
+
+@dataclasses.dataclass(slots=True)
+class Loss:
+    """What one cause cost; an answer that is lost counts as one."""
+
+    cause: str
+    requests: int = 0
+    answers: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Window:
+    """A few seconds, and what was lost and noted in them."""
+
+    began: str
+    answers: float
+    worst_cause: str
+    #: What gateways came to believe meanwhile, the most frequent first.
+    beliefs: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Summary:
+    """Where a run lost answers; the losses add up to all that is told of."""
+
+    losses: list[Loss]
+    windows: list[Window]
+    #: Lines that were left out to keep the logs bounded, ordinary ones too.
+    left_out: int
+
+
+def of(lines: list[request_story.Line]) -> Summary:
+    """Return the summary of the lines of one run."""
+    loss_by_cause: dict[str, Loss] = {}
+    lost_by_window: dict[int, collections.Counter[str]] = {}
+    for line in lines:
+        for cause, share in _causes(line):
+            known = loss_by_cause.setdefault(cause, Loss(cause))
+            known.requests += 1
+            known.answers += share
+            window = lost_by_window.setdefault(
+                _window(line),
+                collections.Counter(),
+            )
+            window[cause] += share
+    return Summary(
+        sorted(loss_by_cause.values(), key=_answers, reverse=True),
+        _worst_windows(lines, lost_by_window),
+        sum(int(line.told.get('left_out_before', 0)) for line in lines),
+    )
+
+
+def _causes(line: request_story.Line) -> Iterator[tuple[str, float]]:
+    """Return what a request lost, as shares of its answer by cause."""
+    if line.number not in _ENDS:
+        return
+    told = line.told
+    if line.number == events.REQUEST_ANSWERED_IN_PART.number:
+        yield from _of_parts(told.get('missing', {}), told.get('shards', 0))
+    elif line.number == events.REQUEST_REFUSED.number:
+        yield (f'refused: {_general(told.get("reason", ""))}', 1)
+    elif line.number == events.REQUEST_UNANSWERED.number:
+        yield (f'failed: {_general(told.get("reason", ""))}', 1)
+    if told.get('is_late'):
+        yield (f'late: {_last_note(told.get("notes", []))}', 1)
+
+
+def _of_parts(
+    missing: dict[str, str],
+    shards: int,
+) -> Iterator[tuple[str, float]]:
+    """Return the loss of missing parts: the square of what is in is earned."""
+    if not missing or not shards:
+        return
+    share = 1 - len(missing) / shards
+    lost_a_part = (1 - share**2) / len(missing)
+    counts = collections.Counter(map(_general, missing.values()))
+    for reason, count in counts.items():
+        yield (f'parts missing: {reason}', count * lost_a_part)
+
+
+def _last_note(notes: list[str]) -> str:
+    if not notes:
+        return 'one searcher'
+    _, _, note = notes[-1].partition(' ')
+    return _general(note)
+
+
+def _general(text: str) -> str:
+    return _NAME.sub('*', text)
+
+
+def _worst_windows(
+    lines: Iterable[request_story.Line],
+    lost_by_window: dict[int, collections.Counter[str]],
+) -> list[Window]:
+    worst = sorted(lost_by_window, key=lambda one: -_total(lost_by_window[one]))
+    noted_by_window = _beliefs(lines)
+    return [
+        _described(one, lost_by_window[one], noted_by_window[one])
+        for one in worst[:_WORST]
+    ]
+
+
+def _beliefs(
+    lines: Iterable[request_story.Line],
+) -> dict[int, collections.Counter[str]]:
+    """Return how often gateways noted what, by window."""
+    noted_by_window = collections.defaultdict(collections.Counter)
+    for line in lines:
+        if line.number in request_story.BELIEFS:
+            noted_by_window[_window(line)][line.text] += 1
+    return noted_by_window
+
+
+def _described(
+    number: int,
+    lost: collections.Counter[str],
+    noted: collections.Counter[str],
+) -> Window:
+    second = _WINDOW_S * number % _MINUTE_S
+    return Window(
+        began=f'second {second}',
+        answers=_total(lost),
+        worst_cause=lost.most_common(1)[0][0],
+        beliefs=[f'{text} {count}' for text, count in noted.most_common(3)],
+    )
+
+
+def _window(line: request_story.Line) -> int:
+    return int(line.at.timestamp() // _WINDOW_S)
+
+
+def _answers(loss: Loss) -> float:
+    return loss.answers
+
+
+def _total(lost: collections.Counter[str]) -> float:
+    return sum(lost.values())
--- a/chivepond/tests/test_gateway_logs.py
+++ b/chivepond/tests/test_gateway_logs.py
@@ -6,6 +6,7 @@
 import os
 
 from chivepond.observe import bounded_output, events, journal
+from chivepond.platform import documents
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
 from chivepond.tools import operator_cli
@@ -271,3 +272,46 @@
         if line['event'] == events.SEARCHER_TRUSTED.number
     ]
     assert [line['name'] for line in found] == ['s-1']
+
+
+def test_the_command_sums_up_where_a_run_lost_answers(tmp_path, capsys):
+    """After a bad hour nobody could say which cause cost most.
+
+    One search lacks a part of two, one request is refused, one is late: their
+    losses stand by cause and add up.
+    """
+
+    async def late(got: Got) -> Told:
+        await asyncio.sleep(0.3)
+        return await _echo(got)
+
+    async def scene() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', late)
+            await bench.searcher('s-2', 'one', _echo)
+            gathered = documents.gathered(['one', 'two'], 5, 0.5, 200)
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'r',
+                    '/r/',
+                    service='desk',
+                    target_latency_ms=200,
+                ),
+                gateway_bench.route('none', '/none/', service='nobody'),
+                gateway_bench.route('all', '/all/', **gathered),
+            )
+            gate = await bench.ready_gateway()
+            caller = await bench.caller(gate.callers)
+            for path in ('/r/', '/none/', '/all/'):
+                await caller.get(path)
+
+    log = tmp_path / 'gate-1.log'
+    log.write_text('\n'.join(json.dumps(line) for line in _played(scene)))
+    words = ['chivepond', 'explain', '--summary', '--file', str(log)]
+    assert operator_cli.main(words) == 0
+    told = capsys.readouterr().out
+    assert 'answers lost: 2.8, by cause' in told
+    assert '1.0  of 1 requests  late: one searcher' in told
+    assert '1.0  of 1 requests  refused: no searcher is registered' in told
+    assert '0.8  of 1 requests  parts missing: no searcher' in told
--- a/chivepond/tools/explain_commands.py
+++ b/chivepond/tools/explain_commands.py
@@ -1,22 +1,22 @@
-"""The command that explains one request from the logs."""
+"""The commands that explain one request, or a run, from the logs."""
 
 import pathlib
 
 from chivepond.errors import invalid, not_found
-from chivepond.observe import request_story
+from chivepond.observe import request_story, run_summary
 from chivepond.tools import console, exit_code, program_flags
 
 _LEFT_OUT = frozenset(('level', 'request'))
 
 
 async def explain(program: program_flags.ProgramFlags) -> int:
-    """Write what the logs say of a request, in order."""
+    """Write what the logs say of a request, or of all of them."""
     told = program.flags
-    if not told.request or not told.file:
+    if not told.file or not (told.request or told.summary):
         return console.complain(
             invalid.Invalid(
-                message='a request and its logs are needed',
-                remedy='name --request ID and --file LOG[,LOG...]',
+                message='logs are needed, and a request or --summary',
+                remedy='name --file LOG[,LOG...] and --request ID',
             ),
         )
     try:
@@ -28,7 +28,11 @@
                 remedy='name files that exist and may be read',
             ),
         )
-    found = request_story.story(request_story.read(lines), told.request)
+    read = request_story.read(lines)
+    if told.summary:
+        _say_summary(run_summary.of(read))
+        return exit_code.ExitCode.OK
+    found = request_story.story(read, told.request)
     if not found:
         return console.complain(
             not_found.NotFound(
@@ -42,6 +46,23 @@
     return exit_code.ExitCode.OK
 
 
+def _say_summary(summary: run_summary.Summary) -> None:
+    total = sum(loss.answers for loss in summary.losses)
+    console.say(f'answers lost: {total:.1f}, by cause')
+    for loss in summary.losses:
+        console.say(
+            f'{loss.answers:8.1f}  of {loss.requests} requests  {loss.cause}',
+        )
+    console.say('the worst windows of two seconds')
+    for window in summary.windows:
+        noted = ', '.join(window.beliefs) or 'nothing'
+        console.say(
+            f'{window.answers:8.1f}  from {window.began}  '
+            f'{window.worst_cause}; noted: {noted}',
+        )
+    console.say(f'lines left out of the logs: {summary.left_out}')
+
+
 def _read(names: list[str]) -> list[str]:
     return [
         line
--- a/chivepond/tools/operator_cli.py
+++ b/chivepond/tools/operator_cli.py
@@ -33,6 +33,7 @@
   chivepond status --operators 127.0.0.1:8301
   chivepond burn --operators 127.0.0.1:8301,127.0.0.1:8302 --plot burn.png
   chivepond explain --request 9c41d07be2a35f68 --file gate-1.log,gate-2.log
+  chivepond explain --summary --file gate-1.log,gate-2.log
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 not run, 4 outcome unknown,
 5 unreachable.
@@ -107,6 +108,7 @@
     program.text('body', '', 'what a command is to do')
     program.text('section', '', 'search, capacity or audit')
     program.text('request', '', 'the identifier of a request to explain')
+    program.switch('summary', 'explain: sum up all requests of the logs')
     program.text('file', '', 'the YAML file with a section, or logs')
     program.number('base_edits', 0, 'edits that the edit was made from')
     return program
