One exchange is left at a searcher that lost a race, not all of them

In the lines the same shard is late for half a second and more after a pause of 250 ms: what a searcher was sent before and in its pause is answered by the other copy, and yet it works all of it off after the pause, ahead of the next searches.

Change: of the exchanges that lost a race, one a searcher goes on, which tells when the pause is over; the others end, and the searcher drops them.

The test fails without the change.

--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -262,9 +262,9 @@
 
     def _drop_running(self, *, is_left: bool = False) -> None:
         may_go_on = self._tools.switches.is_on(mechanism.Mechanism.STRAGGLERS)
-        for attempt in self._running:
+        for attempt, link in self._running.items():
             if may_go_on and (is_left or self._is_left_running):
-                self._tools.stragglers.keep(attempt)
+                self._tools.stragglers.keep_probe(attempt, link.end.name)
             else:
                 attempt.cancel()
         self._running.clear()
--- a/chivepond/tests/test_gateway_forwarding.py
+++ b/chivepond/tests/test_gateway_forwarding.py
@@ -510,3 +510,41 @@
                     assert (await caller.get('/stamps/')).status == 200
 
     support.run(play())
+
+
+def test_a_searcher_in_a_pause_keeps_no_queue_that_nobody_waits_for():
+    """Searches were late for as long again as a searcher had paused.
+
+    Four requests met a pause and were answered by the other searcher; the
+    first one worked all four off after its pause, ahead of the next ones.
+    One is left there, which tells when the pause is over.
+    """
+
+    async def paused(got: Got) -> Told:
+        await asyncio.sleep(0.3)
+        return scripted_searcher.good(got, b'late')
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            near = await bench.searcher('s-1', 'desk', paused)
+            far = await bench.searcher('s-2', 'desk', _echo, zone='hub')
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'r',
+                    '/r/',
+                    service='desk',
+                    target_latency_ms=100,
+                ),
+            )
+            gate = await bench.ready_gateway()
+            callers = [await bench.caller(gate.callers) for _ in range(4)]
+            ended = await asyncio.gather(*(one.get('/r/') for one in callers))
+            replies = map(gateway_bench.reply_of, ended)
+            assert {one.status for one in replies} == {200}
+            assert len(near.got) > 1
+            await asyncio.sleep(0.05)
+            left = gate.figures.searcher_connections - far.connections
+            assert left == 1
+
+    support.run(play())
