Which searcher is asked is selected apart from which are registered

`searcher_selection.py` asks the decisions; `searchers.py` keeps links in step with the store; a registered searcher tells its own state.

--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -15,6 +15,7 @@
     peers,
     replica,
     requests_way,
+    searcher_selection,
     searchers,
     service_ask,
     settings_parts,
@@ -81,6 +82,7 @@
     )
     tools = service_ask.AskTools(
         searchers=known,
+        selection=searcher_selection.SearcherSelection(known, switched),
         budgets=budgets.Budgets(
             settings_parts.budget_limits(settings),
             others,
--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -42,7 +42,7 @@
 
     __slots__ = (
         '_asks',
-        '_doubtful',
+        '_hopeless',
         '_fallbacks',
         '_late',
         '_route',
@@ -69,7 +69,7 @@
         self._asks: list[_Ask] = []
         self._fallbacks: list[Fallback] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._doubtful: set[asyncio.Task[None]] = set()
+        self._hopeless: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> Self:
         """Return the asks."""
@@ -130,8 +130,8 @@
             self._asks.append(ask)
             task = asyncio.create_task(self._ask_one(ask, deadline))
             self._tasks.add(task)
-            if self._tools.searchers.is_doubtful(shard):
-                self._doubtful.add(task)
+            if self._tools.selection.is_hopeless(shard):
+                self._hopeless.add(task)
 
     async def wait_all(self, until: float) -> None:
         """Wait for all tasks, those that are added meanwhile included.
@@ -164,10 +164,10 @@
         }
         self._fallbacks.clear()
         self._tasks |= begun
-        self._doubtful |= begun
+        self._hopeless |= begun
 
     async def _wait_hopeful(self) -> None:
-        while hopeful := self._pending() - self._doubtful:
+        while hopeful := self._pending() - self._hopeless:
             await asyncio.wait(hopeful)
 
     async def _wait_one(self) -> bool:
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -97,7 +97,7 @@
     def _places(self) -> dict[str, list[searcher_choice.Place]]:
         """Return where each shard may be asked; note those without any."""
         shards = self._work.search.target.shards
-        found = self._work.tools.searchers.places(
+        found = self._work.tools.selection.places(
             shards,
             self._work.search.route.target_latency_s,
         )
@@ -125,7 +125,7 @@
 
     def _learn(self, made: gather_plan.GatherPlan) -> None:
         work = self._work
-        queued = sum(map(work.tools.searchers.is_queued, made.direct))
+        queued = sum(map(work.tools.selection.is_queued, made.direct))
         queued += work.parts.queued
         work.tools.admission.learn(
             queued / len(work.parts.shards),
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -122,7 +122,7 @@
             took_s=asyncio.get_running_loop().time() - self._began,
             unasked=parts.unasked,
             has_more=has_more,
-            queued=sum(map(self._tools.searchers.is_queued, parts.shards)),
+            queued=sum(map(self._tools.selection.is_queued, parts.shards)),
             may_have_run=parts.may_have_run,
         )
 
--- a/chivepond/gateway/registered_searcher.py
+++ b/chivepond/gateway/registered_searcher.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from chivepond.decisions import searcher_choice
 from chivepond.gateway import link as links
 from chivepond.gateway import link_end, searcher_record
 
@@ -13,6 +14,29 @@
     record: searcher_record.SearcherRecord
     link: links.Link
 
+    def state(self, now: float) -> str:
+        """Return the state, as metrics name it."""
+        if self.record.is_leaving:
+            return 'leaving'
+        return self.link.standing.trust(now).name.lower()
+
+    def candidate(
+        self,
+        *,
+        is_in_data_centre: bool,
+        is_in_region: bool,
+        is_last_choice: bool,
+    ) -> searcher_choice.Candidate:
+        """Return it as the decisions see it."""
+        return searcher_choice.Candidate(
+            searcher_id=self.record.searcher_id,
+            standing=self.link.standing,
+            data_centre=self.record.data_centre,
+            is_in_data_centre=is_in_data_centre,
+            is_in_region=is_in_region,
+            is_last_choice=is_last_choice,
+        )
+
     def is_newer_than(self, told: searcher_record.SearcherRecord) -> bool:
         """Tell whether ``told`` is older than what is known."""
         known = (self.record.born_ms, self.record.sequence)
--- /dev/null
+++ b/chivepond/gateway/searcher_selection.py
@@ -0,0 +1,99 @@
+"""Which searcher of a service is asked, by what is believed of each."""
+
+import asyncio
+from collections.abc import Iterable
+
+from chivepond.decisions import (
+    searcher_choice,
+    searcher_standing,
+    switches,
+)
+from chivepond.gateway import link as links
+from chivepond.gateway import searchers
+from chivepond.settings import mechanism
+
+
+class SearcherSelection:
+    """Asks the decisions about the searchers that are registered."""
+
+    __slots__ = ('_loop', '_searchers', '_switches')
+
+    def __init__(
+        self,
+        known: searchers.Searchers,
+        switched: switches.Switches,
+    ) -> None:
+        """Select among ``known``."""
+        self._searchers = known
+        self._switches = switched
+        self._loop = asyncio.get_running_loop()
+
+    def places(
+        self,
+        services: Iterable[str],
+        target_latency_s: float,
+    ) -> dict[str, list[searcher_choice.Place]]:
+        """Return where each service may be asked, the best place first.
+
+        Services without a searcher are left out.
+        """
+        now = self._loop.time()
+        found = {}
+        for service in services:
+            places = searcher_choice.places(
+                self._searchers.candidates(service),
+                now,
+                self._switches,
+                target_latency_s,
+            )
+            if places:
+                found[service] = places
+        return found
+
+    def choose(
+        self,
+        service: str,
+        tried: set[str],
+        need: searcher_choice.Need,
+    ) -> links.Link | None:
+        """Return the best searcher that was not tried yet."""
+        chosen = searcher_choice.choose(
+            self._untried(service, tried),
+            self._loop.time(),
+            self._switches,
+            need,
+        )
+        return chosen and self._searchers.link(chosen.searcher_id)
+
+    def has_other(self, service: str, tried: set[str]) -> bool:
+        """Tell whether any searcher was not tried yet."""
+        return bool(self._untried(service, tried))
+
+    def is_queued(self, service: str) -> bool:
+        """Tell whether all searchers of a service have long queues."""
+        now = self._loop.time()
+        return all(
+            one.standing.is_queued(now)
+            for one in self._searchers.candidates(service)
+        )
+
+    def is_hopeless(self, service: str) -> bool:
+        """Tell whether no searcher of a service replied well lately."""
+        if not self._switches.is_on(mechanism.Mechanism.HOPELESS_SHARDS):
+            return False
+        now = self._loop.time()
+        return all(
+            searcher_choice.trust(one, now, self._switches)
+            >= searcher_standing.Trust.ON_TRIAL
+            for one in self._searchers.candidates(service)
+        )
+
+    def _untried(
+        self,
+        service: str,
+        tried: set[str],
+    ) -> list[searcher_choice.Candidate]:
+        known = self._searchers.candidates(service)
+        if not tried:
+            return known
+        return [one for one in known if one.searcher_id not in tried]
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -1,11 +1,10 @@
 """The searchers that are registered, and what is believed of each."""
 
 import asyncio
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 from chivepond.decisions import (
     searcher_choice,
-    searcher_standing,
     switches,
     usual_latency,
 )
@@ -194,69 +193,11 @@
     def states(self, now: float) -> Iterator[str]:
         """Return the state of each searcher, as metrics name it."""
         for known in self._known_by_id.values():
-            if known.record.is_leaving:
-                yield 'leaving'
-            else:
-                yield known.link.standing.trust(now).name.lower()
+            yield known.state(now)
 
-    def places(
-        self,
-        services: Iterable[str],
-        target_latency_s: float,
-    ) -> dict[str, list[searcher_choice.Place]]:
-        """Return where each service may be asked, the best place first.
-
-        Services without a searcher are left out.
-        """
-        now = self._loop.time()
-        found = {}
-        for service in services:
-            places = searcher_choice.places(
-                self.candidates(service),
-                now,
-                self._switches,
-                target_latency_s,
-            )
-            if places:
-                found[service] = places
-        return found
-
-    def is_queued(self, service: str) -> bool:
-        """Tell whether all searchers of a service have long queues."""
-        now = self._loop.time()
-        return all(
-            one.standing.is_queued(now) for one in self.candidates(service)
-        )
-
-    def is_doubtful(self, service: str) -> bool:
-        """Tell whether no searcher of a service replied well lately."""
-        if not self._switches.is_on(mechanism.Mechanism.HOPELESS_SHARDS):
-            return False
-        now = self._loop.time()
-        return all(
-            searcher_choice.trust(one, now, self._switches)
-            >= searcher_standing.Trust.ON_TRIAL
-            for one in self.candidates(service)
-        )
-
-    def choose(
-        self,
-        service: str,
-        tried: set[str],
-        need: searcher_choice.Need,
-    ) -> links.Link | None:
-        """Return the best searcher that was not tried yet."""
-        chosen = searcher_choice.choose(
-            (
-                one
-                for one in self.candidates(service)
-                if one.searcher_id not in tried
-            ),
-            self._loop.time(),
-            self._switches,
-            need,
-        )
-        return chosen and self._known_by_id[chosen.searcher_id].link
+    def link(self, searcher_id: str) -> links.Link:
+        """Return the link to a searcher that is known."""
+        return self._known_by_id[searcher_id].link
 
     def _made_candidates(
         self,
@@ -269,10 +210,7 @@
             if record.is_leaving:
                 continue
             its_region = self.region_by_data_centre.get(record.data_centre)
-            yield searcher_choice.Candidate(
-                searcher_id=searcher_id,
-                standing=known.link.standing,
-                data_centre=record.data_centre,
+            yield known.candidate(
                 is_in_data_centre=record.data_centre == self.here,
                 is_in_region=its_region == region,
                 is_last_choice=searcher_id in self._removal_by_id,
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -16,6 +16,7 @@
     outcome,
     request_trace,
     routing_table,
+    searcher_selection,
     searchers,
     stragglers,
     telemetry,
@@ -35,6 +36,7 @@
     """What all asks of a gateway share."""
 
     searchers: searchers.Searchers
+    selection: searcher_selection.SearcherSelection
     budgets: budgets.Budgets
     stragglers: stragglers.Stragglers
     telemetry: telemetry.Telemetry
@@ -224,7 +226,7 @@
     def _send_again(self) -> None:
         if self._sends >= self._route.max_attempts:
             return
-        if not self._other_exists():
+        if not self._tools.selection.has_other(self.service, self._tried):
             return
         if self._tools.budgets.spend(self.service):
             self._tools.telemetry.count('second_sends', 'sent')
@@ -233,14 +235,8 @@
             self._tools.telemetry.count('second_sends', 'over budget')
             self._trace.note(f'{self.service}: no budget to send again')
 
-    def _other_exists(self) -> bool:
-        return any(
-            one.searcher_id not in self._tried
-            for one in self._tools.searchers.candidates(self.service)
-        )
-
     def _send(self) -> None:
-        link = self._tools.searchers.choose(
+        link = self._tools.selection.choose(
             self.service,
             self._tried,
             searcher_choice.Need(
