--- a/chivepond/decisions/search_admission.py
+++ b/chivepond/decisions/search_admission.py
@@ -17,16 +17,11 @@
 _ON_TIME_SHARE = 0.7
 _QUEUED_SHARE = 0.4
 #: How the share that is let in shrinks and grows with each search. Four late
-#: ones halve it; it is whole again some fifty searches later. Played
+#: ones halve it; it is whole again some fifty searches after the rush. Played
 #: with 0.95, 0.9 and 0.85, a rush of three and four times the usual load left
 #: 0.47, 0.53 and 0.56 of the worth in its worst seconds (0.27 without).
 _SHRINK = 0.85
 _GROW = 0.01
-#: Where searches are in time, one with queues at fewer of the shards than this
-#: tells that the rush is over, and the share grows by more: a gateway that lets in three searches a second turned callers
-#: away for eight seconds after a rush, at searchers that had nothing to do.
-_QUEUES_GONE_SHARE = 0.1
-_GROW_AFTER = 0.05
 #: The least share that is let in: what comes back tells of the end.
 _LEAST_SHARE = 0.3
 
@@ -59,7 +54,5 @@
         is_late = self._on_time < _ON_TIME_SHARE
         if is_late and self._queued > _QUEUED_SHARE:
             self.share = max(_LEAST_SHARE, self.share * _SHRINK)
-        elif is_late or queued_share > _QUEUES_GONE_SHARE:
-            self.share = min(1, self.share + _GROW)
         else:
-            self.share = min(1, self.share + _GROW_AFTER)
+            self.share = min(1, self.share + _GROW)
