New searchers count like others: the factor for cold starts is removed

Its switch, constant, tests and what the entry told of it inside go; the field of an entry is still checked, as an entry with a wrong type names no searcher.

--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -126,24 +126,12 @@
     )
     if may_try and found is searcher_standing.Trust.ON_TRIAL:
         found = searcher_standing.Trust.USABLE
-    cost_s = _work_s(one, now, switched)
+    cost_s = one.standing.expected_s(now)
     if switched.is_on(mechanism.Mechanism.LINK_PRICE):
         cost_s += _link_price_s(one, need.target_latency_s)
     return (one.is_last_choice, found, cost_s)
 
 
-def _work_s(
-    one: Candidate,
-    now: float,
-    switched: switches.Switches,
-) -> float:
-    expected_s = one.standing.expected_s(now)
-    is_cold = one.standing.is_cold(now)
-    if is_cold and switched.is_on(mechanism.Mechanism.COLD_STARTS):
-        expected_s *= searcher_standing.COLD_FACTOR
-    return expected_s
-
-
 def _link_price_s(one: Candidate, target_latency_s: float) -> float:
     if one.is_in_data_centre:
         return 0
--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -51,8 +51,6 @@
 _NO_FAILURES = 0.001
 #: How long a searcher's word on its queue holds, in seconds.
 _RECENT_S = 0.5
-#: How many times slower a searcher is just after its start.
-COLD_FACTOR = 1.6
 
 
 class Trust(enum.IntEnum):
@@ -71,7 +69,6 @@
     """Latency, failures and what is in flight; times are in seconds."""
 
     __slots__ = (
-        '_cold_until',
         '_distrusted_until',
         '_failure_share',
         '_failures',
@@ -88,7 +85,6 @@
     def __init__(
         self,
         slots: int,
-        cold_until: float,
         failures: int = USUAL_FAILURES,
         usual: usual_latency.UsualLatency | None = None,
     ) -> None:
@@ -100,7 +96,6 @@
         self._usual = usual or usual_latency.UsualLatency()
         self._failures = failures
         self._slots = slots
-        self._cold_until = cold_until
         self._latency_s: float | None = None
         self._failure_share: float = 0
         self._failures_in_row = 0
@@ -190,10 +185,6 @@
         expected_s = self._usual_s(now) * (1 + self.in_flight / self._slots)
         return expected_s * (1 + _FAILURE_WEIGHT * self._failing(now))
 
-    def is_cold(self, now: float) -> bool:
-        """Tell whether it started so lately that it is slower."""
-        return now < self._cold_until
-
     def _is_overdue(self, now: float) -> bool:
         if not self._sent_at_by_attempt:
             return False
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -52,11 +52,9 @@
     ) -> None:
         """Open at most ``cap`` connections, each when it is needed."""
         self._log = log
-        now = asyncio.get_running_loop().time()
         self.end = end
         self.standing = searcher_standing.SearcherStanding(
             end.slots,
-            now + end.warmup_s,
             end.failures,
             usual,
         )
--- a/chivepond/gateway/link_end.py
+++ b/chivepond/gateway/link_end.py
@@ -18,8 +18,6 @@
     address: address.Address
     #: How many requests it works on at a time.
     slots: int
-    #: How much longer it is slow after its start, in seconds.
-    warmup_s: float
     #: Failures in a row after which it is distrusted.
     failures: int = searcher_standing.USUAL_FAILURES
     #: How long a new connection may take, in seconds.
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -203,7 +203,6 @@
                 record.node_id,
                 record.address,
                 slots=_SLOTS,
-                warmup_s=0,
                 failures=_FAILURES,
                 connect_s=_CONNECT_S,
             ),
--- a/chivepond/gateway/registered_searcher.py
+++ b/chivepond/gateway/registered_searcher.py
@@ -56,5 +56,4 @@
         name=record.searcher_id,
         address=record.address,
         slots=record.slots,
-        warmup_s=record.warmup_s,
     )
--- a/chivepond/gateway/searcher_record.py
+++ b/chivepond/gateway/searcher_record.py
@@ -16,8 +16,6 @@
     slots: int
     #: Whether it has told that it is about to stop.
     is_leaving: bool
-    #: How much longer it stays slow after its start, in seconds.
-    warmup_s: float
     #: Unix milliseconds of its start; zero where it does not tell.
     born_ms: int
     #: Counts its reports since that start.
--- a/chivepond/platform/searcher_codec.py
+++ b/chivepond/platform/searcher_codec.py
@@ -9,7 +9,6 @@
 from chivepond.gateway import searcher_record
 from chivepond.transport import address
 
-_MS_PER_S = 1000
 _REMEDY = 'see which program writes to the list; the other entries hold'
 
 
@@ -21,6 +20,7 @@
     version: str
     slots: int
     state: Literal['ready', 'draining']
+    #: Checked, and not used: to count a new searcher as slower gained nothing.
     warmup_left_ms: float
     #: Counts reports, not changes; it starts anew with each life.
     sequence: int
@@ -50,7 +50,6 @@
             data_centre=told.zone,
             slots=told.slots,
             is_leaving=told.state == 'draining',
-            warmup_s=max(0, told.warmup_left_ms) / _MS_PER_S,
             born_ms=told.born,
             sequence=told.sequence,
         ),
--- a/chivepond/settings/mechanism.py
+++ b/chivepond/settings/mechanism.py
@@ -18,8 +18,6 @@
     TRIALS = 'trials'
     #: Searchers that owe a reply are passed over.
     OVERDUE = 'overdue'
-    #: Searchers that just started count as slower.
-    COLD_STARTS = 'cold_starts'
     #: Searchers across a link count as slower by the price of its bytes.
     LINK_PRICE = 'link_price'
     #: Shards in another region are gathered by a gateway there.
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -28,7 +28,7 @@
 
 
 def _standing() -> searcher_standing.SearcherStanding:
-    return searcher_standing.SearcherStanding(2, 0)
+    return searcher_standing.SearcherStanding(2)
 
 
 def _candidate(name, standing, *, near=True, last=False):
@@ -245,8 +245,8 @@
 def test_a_slow_searcher_gets_less_and_is_tried_again():
     """Requests stayed with a searcher that had turned slow."""
     usual = usual_latency.UsualLatency()
-    slow = searcher_standing.SearcherStanding(2, 0, usual=usual)
-    sound = searcher_standing.SearcherStanding(2, 0, usual=usual)
+    slow = searcher_standing.SearcherStanding(2, usual=usual)
+    sound = searcher_standing.SearcherStanding(2, usual=usual)
     near = _candidate('near', slow)
     far = _candidate('far', sound, near=False)
     now = float(0)
--- a/chivepond/tests/test_gateway_load.py
+++ b/chivepond/tests/test_gateway_load.py
@@ -19,7 +19,7 @@
     usual = usual_latency.UsualLatency()
     return load_play.Gateway(
         {
-            name: searcher_standing.SearcherStanding(slots, 0, usual=usual)
+            name: searcher_standing.SearcherStanding(slots, usual=usual)
             for name in names
         },
     )
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -52,8 +52,8 @@
     ).searcher_id
 
 
-def _standing(cold_until=0):
-    return searcher_standing.SearcherStanding(2, cold_until)
+def _standing():
+    return searcher_standing.SearcherStanding(2)
 
 
 def test_unknown_mechanism_is_refused_by_its_place():
@@ -106,14 +106,12 @@
     )
 
 
-def test_cold_starts_and_link_price_off():
-    """Without them a cold searcher, or one across a link, costs no more."""
-    cold, far = _standing(cold_until=5), _standing()
-    price = mechanism.Mechanism.LINK_PRICE
-    assert _chosen(cold, far, _without(price)) == 'far'
-    off = _without(price, mechanism.Mechanism.COLD_STARTS)
-    assert _chosen(cold, far, off) == 'near'
-    assert _chosen(_standing(), far, _without()) == 'near'
+def test_link_price_off():
+    """Without it a searcher across a link is chosen where it is quicker."""
+    near, far = _standing(), _standing()
+    near.sent(1, 0.99)
+    assert _chosen(near, far, _without()) == 'near'
+    assert _chosen(near, far, _without(mechanism.Mechanism.LINK_PRICE)) == 'far'
 
 
 def test_learned_ask_time_off_is_the_latest_moment():
