A stand-in that crashes just after its caller has reset raises nothing

Cause: a searcher's stand-in set an option on a socket that was closed already: its caller had reset the connection, and its reader had not heard of it when the searcher was crashed. The proxy of the soak had a guard against that, the stand-in not.

Change: one function for both, with the guard. The test plays the order of things and failed with the same OSError, at the same line, before it. Ruled out: the gateways, which have no part in it.

--- a/chivepond/soak/loopback_proxy.py
+++ b/chivepond/soak/loopback_proxy.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import enum
-import socket
-import struct
 import types
 from typing import Self
 
+from chivepond.standins import connection_reset
 from chivepond.transport import address
 
 _CHUNK = 65536
 _DELAY_S = 0.15
 _POLL_S = 0.02
-_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class Harm(enum.Enum):
@@ -91,7 +89,7 @@
     def cut(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            _reset(writer)
+            connection_reset.reset(writer)
 
     async def _lead(
         self,
@@ -104,7 +102,7 @@
         try:
             await self._join(reader, writer)
         except (OSError, asyncio.CancelledError):
-            _reset(writer)
+            connection_reset.reset(writer)
         finally:
             self._tasks.discard(task)
             self._writers.discard(writer)
@@ -115,7 +113,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if self.harm is Harm.RESET:
-            _reset(writer)
+            connection_reset.reset(writer)
             return
         there = await asyncio.open_connection(
             self._behind.ip,
@@ -152,10 +150,3 @@
         if self.harm is Harm.SILENT:
             return True
         return is_back and self.harm is Harm.DEAF
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    held = writer.get_extra_info('socket')
-    if held is not None and held.fileno() >= 0:
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-    writer.transport.abort()
--- a/chivepond/standins/scripted_searcher.py
+++ b/chivepond/standins/scripted_searcher.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import dataclasses
-import socket
-import struct
 import types
 from collections.abc import Awaitable, Callable
 from typing import Self
 
 from chivepond.platform import headers
+from chivepond.standins import connection_reset
 from chivepond.transport import address
 
 _HEAD_END = b'\r\n\r\n'
-_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,7 +107,7 @@
         """Crash: take no connection, and reset those that are open."""
         self._server.close()
         for writer in list(self._writers):
-            _reset(writer)
+            connection_reset.reset(writer)
 
     def push(self, written: bytes) -> None:
         """Write bytes that nobody asked for on all connections."""
@@ -145,7 +143,7 @@
         writer.write(told.written)
         if told.then == 'reset':
             await writer.drain()
-            _reset(writer)
+            connection_reset.reset(writer)
         if told.then == 'close':
             writer.close()
         return told.then == 'keep'
@@ -158,13 +156,3 @@
     value_by_name = {name.lower(): told.strip() for name, _, told in pairs}
     length = int(value_by_name.get(b'content-length', b'0'))
     return Got(line, value_by_name, await reader.readexactly(length))
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection; closing alone would look like an orderly end."""
-    writer.get_extra_info('socket').setsockopt(
-        socket.SOL_SOCKET,
-        socket.SO_LINGER,
-        _NO_LINGER,
-    )
-    writer.transport.abort()
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -15,7 +15,7 @@
     loopback_proxy,
     searcher_ledger,
 )
-from chivepond.standins import scripted_searcher
+from chivepond.standins import connection_reset, scripted_searcher
 from chivepond.tests import support
 
 _SHARDS = ('a', 'b', 'c')
@@ -194,3 +194,31 @@
             return process.ended_by_itself
 
     assert asyncio.run(play())
+
+
+def test_a_searcher_crashes_just_after_its_caller_has_reset():
+    """A soak ended with an OSError of its own stand-in.
+
+    A gateway had reset a connection; its socket was closed, and the stand-in
+    had not heard of it yet when it was told to crash.
+    """
+
+    async def play() -> None:
+        async def never(got):
+            await asyncio.sleep(5)
+
+        searcher = scripted_searcher.ScriptedSearcher(never)
+        async with searcher:
+            reader, writer = await asyncio.open_connection(
+                searcher.address.ip,
+                searcher.address.port,
+            )
+            writer.write(b'GET / HTTP/1.1\r\n\r\n')
+            while not searcher.got:
+                await asyncio.sleep(0.01)
+            connection_reset.reset(writer)
+            await asyncio.sleep(0.05)
+            assert searcher.connections == 1
+            searcher.stop()
+
+    asyncio.run(play())
