--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -450,8 +450,8 @@
 
     The store turned a gateway away for seconds. Its three readers each called
     again and again, though the news came from another gateway meanwhile: 16 to
-    18 calls in four seconds, now 5. One reader tries for all, less often while a peer
-    tells the news; at the store's return all three read at once.
+    18 calls in four seconds, now 5. One reader tries for all, less often while
+    a peer tells the news; at the store's return all three read at once.
     """
 
     async def play() -> None:
