Each switch has a test of what it takes out

Nine of the nineteen switches had none: uneven budget, shared reader, hopeless shards, admission, peers' news, kept and repeated groups, stragglers. Three names that the tests read are public now (`StoreNews.leader`, `GroupAsk.may_repeat`, `is_left_running`); nothing else changes.

--- a/chivepond/gateway/group_ask.py
+++ b/chivepond/gateway/group_ask.py
@@ -49,7 +49,7 @@
     __slots__ = (
         '_asks',
         '_exchanges',
-        '_is_left_running',
+        'is_left_running',
         '_link',
         '_shards',
         '_work',
@@ -68,7 +68,7 @@
         self._shards = shards
         self._asks = asks
         self._exchanges: set[Exchange] = set()
-        self._is_left_running = False
+        self.is_left_running = False
 
     async def run(self) -> None:
         """Take the group's parts, or what became of them."""
@@ -105,10 +105,16 @@
         one more way there and back, and its group comes too late again. 57
         of 187 searches of five seconds were late so.
         """
-        self._is_left_running = self._work.tools.switches.is_on(
+        self.is_left_running = self._work.tools.switches.is_on(
             mechanism.Mechanism.KEPT_GROUPS,
         )
 
+    def may_repeat(self) -> bool:
+        """Tell whether a reply that is late is asked for once more."""
+        return self._work.tools.switches.is_on(
+            mechanism.Mechanism.REPEATED_GROUPS,
+        )
+
     async def _first_reply(self) -> outcome.Outcome:
         search = self._work.search
         late_at = search.answer_at + _LATE_S
@@ -118,7 +124,7 @@
         )
         until = min(late_at + _AGAIN_S, search.deadline)
         first = self._begin(self._link.ask(message, until))
-        await _wait_until(first, late_at if self._may_repeat() else until)
+        await _wait_until(first, late_at if self.may_repeat() else until)
         if first.done():
             ended = first.result()
         else:
@@ -127,11 +133,6 @@
         self._learn_way(message, ended)
         return ended
 
-    def _may_repeat(self) -> bool:
-        return self._work.tools.switches.is_on(
-            mechanism.Mechanism.REPEATED_GROUPS,
-        )
-
     async def _either(
         self,
         first: Exchange,
@@ -248,7 +249,7 @@
         for exchange in self._exchanges:
             if exchange.done():
                 continue
-            if self._is_left_running:
+            if self.is_left_running:
                 self._work.tools.stragglers.keep(exchange)
             else:
                 exchange.cancel()
--- a/chivepond/gateway/store_news.py
+++ b/chivepond/gateway/store_news.py
@@ -84,8 +84,23 @@
         finally:
             self._stop_reading()
 
+    def leader(self) -> links.Link | None:
+        """Return the gateway to follow, or nothing to read the store here."""
+        if not self._switches.is_on(mechanism.Mechanism.SHARED_READER):
+            return None
+        now = asyncio.get_running_loop().time()
+        members = [
+            news_source.Member(
+                node_id,
+                is_sound and self._stale_until_by_id.get(node_id, 0) < now,
+            )
+            for node_id, is_sound in self._peers.near()
+        ]
+        chosen = news_source.leader(self._peers.own_id, members)
+        return chosen and self._peers.link(chosen)
+
     async def _step(self) -> None:
-        followed = self._leader()
+        followed = self.leader()
         if followed is None:
             self._begin_reading()
             if self._may_follow_any():
@@ -103,20 +118,6 @@
         is_on = self._switches.is_on(mechanism.Mechanism.PEER_NEWS)
         return is_on and self._is_store_lost()
 
-    def _leader(self) -> links.Link | None:
-        if not self._switches.is_on(mechanism.Mechanism.SHARED_READER):
-            return None
-        now = asyncio.get_running_loop().time()
-        members = [
-            news_source.Member(
-                node_id,
-                is_sound and self._stale_until_by_id.get(node_id, 0) < now,
-            )
-            for node_id, is_sound in self._peers.near()
-        ]
-        chosen = news_source.leader(self._peers.own_id, members)
-        return chosen and self._peers.link(chosen)
-
     def _begin_reading(self) -> None:
         if self._tasks:
             return
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -1,6 +1,7 @@
 """An operator switches mechanisms of a gateway off, and on again."""
 
 import asyncio
+import types
 
 import pytest
 import result
@@ -12,10 +13,19 @@
     second_ask_time,
     switches,
 )
+from chivepond.gateway import (
+    group_ask,
+    peer_record,
+    peers,
+    searcher_selection,
+    store_news,
+    telemetry,
+)
 from chivepond.platform import documents, headers, store_calls
 from chivepond.settings import gateway_settings, loader, mechanism
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
 
 _SETTINGS = """
 node_id: gate-1
@@ -263,3 +273,155 @@
             assert gate.figures.routes_version == 2 - is_on
 
     support.run(play())
+
+
+def _peers(switched):
+    own = peer_record.PeerRecord(
+        'gate-4',
+        address.Address('127.0.0.1', 1),
+        'base',
+        100,
+    )
+    known = peers.Peers(own, telemetry.Telemetry('gate-4'), (), switched)
+    for number in range(1, 4):
+        place = address.Address('127.0.0.1', 1 + number)
+        record = peer_record.PeerRecord(f'gate-{number}', place, 'base', 10)
+        known.put(record)
+    known.listed()
+    return known
+
+
+def test_uneven_budget_and_shared_reader_off():
+    """Without them parts of the burst are even, and each reads for itself."""
+
+    async def play() -> None:
+        switched = _without()
+        others = _peers(switched)
+        news = store_news.StoreNews(
+            3,
+            address.Address('127.0.0.1', 9),
+            {},
+            others,
+            telemetry.Telemetry('gate-4'),
+            switched,
+        )
+        assert others.sharers < others.gateways
+        assert news.leader().end.name == 'gate-1'
+        switched.off = frozenset(
+            (
+                mechanism.Mechanism.UNEVEN_BUDGET,
+                mechanism.Mechanism.SHARED_READER,
+            ),
+        )
+        assert others.sharers == others.gateways
+        assert news.leader() is None
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_hopeless_shards(is_on):
+    """A dead shard holds up no answer, unless that is switched off."""
+
+    async def play() -> None:
+        dead = _standing()
+        for attempt in range(2):
+            dead.failed(attempt, asyncio.get_running_loop().time())
+        off = () if is_on else (mechanism.Mechanism.HOPELESS_SHARDS,)
+        selection = searcher_selection.SearcherSelection(
+            types.SimpleNamespace(candidates=lambda _: [_candidate(dead)]),
+            _without(*off),
+        )
+        assert selection.is_hopeless('one') is is_on
+
+    support.run(play())
+
+
+@pytest.mark.parametrize(('is_on', 'status'), [(True, 503), (False, 200)])
+def test_search_admission(is_on, status):
+    """Searches are turned away in a rush, unless that is switched off."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('a', 'one', _quick)
+            await bench.searcher('b', 'two', _quick)
+            bench.configure(1, _all_shards())
+            off = () if is_on else (mechanism.Mechanism.SEARCH_ADMISSION,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            gate._parts.tools.admission.share = 0
+            reply, _ = await _search(gate, bench)
+            assert reply.status == status
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_peer_news(is_on):
+    """A peer's news are taken where the store is lost, unless switched off."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('a', 'one', _quick)
+            route = gateway_bench.route('all', '/all/', service='one')
+            bench.configure(1, route)
+            served = await bench.ready_gateway(node_id='gate-2')
+            off = () if is_on else (mechanism.Mechanism.PEER_NEWS,)
+            async with gateway_bench.Gate(bench.store.address) as way:
+                alone = await bench.ready_gateway(
+                    store=str(way.address),
+                    switched_off=list(off),
+                )
+                await gateway_bench.until(
+                    lambda: alone.figures.gateways_known == 2,
+                )
+            bench.configure(2, route)
+            await gateway_bench.until(
+                lambda: served.figures.routes_version == 2,
+            )
+            await asyncio.sleep(1.2)
+            assert alone.figures.routes_version == 1 + is_on
+
+    support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_kept_and_repeated_groups(is_on):
+    """A late group is asked again and keeps its connection, while on."""
+    off = (mechanism.Mechanism.KEPT_GROUPS, mechanism.Mechanism.REPEATED_GROUPS)
+    work = types.SimpleNamespace(
+        tools=types.SimpleNamespace(
+            switches=_without() if is_on else _without(*off),
+        ),
+    )
+    group = group_ask.GroupAsk(work, None, [], None)
+    group.leave_running()
+    assert group.is_left_running is is_on
+    assert group.may_repeat() is is_on
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_stragglers(is_on):
+    """An exchange that lost a race goes on as a probe, while that is on."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            slow = await bench.searcher('a', 'one', _slow)
+            far = await bench.searcher('b', 'one', _quick, zone='hub')
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'all',
+                    '/all/',
+                    service='one',
+                    target_latency_ms=100,
+                ),
+            )
+            off = () if is_on else (mechanism.Mechanism.STRAGGLERS,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            await _search(gate, bench)
+            assert len(slow.got) == 1
+            await asyncio.sleep(0.05)
+            left = gate.figures.searcher_connections - far.connections
+            assert left == is_on
+
+    support.run(play())
