--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -27,6 +27,7 @@
 #: seconds: entries that lapse while the store is away are back within two
 #: seconds, and one that left serves for longer than that.
 _HOLD_S = 2.0
+_Candidates = list[searcher_choice.Candidate]
 
 
 class Searchers(closing.Closing):
@@ -73,9 +74,7 @@
         self._caps: Mapping[str, int] = {}
         self._peers = others
         self._switches = switched
-        self._candidates_by_service: dict[
-            str, list[searcher_choice.Candidate]
-        ] = {}
+        self._candidates_by_service: dict[str, _Candidates] = {}
         self._usual_by_service: dict[str, usual_latency.UsualLatency] = {}
         self._telemetry = told
         self._trust_log = trust_log.of_searchers(told)
@@ -177,7 +176,7 @@
             for searcher_id in self._ids_by_service.get(service, ())
         )
 
-    def candidates(self, service: str) -> list[searcher_choice.Candidate]:
+    def candidates(self, service: str) -> _Candidates:
         """Return the searchers of a service that may be asked.
 
         The list is kept until one of them changes: each part of a search
@@ -254,11 +253,10 @@
         self._candidates_by_service.pop(record.service, None)
 
     def _usual(self, service: str) -> usual_latency.UsualLatency:
-        known = self._usual_by_service.get(service)
-        if known is None:
-            known = usual_latency.UsualLatency()
-            self._usual_by_service[service] = known
-        return known
+        return self._usual_by_service.setdefault(
+            service,
+            usual_latency.UsualLatency(),
+        )
 
     def _remove(self, searcher_id: str) -> None:
         self._keep(searcher_id)
