A watch of the store is never an old one: gateways that join know each other

The burst of second sends is shared by the gateways that are known. Where cheap reads lag, gateways that join take each other for not there: three that joined knew one each (the new test, which failed so), and each would spend the burst of all.

--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -86,8 +86,9 @@
         """Return the revision to watch from, zero where a call failed.
 
         The first list may be seconds old, at a tenth of the price: the watch
-        that follows tells at once what changed since. With that, 216 starts
-        of 72 gateways cost 1,581 calls in place of 2,685. After that a list is
+        that follows tells at once what changed since. A watch is never an old
+        one: gateways that join would take each other for not there, and each
+        would spend the burst of second sends of all. After that a list is
         read where the history is gone, and an old one might end there again.
         Pages that may be old count as of the oldest of them, so that the watch
         tells what only the newer ones had.
@@ -127,7 +128,6 @@
                     self._kind,
                     revision,
                     int(wait_s * _MS_PER_S),
-                    may_be_old=not self._replica.is_bound,
                 ),
                 store_calls.Changes,
                 wait_s + news_source.WATCH_GRACE_S,
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -77,19 +77,9 @@
     return f'{_ROOT}/{kind}?{urls.urlencode(query)}'
 
 
-def watch_path(
-    kind: str,
-    revision: int,
-    wait_ms: int,
-    *,
-    may_be_old: bool = False,
-) -> str:
-    """Return the path of a watch for what follows ``revision``.
-
-    One whose events may be seconds old is a tenth of the price.
-    """
-    path = f'{_ROOT}/{kind}?watch={revision}&wait_ms={wait_ms}'
-    return f'{path}&stale_ok=1' if may_be_old else path
+def watch_path(kind: str, revision: int, wait_ms: int) -> str:
+    """Return the path of a watch for what follows ``revision``."""
+    return f'{_ROOT}/{kind}?watch={revision}&wait_ms={wait_ms}'
 
 
 def object_path(kind: str, name: str) -> str:
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -101,7 +101,7 @@
         self._listener.abort_all()
 
     def lag(self) -> None:
-        """Answer lists that may be old by what holds now, from here on."""
+        """Answer what may be old by what holds now, from here on."""
         self._old_revision = self._revision
         self._old_object_by_place = dict(self._object_by_place)
 
@@ -167,6 +167,9 @@
             return _json(_OK if stored else _NOT_FOUND, stored)
         if 'wait_ms' in query:
             wait_s = int(query['wait_ms']) / _MS_PER_S  # noqa: WPS529
+            if 'stale_ok' in query and self._old_revision:
+                await asyncio.sleep(wait_s)
+                return _json(_OK, {'events': [], 'as_of': self._old_revision})
             since = int(query['watch'])
             return await self._watch(kind, since, wait_s)
         after = query.pop('after', '')
--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -502,3 +502,27 @@
             assert gate.figures.searchers_known == 2
 
     support.run(play())
+
+
+def test_gateways_that_join_are_known_at_once_though_the_store_lags():
+    """A service got more second sends than its burst allows.
+
+    Three gateways joined while cheap reads of the store lagged by seconds.
+    Each took the others for not there, and shared the burst of second sends
+    among fewer than there were.
+    """
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            bench.store.lag()
+            joined = [
+                await bench.ready_gateway(node_id=f'gate-{number}')
+                for number in range(3)
+            ]
+            await asyncio.sleep(0.6)
+            known = [gate.figures.gateways_known for gate in joined]
+            assert known == [3, 3, 3]
+
+    support.run(play())
--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -112,8 +112,8 @@
     assert store_calls.list_path('k', may_be_old=True) == (
         '/api/objects/k?stale_ok=1'
     )
-    assert store_calls.watch_path('k', 7, 100, may_be_old=True) == (
-        '/api/objects/k?watch=7&wait_ms=100&stale_ok=1'
+    assert store_calls.watch_path('k', 7, 100) == (
+        '/api/objects/k?watch=7&wait_ms=100'
     )
     assert store_calls.object_path('k', 'a/b') == '/api/objects/k/a%2Fb'
     made = msgspec.json.decode(store_calls.new_object('n', {'x': 1}))
