A group that replies after the answer was due is asked for the rest

A group's first reply that tells of more registers what asks for it; where it came after the answer was due, nobody began that any more, and the search waited for its deadline with nothing under way.

Change: once the answer is overdue, what may bring more parts begins at once. The new test fails without the change.

--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -43,6 +43,7 @@
     __slots__ = (
         '_asks',
         '_hopeless',
+        '_is_overdue',
         '_fallbacks',
         '_late',
         '_route',
@@ -69,6 +70,8 @@
         self._asks: list[_Ask] = []
         self._fallbacks: list[Fallback] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Whether the answer was due, and is waited for beyond that.
+        self._is_overdue = False
         self._hopeless: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> Self:
@@ -101,8 +104,16 @@
         self,
         fallback: Fallback,
     ) -> None:
-        """Take what may bring more parts, where there are too few else."""
+        """Take what may bring more parts, where there are too few else.
+
+        Once the answer is overdue it begins at once. Guards against a group
+        whose first reply comes after that, as after a hold of its host: what
+        would bring the rest was never begun, and the search ended at its
+        deadline, by more than a second later, with parts that were ready.
+        """
         self._fallbacks.append(fallback)
+        if self._is_overdue and not self.parts.is_enough:
+            self._begin_fallbacks()
 
     def ask_from_here(
         self,
@@ -150,6 +161,7 @@
 
     async def wait_enough(self, until: float) -> None:
         """Wait until the parts are enough, or can't be any more."""
+        self._is_overdue = True
         if not self.parts.is_enough:
             self._begin_fallbacks()
         try:
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -6,10 +6,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from chivepond.gateway import merge
+from chivepond.gateway import gather_asks, gathering, merge
 from chivepond.platform import headers
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.wire import gather_request
 
 Got = scripted_searcher.Got
 Told = scripted_searcher.Told
@@ -533,3 +534,39 @@
             assert min(took[2:]) < 0.1
 
     support.run(play())
+
+
+def test_a_group_that_replies_after_the_answer_was_due_is_asked_for_more():
+    """A search ended at its deadline though its parts were ready.
+
+    Its host stood still for 0.3 s. The first reply of the gateway that gathers
+    for it came after the answer was due, and told of more; nobody asked for
+    that, and the search waited for a second with nothing under way.
+    """
+
+    async def play() -> None:
+        parts = gathering.Gathering(('a', 'b'), 2)
+        reply = gather_request.GatherReply(
+            records=b'',
+            signature_by_shard={'a': b'1', 'b': b'2'},
+            reason_by_shard={},
+            unasked=[],
+            has_more=False,
+            queued=0,
+            took_s=0.1,
+        )
+
+        async def more() -> None:
+            parts.take_group(reply)
+
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with gather_asks.GatherAsks(parts, None, None, None, None) as asks:
+            waiting = asyncio.create_task(asks.wait_enough(began + 3))
+            await asyncio.sleep(0.05)
+            asks.add_fallback(more)
+            await waiting
+        assert parts.is_enough
+        assert loop.time() - began < 1
+
+    support.run(play())
