Connections and hedges are shared by data centre, and hold for any number of gateways

Cause: each gateway opened at least one connection to each searcher, so that 195 gateways could open 195 where 60 to 120 are accepted; and the burst of hedges was divided by links only, so that of 430 second sends in ten seconds the six gateways which gather on the large deployment could spend some 90, and gateways without any searcher near kept the rest.

Change: parts are worked out from the list of gateways and the data centres of a service's searchers (decisions/upstream_share). 0.8 of a cap is used, half of it one connection a gateway in the order of a hash; who has none hands the request to one that may (delegated_request, delegated_shards, forwarding_service), a non-idempotent one once.

Ruled out: a cap by rank alone (gateways behind a cut would reach no searcher where hosts are few); one set of gateways for each shard (a search would be split into as many groups as shards).

--- a/chivepond/decisions/second_send_budget.py
+++ b/chivepond/decisions/second_send_budget.py
@@ -4,10 +4,9 @@
 gateway at once; a service may get a share of its requests as extra, and a
 burst, over any span of some seconds and from all gateways together. No
 gateway knows what the others spend. So each one spends its share of its own
-requests, which adds up to the share of all, and its part of the burst: the
-burst through the gateways there may be, larger where it gathers more of the
-searches (`helper_choice.gather_weight`). This holds whatever the gateways
-know of each other; who is cut off spends no more than its part.
+requests, which adds up to the share of all, and its part of the burst, larger
+where it sends more of the requests (`upstream_share`). Who is cut off spends
+no more than its part.
 
 A gateway that starts in place of one that was killed does not know what that
 one spent. So it has a part of its burst only, until the span is over.
@@ -63,22 +62,21 @@
         """Count a request for the service."""
         self._requests.add(now)
 
-    def left(self, now: float, gateways: float) -> float:
-        """Return how many second sends are left, one of ``gateways``.
+    def left(self, now: float, part: float) -> float:
+        """Return how many second sends are left.
 
-        A gateway that gathers more than others counts as one of fewer.
-        Infinitely many stand for a number that is not known yet.
+        ``part`` is what part of the burst is this gateway's, 0 to 1.
         """
         allowed = self.limits.share * self._requests.read(now)
-        burst = self.limits.burst / max(1, gateways)
+        burst = self.limits.burst * part
         if now < self._restarted_at + self.limits.span_s:
             burst *= _RESTART_PART
         allowed += burst
         return _SPENT_PART * allowed - self._extras.read(now)
 
-    def spend(self, now: float, gateways: float) -> bool:
+    def spend(self, now: float, part: float) -> bool:
         """Take one second send; tell whether there was one."""
-        if self.left(now, gateways) < 1:
+        if self.left(now, part) < 1:
             return False
         self._extras.add(now)
         return True
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -85,7 +85,7 @@
         selection=searcher_selection.SearcherSelection(known, switched),
         budgets=budgets.Budgets(
             settings_parts.budget_limits(settings),
-            others,
+            known.shares,
             is_first_start=settings.is_first_start,
         ),
         stragglers=stragglers.Stragglers(),
--- a/chivepond/gateway/budgets.py
+++ b/chivepond/gateway/budgets.py
@@ -4,7 +4,7 @@
 import math
 
 from chivepond.decisions import second_send_budget
-from chivepond.gateway import peers
+from chivepond.gateway import upstream_shares
 
 
 class Budgets:
@@ -14,18 +14,18 @@
         '_budget_by_service',
         '_limits',
         '_loop',
-        '_peers',
         '_restarted_at',
+        '_shares',
     )
 
     def __init__(
         self,
         limits: second_send_budget.BudgetLimits,
-        others: peers.Peers,
+        shares: upstream_shares.UpstreamShares,
         *,
         is_first_start: bool,
     ) -> None:
-        """Share the burst among all gateways that are registered."""
+        """Spend no more of each burst than ``shares`` gives."""
         self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._restarted_at = -math.inf if is_first_start else self._loop.time()
@@ -33,7 +33,7 @@
             str,
             second_send_budget.SecondSendBudget,
         ] = {}
-        self._peers = others
+        self._shares = shares
 
     def change(self, limits: second_send_budget.BudgetLimits) -> None:
         """Take other limits; what was spent still counts."""
@@ -47,11 +47,13 @@
 
     def spend(self, service: str) -> bool:
         """Take one second send; tell whether there was one."""
-        return self._of(service).spend(self._loop.time(), self._peers.sharers)
+        part = self._shares.part(service)
+        return self._of(service).spend(self._loop.time(), part)
 
     def left(self, service: str) -> float:
         """Return how many second sends are left."""
-        return self._of(service).left(self._loop.time(), self._peers.sharers)
+        part = self._shares.part(service)
+        return self._of(service).left(self._loop.time(), part)
 
     def left_by_service(self) -> dict[str, float]:
         """Return how many second sends are left of each service asked."""
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -62,7 +62,14 @@
 
     def limit(self, cap: int) -> None:
         """Open at most ``cap`` connections from now on."""
+        if cap == self._cap:
+            return
         self._cap = cap
+        while self._idle and len(self._open) > cap:
+            surplus = self._idle.pop(0)
+            self._open.discard(surplus)
+            surplus.close()
+        self._wake()
 
     def close(self) -> None:
         """Close idle connections; those in use end with their exchange."""
--- a/chivepond/gateway/figures.py
+++ b/chivepond/gateway/figures.py
@@ -38,3 +38,7 @@
     def gateways_known(self) -> int:
         """How many gateways are registered, this one included."""
         return self._peers.gateways
+
+    def connections_to(self, service: str) -> int:
+        """Return how many connections to each searcher may be opened."""
+        return self._searchers.shares.connections(service)
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -80,7 +80,7 @@
                 self._parts.replica_by_kind,
                 self._parts.changed,
                 self._tell_stopping,
-                self._parts.way.gathers,
+                self._parts.way,
             ).serve,
         )
         self._metrics_listener = self._make_metrics()
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -8,6 +8,7 @@
 )
 from chivepond.gateway import (
     answer,
+    delegated_shards,
     gather_asks,
     gathered_answer,
     gathering,
@@ -112,15 +113,21 @@
         made: gather_plan.GatherPlan,
         asks: gather_asks.GatherAsks,
     ) -> None:
-        search = self._work.search
-        asks.ask_from_here(made.direct, search)
+        otherwise = delegated_shards.DelegatedShards(self._work, asks).ask
+        otherwise(made.direct)
         for place, shards in made.shards_by_data_centre.items():
             link = self._work.others.choose(place)
             if link is None:
-                asks.ask_from_here(shards, search)
+                otherwise(shards)
             else:
                 asks.ask_group(
-                    group_ask.GroupAsk(self._work, link, shards, asks),
+                    group_ask.GroupAsk(
+                        self._work,
+                        link,
+                        shards,
+                        asks,
+                        otherwise,
+                    ),
                 )
 
     def _learn(self, made: gather_plan.GatherPlan) -> None:
--- a/chivepond/gateway/group_ask.py
+++ b/chivepond/gateway/group_ask.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import msgspec
@@ -48,6 +48,7 @@
 
     __slots__ = (
         '_asks',
+        '_ask_otherwise',
         '_exchanges',
         'is_left_running',
         '_link',
@@ -61,9 +62,14 @@
         link: links.Link,
         shards: list[str],
         asks: gather_asks.GatherAsks,
+        ask_otherwise: Callable[[Iterable[str]], None],
     ) -> None:
-        """Ask nothing yet."""
+        """Ask nothing yet.
+
+        ``ask_otherwise`` takes shards that the other gateway did not ask.
+        """
         self._work = work
+        self._ask_otherwise = ask_otherwise
         self._link = link
         self._shards = shards
         self._asks = asks
@@ -186,14 +192,14 @@
             case outcome.Reply(status=status) if status == _OK:
                 self._lose(self._shards, 'unreadable')
             case _:
-                self._asks.ask_from_here(self._shards, self._work.search)
+                self._ask_otherwise(self._shards)
 
     def _take_reply(self, reply: gather_request.GatherReply) -> None:
         self._work.trace.note(
             f'a group came after {reply.took_s:.3f} s of work',
         )
         self._work.parts.take_group(reply)
-        self._asks.ask_from_here(reply.unasked, self._work.search)
+        self._ask_otherwise(reply.unasked)
         if reply.has_more:
             self._asks.add_fallback(self.more)
 
--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/news.py
@@ -125,7 +125,7 @@
                 )
 
     def _tell_in_force(self, table: routing_table.RoutingTable) -> None:
-        self._searchers.share_caps(table.connection_cap_by_service)
+        self._searchers.shares.limit(table.connection_cap_by_service)
         self._telemetry.gauge('routes_version', table.version)
         self._telemetry.tell(events.ROUTES_IN_FORCE, version=table.version)
         self._on_informed()
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -6,11 +6,12 @@
 import msgspec
 
 from chivepond.platform import headers
-from chivepond.wire import gateway_news, gather_request
+from chivepond.wire import forward_request, gateway_news, gather_request
 
 GATHER_PATH = b'/v1/gather'
 MORE_PATH = b'/v1/gather/more'
 NEWS_PATH = b'/v1/news'
+FORWARD_PATH = b'/v1/forward'
 
 _numbers = itertools.count(1)
 
@@ -76,6 +77,21 @@
     return PeerMessage(MORE_PATH, request_id, msgspec.msgpack.encode(asked))
 
 
+def forward_message(
+    asked: forward_request.ForwardRequest,
+    *,
+    is_repeatable: bool,
+) -> PeerMessage:
+    """Return the request that another gateway shall forward."""
+    message = PeerMessage(
+        FORWARD_PATH,
+        asked.request_id,
+        msgspec.msgpack.encode(asked),
+    )
+    message.is_repeatable = is_repeatable
+    return message
+
+
 def news_message(asked: gateway_news.NewsRequest) -> PeerMessage:
     """Return the request for news."""
     number = b'news-%d' % next(_numbers)
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -10,14 +10,16 @@
 from chivepond.gateway import (
     answer,
     caller_request,
+    forwarding_service,
     held_gather,
     peer_message,
     replica,
+    requests_way,
     service_ask,
 )
 from chivepond.observe import events
 from chivepond.platform import headers
-from chivepond.wire import gateway_news, gather_request
+from chivepond.wire import forward_request, gateway_news, gather_request
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -30,6 +32,7 @@
         peer_message.GATHER_PATH: gather_request.GatherRequest,
         peer_message.MORE_PATH: gather_request.MoreRequest,
         peer_message.NEWS_PATH: gateway_news.NewsRequest,
+        peer_message.FORWARD_PATH: forward_request.ForwardRequest,
     },
 )
 #: How long a gather may be asked for once more after its reply, or after its
@@ -43,6 +46,7 @@
 
     __slots__ = (
         '_changed',
+        '_forwarding',
         '_gathers',
         '_held_by_id',
         '_is_stopping',
@@ -57,14 +61,17 @@
         replica_by_kind: Mapping[str, replica.Replica],
         changed: asyncio.Event,
         is_stopping: Callable[[], bool],
-        gathers: Callable[[str, list[str]], bool],
+        way: requests_way.RequestsWay,
     ) -> None:
         """Begin nothing once ``is_stopping``; tell news when ``changed``.
 
-        ``gathers`` tells whether the version in force has these shards on a
-        route.
+        What is asked is checked against the version that ``way`` routes by.
         """
-        self._gathers = gathers
+        self._gathers = way.gathers
+        self._forwarding = forwarding_service.ForwardingService(
+            tools,
+            way.forwards,
+        )
         self._replica_by_kind = replica_by_kind
         self._changed = changed
         self._tools = tools
@@ -98,6 +105,8 @@
                 return answer.refusal(_UNAVAILABLE, 'this gateway stops')
             case gather_request.GatherRequest():
                 return await self._gather(asked)
+            case forward_request.ForwardRequest():
+                return await self._forwarding.serve(asked)
             case _:
                 return await self._tell(request_id, asked)
 
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -1,7 +1,6 @@
 """The other gateways: where they are and how they do."""
 
 import asyncio
-import math
 import random
 from collections.abc import Iterable
 
@@ -10,6 +9,7 @@
     round_trip,
     searcher_standing,
     switches,
+    upstream_share,
     usual_latency,
 )
 from chivepond.gateway import closing, link as links
@@ -43,6 +43,7 @@
         '_link_by_id',
         '_link_mbps',
         '_seeds',
+        '_shares',
         '_switches',
         '_telemetry',
         '_trust_log',
@@ -72,6 +73,7 @@
         self._way_by_id: dict[str, round_trip.RoundTrip] = {}
         self._known_by_id: dict[str, peer_record.PeerRecord] = {}
         self._link_by_id: dict[str, links.Link] = {}
+        self._shares: upstream_share.Shares | None = None
 
     def close(self) -> None:
         """Close all links."""
@@ -84,28 +86,36 @@
         return len(self._known_by_id) + 1
 
     @property
-    def sharers(self) -> float:
-        """Through how many a shared bound goes; infinitely many until listed.
+    def is_listed(self) -> bool:
+        """Whether the store's list of gateways has been read."""
+        return self._is_listed
 
-        Fewer than there are for a gateway that gathers more than others, and
-        more for one that gathers less.
-        """
-        if not self._is_listed:
-            return math.inf
-        if not self._switches.is_on(mechanism.Mechanism.UNEVEN_BUDGET):
-            return self.gateways
-        links_mbps = [
-            record.link_mbps
-            for record in self._known_by_id.values()
-            if record.data_centre == self._here
-        ]
-        return self.gateways / helper_choice.gather_weight(
-            self._link_mbps,
-            [self._link_mbps, *links_mbps],
-        )
+    @property
+    def shares(self) -> upstream_share.Shares:
+        """How this gateway shares with the others that are registered."""
+        is_even = not self._switches.is_on(mechanism.Mechanism.UNEVEN_BUDGET)
+        if self._shares is None or self._shares.is_even != is_even:
+            others = [
+                upstream_share.Gateway(
+                    node_id,
+                    record.data_centre,
+                    record.link_mbps,
+                )
+                for node_id, record in self._known_by_id.items()
+            ]
+            self._shares = upstream_share.Shares(
+                upstream_share.Gateway(
+                    self.own_id,
+                    self._here,
+                    self._link_mbps,
+                ),
+                others,
+                is_even=is_even,
+            )
+        return self._shares
 
     def listed(self) -> None:
-        """Take the news that all gateways of the store's list are known."""
+        """Take that all gateways of the store's list are known."""
         self._is_listed = True
 
     def known(self) -> list[str]:
@@ -118,6 +128,7 @@
         if node_id == self.own_id or self._known_by_id.get(node_id) == record:
             return
         self.remove(node_id)
+        self._shares = None
         self._known_by_id[node_id] = record
         self._link_by_id[node_id] = self._link(record)
         self._telemetry.tell(
@@ -129,6 +140,7 @@
     def remove(self, node_id: str) -> None:
         """Take the news that a gateway is gone."""
         if self._known_by_id.pop(node_id, None) is not None:
+            self._shares = None
             self._link_by_id.pop(node_id).close()
             self._telemetry.tell(events.PEER_GONE, peer=node_id)
 
@@ -180,21 +192,41 @@
 
     def choose(self, data_centre: str) -> links.Link | None:
         """Return a gateway of a data centre to ask for a gather."""
+        return self._choose_among(
+            record
+            for record in self._known_by_id.values()
+            if record.data_centre == data_centre and self._may_help(record)
+        )
+
+    def choose_holder(
+        self,
+        holders: frozenset[str],
+        tried: set[str],
+    ) -> links.Link | None:
+        """Return one of the gateways ``holders`` that was not tried yet."""
+        return self._choose_among(
+            record
+            for node_id, record in self._known_by_id.items()
+            if node_id in holders and node_id not in tried
+        )
+
+    def _choose_among(
+        self,
+        records: Iterable[peer_record.PeerRecord],
+    ) -> links.Link | None:
         now = asyncio.get_running_loop().time()
-        chosen = helper_choice.choose(
-            [
-                helper_choice.Helper(
-                    node_id,
-                    record.link_mbps,
-                    self._link_by_id[node_id].standing.expected_s(now),
+        helpers = []
+        for record in records:
+            link = self._link_by_id[record.node_id]
+            if _is_sound(link, now):
+                helpers.append(
+                    helper_choice.Helper(
+                        record.node_id,
+                        record.link_mbps,
+                        link.standing.expected_s(now),
+                    ),
                 )
-                for node_id, record in self._known_by_id.items()
-                if record.data_centre == data_centre
-                and _is_sound(self._link_by_id[node_id], now)
-                and self._may_help(record)
-            ],
-            random.random,
-        )
+        chosen = helper_choice.choose(helpers, random.random)
         return chosen and self._link_by_id[chosen.node_id]
 
     def _link(self, record: peer_record.PeerRecord) -> links.Link:
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -90,6 +90,17 @@
             case _:
                 return False
 
+    def forwards(self, route_name: str, service: str) -> bool:
+        """Tell whether the active version has ``service`` on a route."""
+        target = self._table and self._table.target_by_name.get(route_name)
+        match target:
+            case routing_table.OneService(service=own):
+                return own == service
+            case routing_table.WeightedServices(weight_by_service=weights):
+                return service in weights
+            case _:
+                return False
+
     async def serve(
         self,
         request: caller_request.CallerRequest,
@@ -168,6 +179,7 @@
                     route,
                     deadline,
                     self._tools,
+                    self._peers,
                     late,
                     trace,
                 )
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -16,13 +16,12 @@
     searcher_record,
     telemetry,
     trust_log,
+    upstream_shares,
 )
 from chivepond.observe import events
 from chivepond.settings import mechanism
 from chivepond.transport import address
 
-#: Gateways that share a cap while fewer are known: more may start.
-_FEWEST_GATEWAYS = 10
 #: How long a searcher whose entry vanished stays the last choice, in
 #: seconds: entries that lapse while the store is away are back within two
 #: seconds, and one that left serves for longer than that.
@@ -35,7 +34,6 @@
 
     __slots__ = (
         '_candidates_by_service',
-        '_caps',
         'here',
         '_id_by_address',
         '_ids_by_service',
@@ -43,8 +41,8 @@
         '_loop',
         '_misdirected',
         'region_by_data_centre',
-        '_peers',
         '_removal_by_id',
+        'shares',
         '_switches',
         '_usual_by_service',
         '_telemetry',
@@ -71,8 +69,7 @@
         self._id_by_address: dict[address.Address, str] = {}
         #: Lives of searchers at whose address another one replied.
         self._misdirected: set[tuple[str, int]] = set()
-        self._caps: Mapping[str, int] = {}
-        self._peers = others
+        self.shares = upstream_shares.UpstreamShares(others)
         self._switches = switched
         self._candidates_by_service: dict[str, _Candidates] = {}
         self._usual_by_service: dict[str, usual_latency.UsualLatency] = {}
@@ -99,12 +96,6 @@
         self.region_by_data_centre = region_by_data_centre
         self._candidates_by_service.clear()
 
-    def share_caps(self, caps: Mapping[str, int]) -> None:
-        """Share the caps of services out among all gateways."""
-        self._caps = caps
-        for known in self._known_by_id.values():
-            known.link.limit(self._cap(known.record))
-
     def replace(
         self,
         record_by_id: Mapping[str, searcher_record.SearcherRecord],
@@ -195,8 +186,10 @@
             yield known.state(now)
 
     def link(self, searcher_id: str) -> links.Link:
-        """Return the link to a searcher that is known."""
-        return self._known_by_id[searcher_id].link
+        """Return the link to a searcher that is known, its limit up to date."""
+        known = self._known_by_id[searcher_id]
+        known.link.limit(self.shares.connections(known.record.service))
+        return known.link
 
     def _made_candidates(
         self,
@@ -232,7 +225,7 @@
                 record,
                 links.Link(
                     registered_searcher.end(record),
-                    self._cap(record),
+                    self.shares.connections(record.service),
                     self._trust_log,
                     self._usual(record.service),
                 ),
@@ -250,7 +243,7 @@
         )
         same = self._ids_by_service.setdefault(record.service, set())
         same.add(record.searcher_id)
-        self._candidates_by_service.pop(record.service, None)
+        self._learn_places(record.service)
 
     def _usual(self, service: str) -> usual_latency.UsualLatency:
         return self._usual_by_service.setdefault(
@@ -270,12 +263,21 @@
         )
         self._id_by_address.pop(known.record.address)
         service = known.record.service
-        self._candidates_by_service.pop(service, None)
         self._ids_by_service[service].discard(searcher_id)
+        self._learn_places(service)
         if not self._ids_by_service[service]:
             self._ids_by_service.pop(service)
             self._usual_by_service.pop(service, None)
 
+    def _learn_places(self, service: str) -> None:
+        """Take where the searchers of a service are now."""
+        self._candidates_by_service.pop(service, None)
+        found = (
+            self._known_by_id[searcher_id].record.data_centre
+            for searcher_id in self._ids_by_service[service]
+        )
+        self.shares.place(service, frozenset(found))
+
     def _tell_leaving(
         self,
         before: searcher_record.SearcherRecord,
@@ -293,8 +295,3 @@
         removal = self._removal_by_id.pop(searcher_id, None)
         if removal is not None:
             removal.cancel()
-
-    def _cap(self, record: searcher_record.SearcherRecord) -> int:
-        cap = self._caps.get(record.service, 1)
-        gateways = max(_FEWEST_GATEWAYS, self._peers.gateways)
-        return max(1, cap // gateways)
--- a/chivepond/gateway/single_request.py
+++ b/chivepond/gateway/single_request.py
@@ -5,8 +5,10 @@
 from chivepond.decisions import second_ask_time
 from chivepond.gateway import (
     answer,
+    delegated_request,
     forwarded_request,
     outcome,
+    peers,
     request_trace,
     routing_table,
     service_ask,
@@ -27,12 +29,24 @@
     route: routing_table.Route,
     deadline: float,
     tools: service_ask.AskTools,
+    others: peers.Peers,
     late: second_ask_time.SecondAskTime,
     trace: request_trace.RequestTrace,
 ) -> answer.Answer:
     """Return the searcher's answer as it is, or a failure of our own."""
-    ask = service_ask.ServiceAsk(service, request, route, tools, trace)
-    match await ask.run(deadline, late):
+    if tools.searchers.shares.connections(service):
+        ask = service_ask.ServiceAsk(service, request, route, tools, trace)
+        ended = await ask.run(deadline, late)
+    else:
+        delegated = delegated_request.DelegatedRequest(
+            service,
+            request,
+            route,
+            tools.searchers.shares,
+            others,
+        )
+        ended = await delegated.run(deadline, trace)
+    match ended:
         case outcome.Reply() as reply:
             return _forwarded(reply, is_head=request.is_head)
         case service_ask.GaveUp(reply=outcome.Reply() as reply):
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -303,3 +303,9 @@
     'gather served',
     'Shards were gathered for another gateway; says what is missing.',
 )
+FORWARD_SERVED = event.Event(
+    6111,
+    'INFO',
+    'forward served',
+    'A request was forwarded for a gateway that may not connect itself.',
+)
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -37,9 +37,18 @@
     return documents.route(name, HOST, prefix, **told)
 
 
-def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+def configuration(
+    version: int,
+    *routes: dict[str, Any],
+    connection_cap: int = 40,
+) -> dict[str, Any]:
     """Return a whole configuration as operators write it."""
-    return documents.configuration(version, list(routes), _LIMITS)
+    return documents.configuration(
+        version,
+        list(routes),
+        _LIMITS,
+        connection_cap,
+    )
 
 
 def settings(**told: Any) -> gateway_settings.GatewaySettings:
@@ -155,12 +164,17 @@
         spec = self.store.spec(store_calls.SEARCHERS, searcher_id)
         to.put(store_calls.SEARCHERS, searcher_id, spec)
 
-    def configure(self, version: int, *routes: dict[str, Any]) -> None:
+    def configure(
+        self,
+        version: int,
+        *routes: dict[str, Any],
+        connection_cap: int = 40,
+    ) -> None:
         """Write a configuration."""
         self.store.put(
             store_calls.CONFIGURATION,
             store_calls.CONFIGURATION_NAME,
-            configuration(version, *routes),
+            configuration(version, *routes, connection_cap=connection_cap),
         )
 
     async def ready_gateway(self, **told: Any) -> gateway.Gateway:
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -80,7 +80,7 @@
         budget = budgets[which % gateways]
         budget.count_request(now)
         requests.append(now)
-        if budget.spend(now, gateways):
+        if budget.spend(now, 1 / gateways):
             extras.append(now)
     for start in extras:
         spent = sum(start <= at < start + 10 for at in extras)
@@ -108,7 +108,9 @@
         ]
         for step in range(200):
             now = max(100, restarted_at) + step * after_s / 200
-            spent_at.extend(now for one in budgets if one.spend(now, gateways))
+            spent_at.extend(
+                now for one in budgets if one.spend(now, 1 / gateways)
+            )
     for start in spent_at:
         spent = sum(start <= at < start + 10 for at in spent_at)
         assert spent <= _LIMITS.burst
@@ -126,7 +128,7 @@
     It had the list of searchers, but not yet that of the other gateways.
     """
     budget = second_send_budget.SecondSendBudget(_LIMITS)
-    assert not budget.spend(1, math.inf)
+    assert not budget.spend(1, 0)
 
 
 @hypothesis.given(strategies.floats(2.5, 20), strategies.integers(1, 100))
@@ -194,17 +196,17 @@
     assert wide == 5
     assert helper_choice.gather_weight(12, links) == 0.2
     budget = second_send_budget.SecondSendBudget(_LIMITS)
-    spent = sum(budget.spend(1, len(links) / wide) for _ in range(100))
+    spent = sum(budget.spend(1, wide / len(links)) for _ in range(100))
     assert spent == 18
 
 
 def test_a_budget_forgets_what_is_older_than_its_span():
     """A spent budget is whole again after the span."""
     budget = second_send_budget.SecondSendBudget(_LIMITS)
-    spent = sum(budget.spend(1, 4) for _ in range(100))
+    spent = sum(budget.spend(1, 1 / 4) for _ in range(100))
     assert spent == 10
-    assert not budget.spend(10.5, 4)
-    assert budget.spend(12, 4)
+    assert not budget.spend(10.5, 1 / 4)
+    assert budget.spend(12, 1 / 4)
 
 
 @hypothesis.given(
--- /dev/null
+++ b/chivepond/tests/test_gateway_delegation.py
@@ -0,0 +1,143 @@
+"""More gateways than a searcher accepts connections."""
+
+import asyncio
+
+from chivepond.gateway import gateway
+from chivepond.platform import headers
+from chivepond.standins import scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+Got = scripted_searcher.Got
+Told = scripted_searcher.Told
+
+_SHARDS = ('a', 'b', 'c', 'd')
+#: Of two gateways one may connect.
+_CAP = 2
+
+
+async def _echo(got: Got) -> Told:
+    return scripted_searcher.good(got, b'body of ' + got.line)
+
+
+async def _reset(got: Got) -> Told:
+    return Told(b'', 'reset')
+
+
+def _part(shard: str) -> scripted_searcher.Reply:
+    async def reply(got: Got) -> Told:
+        return scripted_searcher.good(got, shard.encode() * 16, shard)
+
+    return reply
+
+
+async def _gateways(
+    bench: gateway_bench.Bench,
+    service: str,
+) -> tuple[gateway.Gateway, gateway.Gateway]:
+    """Return the gateway that may connect to ``service``, and the other."""
+    made = [
+        await bench.ready_gateway(node_id=f'gate-{number}')
+        for number in range(2)
+    ]
+    await gateway_bench.until(
+        lambda: all(one.figures.gateways_known == 2 for one in made),
+    )
+    made.sort(key=lambda one: one.figures.connections_to(service), reverse=True)
+    assert [one.figures.connections_to(service) for one in made] == [1, 0]
+    return made[0], made[1]
+
+
+def _stamps(**told):
+    return gateway_bench.route('stamps', '/stamps/', service='desk', **told)
+
+
+def test_a_gateway_beyond_the_cap_is_served_by_one_within_it():
+    """Guards against requests that fail where no connection is left."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _stamps(), connection_cap=_CAP)
+            _, other = await _gateways(bench, 'desk')
+            client = await bench.caller(other.callers)
+            replies = [
+                gateway_bench.reply_of(await client.get('/stamps/1'))
+                for _ in range(3)
+            ]
+            assert [one.status for one in replies] == [200, 200, 200]
+            assert replies[0].body == b'body of GET /stamps/1 HTTP/1.1'
+            assert replies[0].headers.get(headers.SIGNATURE)
+            assert len(searcher.got) == 3
+            assert not other.figures.searcher_connections
+
+    support.run(play())
+
+
+def test_a_stamp_lost_behind_another_gateway_is_not_sent_again():
+    """Guards against a non-idempotent request that runs twice."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(name, 'desk', _reset)
+                for name in ('s-1', 's-2')
+            ]
+            route = _stamps(kind='non_idempotent')
+            bench.configure(1, route, connection_cap=_CAP)
+            _, other = await _gateways(bench, 'desk')
+            client = await bench.caller(other.callers)
+            raw = gateway_bench.request('POST', '/stamps/', body=b'x')
+            reply = gateway_bench.reply_of(await client.send(raw))
+            assert reply.status == 502
+            assert sum(len(one.got) for one in searchers) == 1
+
+    support.run(play())
+
+
+def test_a_search_beyond_the_cap_has_all_parts():
+    """Guards against searches without parts where no connection is left."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for shard in _SHARDS:
+                await bench.searcher(f's-{shard}', shard, _part(shard))
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'search',
+                    '/search/',
+                    gather=list(_SHARDS),
+                    top_k=4,
+                    min_shard_ratio=0.75,
+                ),
+                connection_cap=_CAP,
+            )
+            _, other = await _gateways(bench, 'a')
+            client = await bench.caller(other.callers)
+            reply = gateway_bench.reply_of(await client.get('/search/x'))
+            assert reply.status == 200
+            assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+            assert reply.body == b'd' * 16 + b'c' * 16 + b'b' * 16 + b'a' * 16
+            assert not other.figures.searcher_connections
+
+    support.run(play())
+
+
+def test_a_request_that_no_gateway_can_take_is_refused_at_once():
+    """Guards against a client that waits where nobody may connect."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher = await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _stamps(), connection_cap=_CAP)
+            holder, other = await _gateways(bench, 'desk')
+            await holder.__aexit__(None, None, None)
+            client = await bench.caller(other.callers)
+            async with asyncio.timeout(1):
+                ended = await client.get('/stamps/1')
+            reply = gateway_bench.reply_of(ended)
+            assert reply.status == 503
+            assert reply.headers.get(b'retry-after')
+            assert not searcher.got
+
+    support.run(play())
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -305,7 +305,7 @@
             telemetry.Telemetry('gate-4'),
             switched,
         )
-        assert others.sharers < others.gateways
+        assert others.shares.of(frozenset()).part > 1 / others.gateways
         assert news.leader().end.name == 'gate-1'
         switched.off = frozenset(
             (
@@ -313,7 +313,7 @@
                 mechanism.Mechanism.SHARED_READER,
             ),
         )
-        assert others.sharers == others.gateways
+        assert others.shares.of(frozenset()).part == 1 / others.gateways
         assert news.leader() is None
 
     support.run(play())
@@ -393,7 +393,7 @@
             switches=_without() if is_on else _without(*off),
         ),
     )
-    group = group_ask.GroupAsk(work, None, [], None)
+    group = group_ask.GroupAsk(work, None, [], None, list)
     group.leave_running()
     assert group.is_left_running is is_on
     assert group.may_repeat() is is_on
