--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/searcher_standing.py
@@ -156,6 +156,10 @@
             weight = min(weight, _weight_of_pause(took_s, believed_s))
             took_s = min(took_s, _SLOWEST_FACTOR * believed_s)
         self._latency_s = believed_s + weight * (took_s - believed_s)
+        self.heard(now)
+
+    def heard(self, now: float) -> None:
+        """Count a good reply whose time tells nothing."""
         self._failure_share = (1 - _NEWEST) * self._failing(now)
         self._failures_in_row = 0
         self._told_at = now
--- a/chivepond/decisions/upstream_share.py
+++ b/chivepond/decisions/upstream_share.py
@@ -62,6 +62,15 @@
         return self.part * self.gateways / gateways
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Holders:
+    """The gateways that may connect to the searchers of a service."""
+
+    node_ids: frozenset[str]
+    #: Where those searchers are.
+    data_centres: frozenset[str]
+
+
 class Shares:
     """The shares of one gateway, by the data centres of a service."""
 
@@ -92,7 +101,7 @@
         }
         self._links_by_place = _links_by_place(self._gateway_by_id.values())
         self._share_by_places: dict[frozenset[str], Share] = {}
-        self._holders_by_need: dict[_Need, frozenset[str]] = {}
+        self._holders_by_need: dict[_Need, Holders] = {}
 
     def of(self, data_centres: frozenset[str]) -> Share:
         """Return the share in a service with searchers in ``data_centres``."""
@@ -106,16 +115,17 @@
         self,
         data_centres: frozenset[str],
         cap: int,
-    ) -> frozenset[str]:
+    ) -> Holders:
         """Return the gateways that may connect to a searcher with ``cap``."""
         need = (data_centres, cap)
         known = self._holders_by_need.get(need)
         if known is None:
-            known = frozenset(
+            node_ids = frozenset(
                 node_id
                 for node_id in self._gateway_by_id
                 if self._share(node_id, data_centres).connections(cap)
             )
+            known = Holders(node_ids, data_centres)
             self._holders_by_need[need] = known
         return known
 
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -3,30 +3,38 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable, Mapping
-from typing import Self
+from collections.abc import Callable
+from typing import Protocol, Self
 
 from chivepond.decisions import search_admission, switches
 from chivepond.gateway import (
     budgets,
     closing,
+    gateway_sweeper,
     news,
     peer_registry,
     peers,
-    replica,
     requests_way,
     searcher_selection,
     searchers,
     service_ask,
     settings_parts,
     store_copies,
-    store_news,
+    store_sync,
     stragglers,
+    sync_service,
     telemetry,
 )
+from chivepond.platform import store_calls
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
-from chivepond.wire import gateway_entry
+
+
+class Reader(Protocol):
+    """Works on the store's content."""
+
+    async def run(self) -> None:
+        """Work until cancelled."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,9 +47,7 @@
     tools: service_ask.AskTools
     way: requests_way.RequestsWay
     news: news.News
-    replica_by_kind: Mapping[str, replica.Replica]
-    #: Set with each piece of news from the store.
-    changed: asyncio.Event
+    sync: sync_service.SyncService
     opened: contextlib.ExitStack
 
     def __enter__(self) -> Self:
@@ -72,6 +78,7 @@
         told,
         settings_parts.seeds(settings),
         switched,
+        is_seed=settings_parts.is_seed(settings),
     )
     known = searchers.Searchers(
         settings.data_centre,
@@ -110,8 +117,12 @@
         tools=tools,
         way=way,
         news=taken,
-        replica_by_kind=store_copies.by_kind(taken, others, changed),
-        changed=changed,
+        sync=sync_service.SyncService(
+            store_copies.by_kind(taken, others, changed),
+            changed,
+            settings.node_id,
+            settings.news_bound_s,
+        ),
         opened=contextlib.ExitStack(),
     )
 
@@ -120,22 +131,37 @@
     parts: Parts,
     settings: gateway_settings.GatewaySettings,
     own: address.Address,
-) -> tuple[store_news.StoreNews, peer_registry.PeerRegistry]:
-    """Return what reads the store, and what registers ``own`` in it."""
+) -> list[Reader]:
+    """Return what works on the store; ``own`` is registered in it."""
     store = address.parse(settings.store).unwrap()
-    entry = gateway_entry.GatewayEntry(
-        str(own),
-        settings.data_centre,
-        settings.link_mbps,
+    registry = peer_registry.PeerRegistry(
+        settings.node_id,
+        settings_parts.own_entry(settings, own),
+        store,
+        parts.sync.replica_by_kind[store_calls.GATEWAYS],
+        is_first_start=settings.is_first_start,
     )
-    return (
-        store_news.StoreNews(
-            settings.news_bound_s,
-            store,
-            parts.replica_by_kind,
-            parts.others,
-            parts.telemetry,
-            parts.tools.switches,
-        ),
-        peer_registry.PeerRegistry(settings.node_id, entry, store),
+    sync = store_sync.StoreSync(
+        settings.news_bound_s,
+        store,
+        parts.sync,
+        parts.others,
+        parts.telemetry,
+        parts.tools.switches,
+        registry,
+    )
+    return [registry, sync, _sweeper(parts, store, sync)]
+
+
+def _sweeper(
+    parts: Parts,
+    store: address.Address,
+    sync: store_sync.StoreSync,
+) -> gateway_sweeper.GatewaySweeper:
+    return gateway_sweeper.GatewaySweeper(
+        store,
+        parts.sync.replica_by_kind[store_calls.GATEWAYS],
+        parts.others,
+        sync,
+        parts.telemetry,
     )
--- a/chivepond/gateway/delegated_shards.py
+++ b/chivepond/gateway/delegated_shards.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from chivepond.decisions import upstream_share
 from chivepond.gateway import gather_asks, group_ask
 
 
@@ -25,7 +26,7 @@
         """Begin to ask each of ``shards``, here or elsewhere."""
         shares = self._work.tools.searchers.shares
         here: list[str] = []
-        shards_by_holders: dict[frozenset[str], list[str]] = {}
+        shards_by_holders: dict[upstream_share.Holders, list[str]] = {}
         for shard in shards:
             if shares.connections(shard):
                 here.append(shard)
@@ -36,7 +37,9 @@
         for holders, group in shards_by_holders.items():
             self._delegate(holders, group)
 
-    def _delegate(self, holders: frozenset[str], shards: list[str]) -> None:
+    def _delegate(
+        self, holders: upstream_share.Holders, shards: list[str]
+    ) -> None:
         link = self._work.others.choose_holder(holders, self._tried)
         if link is None:
             for shard in shards:
--- a/chivepond/gateway/figures.py
+++ b/chivepond/gateway/figures.py
@@ -34,6 +34,11 @@
         """How many connections to searchers are open."""
         return self._searchers.connections
 
+    @property
+    def is_gateways_listed(self) -> bool:
+        """Whether the list of gateways has been read."""
+        return self._peers.is_listed
+
     @property
     def gateways_known(self) -> int:
         """How many gateways are registered, this one included."""
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -16,7 +16,14 @@
 class ForwardedRequest:
     """Method, path and body unchanged; fields of this one hop are new."""
 
-    __slots__ = ('body', 'head', 'is_head', 'is_repeatable', 'request_id')
+    __slots__ = (
+        'body',
+        'head',
+        'is_head',
+        'is_held',
+        'is_repeatable',
+        'request_id',
+    )
 
     def __init__(
         self,
@@ -33,6 +40,7 @@
         self.head = head
         self.body = body
         self.is_head = is_head
+        self.is_held = False
 
     @classmethod
     def of(
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -77,8 +77,7 @@
             settings.peers,
             peer_service.PeerService(
                 self._parts.tools,
-                self._parts.replica_by_kind,
-                self._parts.changed,
+                self._parts.sync,
                 self._tell_stopping,
                 self._parts.way,
             ).serve,
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chivepond.decisions import news_source
+from chivepond.decisions import sync_source
 from chivepond.gateway import (
     outcome,
     replica,
@@ -19,8 +19,8 @@
 from chivepond.transport import address
 
 _CALL_S = 1.0
-#: How long the watch after a list that may be old waits, in seconds: what the
-#: list lacked comes at once, and others may follow this gateway only then.
+#: How long the first watch waits, in seconds: what the copy lacks comes at
+#: once, and others may follow this gateway only then.
 _PROOF_S = 0.1
 #: Between two watches, in seconds: changes that come together cost one call.
 #: News may be seconds old by the operators' bounds; a quarter of a second
@@ -40,6 +40,7 @@
         '_is_proved',
         '_kind',
         '_is_fresh',
+        '_is_reader',
         '_outage',
         '_replica',
         '_telemetry',
@@ -56,11 +57,14 @@
         watch_s: Callable[[], float],
         outage: store_outage.StoreOutage,
         is_fresh: Callable[[], bool],
+        is_reader: asyncio.Event,
     ) -> None:
         """Keep ``copy`` in step; a watch waits for ``watch_s`` seconds.
 
-        ``is_fresh`` tells whether the copies are fresh, the store aside.
+        ``is_fresh`` tells whether the copies are fresh, the store aside. Lists
+        may be old until ``is_reader``; nothing is watched before that.
         """
+        self._is_reader = is_reader
         self._outage = outage
         self._is_fresh = is_fresh
         self._kind = kind
@@ -68,8 +72,9 @@
         self._replica = copy
         self._telemetry = told
         self._watch_s = watch_s
-        #: Whether what is known was confirmed by a list or watch that is new.
-        self._is_proved = True
+        #: Whether what is known was confirmed by a list or watch of this reader
+        #: that is new.
+        self._is_proved = not copy.is_bound
         #: Whether the last call failed.
         self.is_lost = False
 
@@ -121,6 +126,7 @@
             self._replica.confirm(began)
 
     async def _watch(self, revision: int) -> None:
+        await self._is_reader.wait()
         while True:
             wait_s = self._watch_s() if self._is_proved else _PROOF_S
             changes = await self._read(
@@ -130,7 +136,7 @@
                     int(wait_s * _MS_PER_S),
                 ),
                 store_calls.Changes,
-                wait_s + news_source.WATCH_GRACE_S,
+                wait_s + sync_source.WATCH_GRACE_S,
             )
             if changes is None:
                 return
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -33,6 +33,8 @@
     is_head: bool
     #: Whether it may run again where a connection ends on it.
     is_repeatable: bool
+    #: Whether its reply is held until there is something to tell.
+    is_held: bool
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
@@ -86,7 +88,8 @@
         """
         loop = asyncio.get_running_loop()
         attempt = next(_attempts)
-        self.standing.sent(attempt, loop.time())
+        if not request.is_held:
+            self.standing.sent(attempt, loop.time())
         try:
             async with asyncio.timeout_at(deadline):
                 ended = await self._exchange(request, deadline)
@@ -98,7 +101,10 @@
                 self._pool.drop_idle()
                 self._tell_trust('no reply for long')
             raise
-        self._judge(attempt, ended, loop.time())
+        if request.is_held:
+            self._judge_held(attempt, ended, loop.time())
+        else:
+            self._judge(attempt, ended, loop.time())
         return ended
 
     async def _exchange(
@@ -133,6 +139,24 @@
         if found:
             self.standing.told_waiting(int(found[1]), now)
 
+    def _judge_held(
+        self,
+        attempt: int,
+        ended: outcome.Outcome,
+        now: float,
+    ) -> None:
+        """Take a reply that was held, whose time is not the other end's.
+
+        Guards against a gateway that is asked for nothing else because it
+        holds the reply to a follower: it would count as overdue.
+        """
+        match ended:
+            case outcome.Reply():
+                self.standing.heard(now)
+                self._tell_trust('')
+            case _:
+                self._judge(attempt, ended, now)
+
     def _judge(self, attempt: int, ended: outcome.Outcome, now: float) -> None:
         match ended:
             case outcome.Reply(headers=told):
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -6,11 +6,12 @@
 import msgspec
 
 from chivepond.platform import headers
-from chivepond.wire import forward_request, gateway_news, gather_request
+from chivepond.wire import forward_request, gather_request
+from chivepond.wire import sync_message as sync_messages
 
 GATHER_PATH = b'/v1/gather'
 MORE_PATH = b'/v1/gather/more'
-NEWS_PATH = b'/v1/news'
+SYNC_PATH = b'/v1/news'
 FORWARD_PATH = b'/v1/forward'
 
 _numbers = itertools.count(1)
@@ -19,7 +20,14 @@
 class PeerMessage:
     """One request; its identifier pairs it with its reply."""
 
-    __slots__ = ('_body', '_path', 'is_head', 'is_repeatable', 'request_id')
+    __slots__ = (
+        '_body',
+        '_path',
+        'is_head',
+        'is_held',
+        'is_repeatable',
+        'request_id',
+    )
 
     def __init__(self, path: bytes, request_id: bytes, body: bytes) -> None:
         """Carry ``body`` to ``path``."""
@@ -27,6 +35,7 @@
         self._body = body
         self.request_id = request_id
         self.is_head = False
+        self.is_held = False
         self.is_repeatable = True
 
     def encode(self, receiver: str, left_s: float) -> bytes:
@@ -74,7 +83,9 @@
 def more_message(request_id: bytes, *, has_reply: bool) -> PeerMessage:
     """Return the request for parts that came late, or for a lost reply."""
     asked = gather_request.MoreRequest(request_id, has_reply)
-    return PeerMessage(MORE_PATH, request_id, msgspec.msgpack.encode(asked))
+    message = PeerMessage(MORE_PATH, request_id, msgspec.msgpack.encode(asked))
+    message.is_held = has_reply
+    return message
 
 
 def forward_message(
@@ -92,7 +103,9 @@
     return message
 
 
-def news_message(asked: gateway_news.NewsRequest) -> PeerMessage:
-    """Return the request for news."""
-    number = b'news-%d' % next(_numbers)
-    return PeerMessage(NEWS_PATH, number, msgspec.msgpack.encode(asked))
+def sync_message(asked: sync_messages.SyncRequest) -> PeerMessage:
+    """Return the request for updates of the store's content."""
+    number = b'sync-%d' % next(_numbers)
+    message = PeerMessage(SYNC_PATH, number, msgspec.msgpack.encode(asked))
+    message.is_held = True
+    return message
--- a/chivepond/gateway/peer_news.py
+++ b/chivepond/gateway/peer_news.py
@@ -25,14 +25,19 @@
                 self._peers.remove(node_id)
         for stored in found:
             self._put(stored)
-        self._peers.listed()
+        # A list without this gateway is older than its registration, and may
+        # lack others that share what upstreams allow.
+        if self._peers.own_id in names:
+            self._peers.listed()
 
     def take_change(self, change: store_calls.Change) -> None:
         """Take the news of one gateway."""
         if change.deleted:
             self._peers.remove(change.object.meta.name)
-        else:
-            self._put(change.object)
+            return
+        self._put(change.object)
+        if change.object.meta.name == self._peers.own_id:
+            self._peers.listed()
 
     def _put(self, stored: store_calls.StoredObject) -> None:
         record = _record(stored)
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -1,4 +1,4 @@
-"""Answers other gateways: gathers beside the searchers, and news."""
+"""Serves other gateways: gathers, forwarded requests, the store's content."""
 
 import asyncio
 import types
@@ -13,13 +13,13 @@
     forwarding_service,
     held_gather,
     peer_message,
-    replica,
     requests_way,
     service_ask,
+    sync_service,
 )
 from chivepond.observe import events
 from chivepond.platform import headers
-from chivepond.wire import forward_request, gateway_news, gather_request
+from chivepond.wire import forward_request, gather_request, sync_message
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -31,7 +31,7 @@
     {
         peer_message.GATHER_PATH: gather_request.GatherRequest,
         peer_message.MORE_PATH: gather_request.MoreRequest,
-        peer_message.NEWS_PATH: gateway_news.NewsRequest,
+        peer_message.SYNC_PATH: sync_message.SyncRequest,
         peer_message.FORWARD_PATH: forward_request.ForwardRequest,
     },
 )
@@ -45,25 +45,23 @@
     """Answers the requests of other gateways."""
 
     __slots__ = (
-        '_changed',
         '_forwarding',
         '_gathers',
         '_held_by_id',
         '_is_stopping',
         '_late_by_route',
-        '_replica_by_kind',
+        '_sync',
         '_tools',
     )
 
     def __init__(
         self,
         tools: service_ask.AskTools,
-        replica_by_kind: Mapping[str, replica.Replica],
-        changed: asyncio.Event,
+        sync: sync_service.SyncService,
         is_stopping: Callable[[], bool],
         way: requests_way.RequestsWay,
     ) -> None:
-        """Begin nothing once ``is_stopping``; tell news when ``changed``.
+        """Begin nothing once ``is_stopping``.
 
         What is asked is checked against the version that ``way`` routes by.
         """
@@ -72,8 +70,7 @@
             tools,
             way.forwards,
         )
-        self._replica_by_kind = replica_by_kind
-        self._changed = changed
+        self._sync = sync
         self._tools = tools
         self._is_stopping = is_stopping
         self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
@@ -108,7 +105,7 @@
             case forward_request.ForwardRequest():
                 return await self._forwarding.serve(asked)
             case _:
-                return await self._tell(request_id, asked)
+                return _answer(request_id, await self._sync.serve(asked))
 
     async def _gather(
         self,
@@ -190,35 +187,6 @@
             notes=gather.trace.notes,
         )
 
-    async def _tell(
-        self,
-        request_id: bytes,
-        asked: gateway_news.NewsRequest,
-    ) -> answer.Answer:
-        reply = self._news(asked)
-        until = asyncio.get_running_loop().time() + asked.wait_s
-        while not reply.news_by_kind:
-            self._changed.clear()
-            try:
-                async with asyncio.timeout_at(until):
-                    await self._changed.wait()
-            except TimeoutError:
-                break
-            reply = self._news(asked)
-        return _answer(request_id, reply)
-
-    def _news(self, asked: gateway_news.NewsRequest) -> gateway_news.NewsReply:
-        found = {}
-        for kind, since in asked.revision_by_kind.items():
-            known = self._replica_by_kind.get(kind)
-            news = known and known.news(since)
-            if news is not None:
-                found[kind] = news
-        now = asyncio.get_running_loop().time()
-        copies = self._replica_by_kind.values()
-        age_s = max(copy.age_s(now) for copy in copies)
-        return gateway_news.NewsReply(found, age_s)
-
 
 def _answer(request_id: bytes, reply: msgspec.Struct) -> answer.Answer:
     return answer.Answer(
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from chivepond.decisions import (
     helper_choice,
     round_trip,
     searcher_standing,
     switches,
+    sync_source,
     upstream_share,
     usual_latency,
 )
@@ -48,6 +49,7 @@
         '_telemetry',
         '_trust_log',
         '_way_by_id',
+        'is_seed',
         'own_id',
     )
 
@@ -57,8 +59,12 @@
         told: telemetry.Telemetry,
         seeds: Iterable[address.Address],
         switched: switches.Switches,
+        *,
+        is_seed: bool = True,
     ) -> None:
         """Know no gateway but ``seeds``, which may be stale."""
+        #: Whether others ask this gateway while they know none.
+        self.is_seed = is_seed
         self.own_id = own.node_id
         self._here = own.data_centre
         self._switches = switched
@@ -141,6 +147,7 @@
         """Take the news that a gateway is gone."""
         if self._known_by_id.pop(node_id, None) is not None:
             self._shares = None
+            self._way_by_id.pop(node_id, None)
             self._link_by_id.pop(node_id).close()
             self._telemetry.tell(events.PEER_GONE, peer=node_id)
 
@@ -148,18 +155,27 @@
         """Return the link to a gateway that is known."""
         return self._link_by_id[node_id]
 
-    def near(self) -> list[tuple[str, bool]]:
-        """Return the others of the own data centre; whether each is sound."""
+    @property
+    def own_member(self) -> sync_source.Member:
+        """This gateway's place in the order of all."""
+        return sync_source.Member(self._here, self.own_id)
+
+    def sound_members(self) -> Iterator[sync_source.Member]:
+        """Yield the places of the other gateways that may be asked."""
         now = asyncio.get_running_loop().time()
-        return [
-            (node_id, _is_sound(self._link_by_id[node_id], now))
-            for node_id, record in self._known_by_id.items()
-            if record.data_centre == self._here
-        ]
+        for node_id, record in self._known_by_id.items():
+            if _is_sound(self._link_by_id[node_id], now):
+                yield sync_source.Member(record.data_centre, node_id)
+
+    def any(self, preferred: str = '') -> links.Link | None:
+        """Return some gateway that may be asked, seeds included.
 
-    def any(self) -> links.Link | None:
-        """Return some gateway that may be asked, seeds included."""
+        It is ``preferred`` where that one may be asked.
+        """
         now = asyncio.get_running_loop().time()
+        last = self._link_by_id.get(preferred)
+        if last is not None and _is_sound(last, now):
+            return last
         known = [*self._link_by_id.values(), *self._seeds]
         sound = [link for link in known if _is_sound(link, now)]
         return random.choice(sound or known) if known else None
@@ -200,15 +216,21 @@
 
     def choose_holder(
         self,
-        holders: frozenset[str],
+        holders: upstream_share.Holders,
         tried: set[str],
     ) -> links.Link | None:
-        """Return one of the gateways ``holders`` that was not tried yet."""
-        return self._choose_among(
+        """Return one of ``holders`` that was not tried yet, near if may be."""
+        untried = [
+            self._known_by_id[node_id]
+            for node_id in holders.node_ids
+            if node_id in self._known_by_id and node_id not in tried
+        ]
+        near = [
             record
-            for node_id, record in self._known_by_id.items()
-            if node_id in holders and node_id not in tried
-        )
+            for record in untried
+            if record.data_centre in holders.data_centres
+        ]
+        return self._choose_among(near) or self._choose_among(untried)
 
     def _choose_among(
         self,
--- a/chivepond/gateway/replica.py
+++ b/chivepond/gateway/replica.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from chivepond.platform import store_calls
-from chivepond.wire import gateway_news
+from chivepond.wire import sync_message
 
 #: Objects that are gone are remembered so many at a time; who knows less of
 #: the past than that gets the whole list.
@@ -61,8 +61,10 @@
         self._gone_at_by_name: dict[str, int] = {}
 
     def confirm(self, at: float) -> None:
-        """Take the news that all this was true at ``at``."""
-        self.confirmed_at = max(self.confirmed_at, at)
+        """Take that all this was true at ``at``."""
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self.changed.set()
 
     def take_list(
         self,
@@ -97,41 +99,71 @@
         """Return the time since the store confirmed this, in seconds."""
         return now - self.confirmed_at if self.is_bound else 0
 
-    def news(self, since: int) -> gateway_news.KindNews | None:
-        """Return what is newer than ``since``, or nothing."""
+    def find(self, name: str) -> store_calls.StoredObject | None:
+        """Return an object, or nothing where none is known."""
+        return self._stored_by_name.get(name)
+
+    def update(
+        self,
+        since: int,
+        *,
+        may_keep: bool = False,
+    ) -> sync_message.KindUpdate | None:
+        """Return what is newer than ``since``, or nothing.
+
+        Where ``may_keep``, a whole list names the objects that have not
+        changed since, in place of telling them again.
+        """
         if since >= self.as_of:
             return None
-        is_whole = since < self._floor
-        entries = [
-            gateway_news.NewsEntry(
-                name,
-                stored.meta.revision,
-                bytes(stored.spec),
-            )
-            for name, stored in self._stored_by_name.items()
-            if is_whole or stored.meta.revision > since
-        ]
+        if since < self._floor:
+            return self._whole(since if may_keep else 0)
         gone = [
             name for name, at in self._gone_at_by_name.items() if at > since
         ]
-        if not (is_whole or entries or gone):
+        entries = self._entries(since)
+        if not (entries or gone):
             return None
-        return gateway_news.KindNews(self.as_of, is_whole, entries, gone)
+        return sync_message.KindUpdate(self.as_of, False, entries, gone)
 
-    def take_news(self, news: gateway_news.KindNews) -> None:
-        """Take what another gateway tells."""
+    def take_update(self, update: sync_message.KindUpdate) -> None:
+        """Take what another gateway hands on."""
         found = [
             store_calls.stored(entry.name, entry.revision, entry.spec)
-            for entry in news.entries
+            for entry in update.entries
         ]
-        if news.is_whole:
-            self.take_list(found, news.as_of)
+        if update.is_whole:
+            found.extend(self._kept(update.kept))
+            self.take_list(found, update.as_of)
             return
         changes = [store_calls.Change(one) for one in found]
-        for name in news.gone:
-            removed = store_calls.stored(name, news.as_of, b'null')
+        for name in update.gone:
+            removed = store_calls.stored(name, update.as_of, b'null')
             changes.append(store_calls.Change(removed, deleted=True))
-        self.take_changes(changes, news.as_of)
+        self.take_changes(changes, update.as_of)
+
+    def _whole(self, since: int) -> sync_message.KindUpdate:
+        entries = self._entries(since)
+        newer = {entry.name for entry in entries}
+        kept = [name for name in self._stored_by_name if name not in newer]
+        return sync_message.KindUpdate(self.as_of, True, entries, [], kept)
+
+    def _entries(self, since: int) -> list[sync_message.ObjectEntry]:
+        return [
+            sync_message.ObjectEntry(
+                name,
+                stored.meta.revision,
+                bytes(stored.spec),
+            )
+            for name, stored in self._stored_by_name.items()
+            if stored.meta.revision > since
+        ]
+
+    def _kept(self, names: list[str]) -> Iterator[store_calls.StoredObject]:
+        for name in names:
+            stored = self._stored_by_name.get(name)
+            if stored is not None:
+                yield stored
 
     def _take(self, change: store_calls.Change, as_of: int) -> None:
         name = change.object.meta.name
--- a/chivepond/gateway/settings_parts.py
+++ b/chivepond/gateway/settings_parts.py
@@ -4,6 +4,7 @@
 from chivepond.gateway import peer_record
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
+from chivepond.wire import gateway_entry
 
 
 def own_record(
@@ -18,6 +19,18 @@
     )
 
 
+def own_entry(
+    settings: gateway_settings.GatewaySettings,
+    own: address.Address,
+) -> gateway_entry.GatewayEntry:
+    """Return what this gateway registers; others reach it at ``own``."""
+    return gateway_entry.GatewayEntry(
+        str(own),
+        settings.data_centre,
+        settings.link_mbps,
+    )
+
+
 def metrics_address(
     settings: gateway_settings.GatewaySettings,
 ) -> address.Address:
@@ -38,6 +51,11 @@
     ]
 
 
+def is_seed(settings: gateway_settings.GatewaySettings) -> bool:
+    """Tell whether others ask this gateway while they know none."""
+    return settings.peers in settings.seeds or not settings.seeds
+
+
 def budget_limits(
     settings: gateway_settings.GatewaySettings,
 ) -> second_send_budget.BudgetLimits:
--- a/chivepond/gateway/store_client.py
+++ b/chivepond/gateway/store_client.py
@@ -51,6 +51,10 @@
         """Replace an object."""
         return await self._call(b'PUT', path, body, timeout_s)
 
+    async def delete(self, path: str, timeout_s: float) -> outcome.Outcome:
+        """Remove an object."""
+        return await self._call(b'DELETE', path, b'', timeout_s)
+
     async def _call(
         self,
         method: bytes,
--- a/chivepond/gateway/store_outage.py
+++ b/chivepond/gateway/store_outage.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from chivepond.decisions import news_source
+from chivepond.decisions import sync_source
 
 
 class StoreOutage:
@@ -21,12 +21,12 @@
         """Begin with a store that replies."""
         self._trying = ''
         self._ended = asyncio.Event()
-        self._pause_s = news_source.FIRST_RETRY_S
+        self._pause_s = sync_source.FIRST_RETRY_S
 
     def over(self) -> None:
         """Take the news that the store replied; all may go on."""
         self._trying = ''
-        self._pause_s = news_source.FIRST_RETRY_S
+        self._pause_s = sync_source.FIRST_RETRY_S
         self._ended.set()
 
     async def pause(self, kind: str, *, is_known: bool, is_fresh: bool) -> None:
@@ -35,16 +35,16 @@
             self._ended.clear()
         self._trying = self._trying or kind
         if self._trying == kind:
-            spread = random.uniform(*news_source.JITTER)
+            spread = random.uniform(*sync_source.JITTER)
             await asyncio.sleep(spread * self._pause_s)
-            self._pause_s = news_source.retry_s(
+            self._pause_s = sync_source.retry_s(
                 self._pause_s,
                 is_known=is_known,
                 is_fresh=is_fresh,
             )
             return
         try:
-            async with asyncio.timeout(news_source.OTHERS_RETRY_S):
+            async with asyncio.timeout(sync_source.OTHERS_RETRY_S):
                 await self._ended.wait()
         except TimeoutError:
             # What fails may be the one kind that is tried, and not the store.
--- /dev/null
+++ b/chivepond/gateway/store_sync.py
@@ -0,0 +1,355 @@
+"""Keeps the copies of the store's kinds fresh, by the store or by peers."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from chivepond.decisions import switches, sync_source
+from chivepond.gateway import (
+    kind_reader,
+    outcome,
+    peer_message,
+    peer_registry,
+    peers,
+    replica,
+    store_outage,
+    sync_service,
+    telemetry,
+)
+from chivepond.gateway import link as links
+from chivepond.observe import events
+from chivepond.platform import store_calls
+from chivepond.settings import mechanism
+from chivepond.transport import address
+from chivepond.wire import sync_message
+
+#: How much longer than its wait another gateway's reply may take, in seconds.
+_GRACE_S = 0.25
+#: Between two looks at who is to read, in seconds.
+_LOOK_S = 0.2
+#: After a gateway that gave no fresh reply, in seconds.
+_PAUSE_S = 0.1
+#: How long a gateway whose content was old is not followed, in seconds.
+_STALE_S = 5.0
+#: How long a gateway that reads may take until its content is fresh.
+_PROVING_S = 0.5
+#: How long a start waits for others before it reads for itself, in seconds: a
+#: restart, while callers wait, and the first start of all.
+_START_S = 0.5
+_FIRST_START_S = 2.0
+_START_LOOK_S = 0.02
+_OK = 200
+
+
+class StoreSync:
+    """Reads the store, follows a gateway that does, or both for a while.
+
+    Guards against a store that turns some machines away: without peers such
+    a gateway asks searchers that have left, and routes by a version that is
+    no longer active, for as long as that lasts.
+    """
+
+    __slots__ = (
+        '_bound_s',
+        '_drawn',
+        '_following',
+        '_is_reader',
+        '_origin_since',
+        '_peers',
+        '_readers',
+        '_registry',
+        '_replica_by_kind',
+        '_service',
+        '_stale_until_by_id',
+        '_started_at',
+        '_store',
+        '_switches',
+        '_tasks',
+        '_telemetry',
+    )
+
+    def __init__(
+        self,
+        bound_s: float,
+        store: address.Address,
+        service: sync_service.SyncService,
+        others: peers.Peers,
+        told: telemetry.Telemetry,
+        switched: switches.Switches,
+        registry: peer_registry.PeerRegistry,
+    ) -> None:
+        """Have updates active within ``bound_s`` seconds.
+
+        ``registry`` tells when this gateway is registered in the store.
+        """
+        self._bound_s = bound_s
+        self._switches = switched
+        self._store = store
+        self._service = service
+        self._replica_by_kind = service.replica_by_kind
+        self._peers = others
+        self._telemetry = told
+        self._registry = registry
+        self._following = ''
+        self._drawn = random.random()
+        self._origin_since: float = 0
+        self._started_at = asyncio.get_running_loop().time()
+        self._stale_until_by_id: dict[str, float] = {}
+        self._readers: list[kind_reader.KindReader] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        #: Set while this gateway reads the store beyond its first lists.
+        self._is_reader = asyncio.Event()
+
+    async def run(self) -> None:
+        """Keep the copies fresh until cancelled."""
+        try:
+            while True:
+                await self._step()
+        finally:
+            self._stop_reading()
+
+    def source(self) -> links.Link | None:
+        """Return the gateway to follow, or nothing to read the store here."""
+        if not self._switches.is_on(mechanism.Mechanism.SHARED_READER):
+            return None
+        now = asyncio.get_running_loop().time()
+        chosen = sync_source.source(
+            self._peers.own_member,
+            (
+                one
+                for one in self._peers.sound_members()
+                if self._stale_until_by_id.get(one.node_id, 0) < now
+            ),
+        )
+        return chosen and self._peers.link(chosen.node_id)
+
+    async def _step(self) -> None:
+        if self._is_starting():
+            await self._start()
+            return
+        followed = self.source()
+        if followed is None:
+            self._read()
+            await self._follow_if_lost(_LOOK_S)
+            return
+        if await self._follow(followed):
+            self._stop_reading()
+            return
+        if self._age_s() > self._oldest_s():
+            self._read()
+        if self.source() is followed:
+            await asyncio.sleep(_PAUSE_S)
+
+    def _is_starting(self) -> bool:
+        """Tell whether the other gateways may not all be known yet."""
+        if self._peers.is_listed:
+            return False
+        now = asyncio.get_running_loop().time()
+        window_s = _FIRST_START_S if self._registry.is_first_start else _START_S
+        if now < self._started_at + window_s:
+            return True
+        if self._gateways.as_of:
+            self._peers.listed()
+        return False
+
+    async def _start(self) -> None:
+        """Take the first content, from others where these have it.
+
+        A restart lists all kinds at once. At the first start of all nobody
+        waits for an answer yet: the seeds read, and the others learn from them
+        whom to follow.
+        """
+        followed = self.source()
+        if not self._registry.is_first_start:
+            self._list()
+        elif self._peers.is_seed:
+            self._read()
+        elif followed is None:
+            await self._follow_seed()
+            return
+        if followed is None or not self._gateways.as_of:
+            await self._follow_if_lost(_START_LOOK_S)
+        elif not await self._follow(followed):
+            await asyncio.sleep(_START_LOOK_S)
+
+    async def _follow_seed(self) -> None:
+        link = self._peers.any()
+        if link is not None and self._registry.registered.is_set():
+            await self._ask(link, {store_calls.GATEWAYS: self._gateways}, 0)
+        await asyncio.sleep(_START_LOOK_S)
+
+    @property
+    def _gateways(self) -> replica.Replica:
+        return self._replica_by_kind[store_calls.GATEWAYS]
+
+    async def _follow_if_lost(self, look_s: float) -> None:
+        is_on = self._switches.is_on(mechanism.Mechanism.PEER_NEWS)
+        if is_on and any(reader.is_lost for reader in self._readers):
+            await self._follow_any()
+            return
+        self._log_source('', self._peers.own_id)
+        await asyncio.sleep(look_s)
+
+    def _read(self) -> None:
+        """Read the store, all of it and as it is now."""
+        self._list()
+        self._is_reader.set()
+
+    def _list(self) -> None:
+        """Begin with lists, which may be old."""
+        if self._tasks:
+            return
+        outage = store_outage.StoreOutage()
+        self._readers = [
+            kind_reader.KindReader(
+                kind,
+                self._store,
+                copy,
+                self._telemetry,
+                self._watch_of(kind),
+                outage,
+                self._is_fresh,
+                self._is_reader,
+            )
+            for kind, copy in self._replica_by_kind.items()
+        ]
+        self._tasks = [
+            asyncio.create_task(reader.run()) for reader in self._readers
+        ]
+
+    def _stop_reading(self) -> None:
+        self._is_reader.clear()
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        self._readers.clear()
+
+    def _watch_of(self, kind: str) -> Callable[[], float]:
+        if kind == store_calls.GATEWAYS:
+            return self._gateways_watch_s
+        return self._watch_s
+
+    def _gateways_watch_s(self) -> float:
+        return sync_source.gateways_watch_s(self._peers.gateways)
+
+    def _watch_s(self) -> float:
+        return sync_source.watch_s(self._bound_s, self._peers.gateways)
+
+    def _oldest_s(self) -> float:
+        return sync_source.follower_age_s(
+            self._bound_s,
+            self._peers.gateways,
+            self._drawn,
+        )
+
+    def _age_s(self) -> float:
+        now = asyncio.get_running_loop().time()
+        return max(one.age_s(now) for one in self._replica_by_kind.values())
+
+    def _is_fresh(self) -> bool:
+        """Tell whether another gateway's content is taken, and fresh."""
+        oldest_s = sync_source.source_age_s(self._bound_s)
+        return bool(self._following) and self._age_s() < oldest_s
+
+    async def _follow_any(self) -> None:
+        link = self._peers.any(self._following)
+        if link is None or not await self._follow(link):
+            self._following = ''
+            await asyncio.sleep(_PAUSE_S * random.uniform(1, 2))
+
+    async def _follow(self, link: links.Link) -> bool:
+        """Return whether fresh content came."""
+        # The first reply comes at once: until it does, the store is read too.
+        wait_s = sync_source.ask_s(self._bound_s) if self._following else 0
+        reply = await self._ask(link, self._replica_by_kind, wait_s)
+        if reply is None or not self._is_good(link.end.name, reply):
+            return False
+        self._log_source(link.end.name, reply.origin or link.end.name)
+        return True
+
+    async def _ask(
+        self,
+        link: links.Link,
+        replica_by_kind: Mapping[str, replica.Replica],
+        wait_s: float,
+    ) -> sync_message.SyncReply | None:
+        """Take updates of some kinds from another gateway."""
+        asked = sync_message.SyncRequest(
+            {kind: one.as_of for kind, one in replica_by_kind.items()},
+            wait_s,
+            self._age_s(),
+            takes_kept=True,
+        )
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s + _GRACE_S
+        reply = _decoded(
+            await link.ask(peer_message.sync_message(asked), deadline),
+        )
+        if reply is None:
+            self._telemetry.count('news', 'failed')
+            return None
+        self._telemetry.count('news', 'taken')
+        for kind, copy in replica_by_kind.items():
+            update = reply.update_by_kind.get(kind)
+            if update is not None:
+                copy.take_update(update)
+            copy.confirm(loop.time() - reply.age_s)
+        return reply
+
+    def _is_good(
+        self,
+        peer: str,
+        reply: sync_message.SyncReply,
+    ) -> bool:
+        """Tell whether content is fresh and not this gateway's own.
+
+        Guards against two gateways that follow each other, one of which the
+        store turned away: each would take its own content for fresh.
+        """
+        now = asyncio.get_running_loop().time()
+        if reply.origin == self._peers.own_id:
+            self._mark_stale(peer, now)
+            return False
+        if reply.age_s <= sync_source.source_age_s(self._bound_s):
+            return True
+        origin = reply.origin or peer
+        if origin != self._service.origin:
+            self._service.origin = origin
+            self._origin_since = now
+        elif now > self._origin_since + _PROVING_S:
+            self._mark_stale(origin, now)
+        return False
+
+    def _mark_stale(self, node_id: str, now: float) -> None:
+        self._stale_until_by_id = {
+            known: until
+            for known, until in self._stale_until_by_id.items()
+            if until > now
+        }
+        self._stale_until_by_id[node_id] = now + _STALE_S
+
+    def _log_source(self, peer: str, origin: str) -> None:
+        if origin != self._service.origin:
+            self._service.origin = origin
+            self._origin_since = asyncio.get_running_loop().time()
+        if peer != self._following:
+            self._following = peer
+            self._telemetry.tell(
+                events.SYNC_SOURCE,
+                source=peer or 'store',
+                origin=origin,
+                age_ms=round(self._age_s() * 1000),
+            )
+
+
+def _decoded(ended: outcome.Outcome) -> sync_message.SyncReply | None:
+    match ended:
+        case outcome.Reply(status=status, body=body) if status == _OK:
+            try:
+                return msgspec.msgpack.decode(body, type=sync_message.SyncReply)
+            except msgspec.DecodeError:
+                return None
+        case _:
+            return None
--- a/chivepond/gateway/upstream_shares.py
+++ b/chivepond/gateway/upstream_shares.py
@@ -47,7 +47,7 @@
             return 1
         return self._share(service).connections(self._cap(service))
 
-    def holders(self, service: str) -> frozenset[str]:
+    def holders(self, service: str) -> upstream_share.Holders:
         """Return the gateways that may connect to searchers of a service."""
         return self._peers.shares.holders(
             self._places(service),
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -201,11 +201,11 @@
     'source regained',
     'The store or a gateway that hands on its news is read again.',
 )
-NEWS_SOURCE = event.Event(
+SYNC_SOURCE = event.Event(
     6014,
     'INFO',
-    'news source',
-    'Whose news are taken from now on: the store, or a gateway that reads it.',
+    'sync source',
+    'Where the content of the store is taken from: it, or another gateway.',
 )
 SEARCHER_LEARNED = event.Event(
     6020,
@@ -267,6 +267,18 @@
     'peer found',
     'A gateway that was lost replied well.',
 )
+PEER_SUSPECTED = event.Event(
+    6034,
+    'WARNING',
+    'peer suspected',
+    'A gateway gave no reply for long; its entry will be removed.',
+)
+PEER_REMOVED = event.Event(
+    6035,
+    'INFO',
+    'peer removed',
+    'The entry of a gateway that is gone was removed from the store.',
+)
 REQUEST_ANSWERED = event.Event(
     6100,
     'INFO',
--- a/chivepond/observe/request_story.py
+++ b/chivepond/observe/request_story.py
@@ -20,7 +20,7 @@
         events.ROUTES_REFUSED,
         events.SOURCE_LOST,
         events.SOURCE_REGAINED,
-        events.NEWS_SOURCE,
+        events.SYNC_SOURCE,
         events.SEARCHER_LEARNED,
         events.SEARCHER_LEAVING,
         events.SEARCHER_GONE,
--- a/chivepond/platform/documents.py
+++ b/chivepond/platform/documents.py
@@ -5,6 +5,8 @@
 
 from typing import Any
 
+import msgspec
+
 from chivepond.gateway import routing_table
 from chivepond.transport import address
 
@@ -76,6 +78,11 @@
     }
 
 
+def encoded(spec: Any) -> bytes:
+    """Return the content of an object as the store holds it."""
+    return msgspec.json.encode(spec)
+
+
 def searcher(
     service: str,
     place: address.Address,
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -84,11 +84,13 @@
     return f'{_ROOT}/{kind}?watch={revision}&wait_ms={wait_ms}'
 
 
-def object_path(kind: str, name: str) -> str:
-    """Return the path of one object."""
-    return f'{_ROOT}/{kind}/{urls.quote(name, safe="")}'
+def object_path(kind: str, name: str, revision: int = 0) -> str:
+    """Return the path of one object, as it is at ``revision`` if given."""
+    path = f'{_ROOT}/{kind}/{urls.quote(name, safe="")}'
+    return f'{path}?revision={revision}' if revision else path
 
 
-def new_object(name: str, spec: Any) -> bytes:
-    """Return the body that creates an object."""
-    return msgspec.json.encode({'meta': {'name': name}, 'spec': spec})
+def object_body(name: str, spec: Any, revision: int = 0) -> bytes:
+    """Return the body that writes an object, if it is at ``revision``."""
+    meta = {'name': name, 'revision': revision} if revision else {'name': name}
+    return msgspec.json.encode({'meta': meta, 'spec': spec})
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -130,7 +130,17 @@
 
     def spec(self, kind: str, name: str) -> Any:
         """Return what an object says."""
-        return self._object_by_place[(kind, name)]['spec']
+        return self._object_by_place[kind, name]['spec']
+
+    def revision(self, kind: str, name: str) -> int:
+        """Return the revision of an object's last change."""
+        stored = self._object_by_place[(kind, name)]
+        return stored['meta']['revision']
+
+    @property
+    def as_of(self) -> int:
+        """The revision of the last change of all."""
+        return self._revision
 
     def names(self, kind: str) -> list[str]:
         """Return the names of the objects of a kind."""
@@ -153,8 +163,11 @@
             return answer.refusal(refused, 'turned away')
         path, _, query = place.partition('?')
         kind, _, name = path.removeprefix('/api/objects/').partition('/')
+        asked = dict(urls.parse_qsl(query))
         if request.method == b'GET':
-            return await self._read(kind, name, dict(urls.parse_qsl(query)))
+            return await self._read(kind, name, asked)
+        if request.method == b'DELETE':
+            return self._delete((kind, name), int(asked.get('revision', 0)))
         return self._write(kind, name, request)
 
     async def _read(
@@ -218,8 +231,29 @@
         place = (kind, name)
         if request.method == b'POST' and place in self._object_by_place:
             return _json(_CONFLICT, self._object_by_place.get(place))
+        conflict = self._conflict(place, told['meta'].get('revision', 0))
+        if conflict is not None:
+            return conflict
         self.put(kind, name, told['spec'])
-        return _json(_CREATED, self._object_by_place[(kind, name)])
+        return _json(_CREATED, self._object_by_place[place])
+
+    def _delete(self, place: tuple[str, str], revision: int) -> answer.Answer:
+        conflict = self._conflict(place, revision)
+        if conflict is not None:
+            return conflict
+        self.remove(*place)
+        return _json(_OK, None)
+
+    def _conflict(
+        self,
+        place: tuple[str, str],
+        revision: int,
+    ) -> answer.Answer | None:
+        """Return the refusal of a call on an object that has changed."""
+        stored = self._object_by_place.get(place)
+        if not revision or (stored and stored['meta']['revision'] == revision):
+            return None
+        return _json(_CONFLICT if stored else _NOT_FOUND, stored)
 
 
 def _refuse_none(path: str) -> int | None:  # noqa: WPS324
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -178,9 +178,9 @@
         )
 
     async def ready_gateway(self, **told: Any) -> gateway.Gateway:
-        """Start a gateway and wait until it is ready."""
+        """Start a gateway; wait until it is ready and knows the others."""
         made = await self.unready_gateway(**told)
-        await until(lambda: made.is_ready)
+        await until(lambda: made.is_ready and made.figures.is_gateways_listed)
         return made
 
     async def unready_gateway(self, **told: Any) -> gateway.Gateway:
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -11,7 +11,7 @@
     gather_time,
     helper_choice,
     log_limit,
-    news_source,
+    sync_source,
     recent_count,
     round_trip,
     search_admission,
@@ -138,8 +138,8 @@
     The connection to the store fell silent without a reset; the watch on it
     said nothing of the newer version until its time was over.
     """
-    noticed_s = news_source.watch_s(bound_s, members)
-    assert noticed_s + news_source.WATCH_GRACE_S < bound_s
+    noticed_s = sync_source.watch_s(bound_s, members)
+    assert noticed_s + sync_source.WATCH_GRACE_S < bound_s
 
 
 @hypothesis.given(
@@ -502,16 +502,16 @@
     """
 
     def pauses(**told):
-        pause_s = news_source.FIRST_RETRY_S
+        pause_s = sync_source.FIRST_RETRY_S
         for _ in range(8):
-            pause_s = news_source.retry_s(pause_s, **told)
+            pause_s = sync_source.retry_s(pause_s, **told)
         return pause_s
 
     assert pauses(is_known=False, is_fresh=False) == 0.25
     assert pauses(is_known=True, is_fresh=False) == 0.8
     assert pauses(is_known=True, is_fresh=True) == 1.6
-    first = news_source.retry_s(
-        news_source.FIRST_RETRY_S,
+    first = sync_source.retry_s(
+        sync_source.FIRST_RETRY_S,
         is_known=True,
         is_fresh=True,
     )
--- /dev/null
+++ b/chivepond/tests/test_gateway_fleet.py
@@ -0,0 +1,291 @@
+"""Gateways that share the work on the store, over a stand-in for it."""
+
+import asyncio
+
+from chivepond.gateway import (
+    gateway_sweeper,
+    peer_record,
+    peers,
+    replica,
+    telemetry,
+)
+from chivepond.decisions import departure, switches
+from chivepond.platform import documents, store_calls
+from chivepond.standins import routed_store, scripted_searcher
+from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
+from chivepond.wire import gateway_entry
+
+Got = scripted_searcher.Got
+Told = scripted_searcher.Told
+
+_PLACES = ('base', 'hub')
+
+
+async def _echo(got: Got) -> Told:
+    return scripted_searcher.good(got, got.line)
+
+
+def _route(**told):
+    return gateway_bench.route('desk', '/desk/', service='desk', **told)
+
+
+async def _fleet(bench, count, **told):
+    """Start gateways in two data centres, as at the first start of all."""
+    made = [
+        await bench.unready_gateway(
+            node_id=f'gate-{number:02}',
+            data_centre=_PLACES[number % 2],
+            is_first_start=True,
+            **told,
+        )
+        for number in range(count)
+    ]
+    await gateway_bench.until(
+        lambda: all(one.figures.gateways_known == count for one in made),
+    )
+    return made
+
+
+async def _until_version(gates, version):
+    await gateway_bench.until(
+        lambda: all(gate.figures.routes_version == version for gate in gates),
+    )
+
+
+def test_calls_on_the_store_do_not_grow_with_the_gateways():
+    """Guards against a price and a rate that each more host adds to."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gates = await _fleet(bench, 16)
+            await asyncio.sleep(1.5)
+            before = bench.store.calls
+            await asyncio.sleep(3)
+            # Two kinds, each a watch in 1.14 s and a pause of 0.25 s.
+            assert bench.store.calls - before <= 8
+            bench.configure(2, _route())
+            await _until_version(gates, 2)
+
+    support.run(play())
+
+
+def test_a_gateway_that_holds_its_reply_is_not_overdue():
+    """Guards against a reader that its followers ask for nothing else."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            _, follower = await _fleet(bench, 2)
+            await asyncio.sleep(0.5)
+            others = follower._parts.others
+            for _ in range(10):
+                await asyncio.sleep(0.05)
+                assert list(others.sound_members())
+
+    support.run(play())
+
+
+def test_a_reader_that_ends_is_replaced_within_the_bound():
+    """Guards against a fleet that goes on with what a dead host read."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gates = await _fleet(bench, 9)
+            await asyncio.sleep(0.5)
+            await gates[0].__aexit__(None, None, None)
+            bench.configure(2, _route())
+            others = gates[1:]
+            async with asyncio.timeout(3):
+                await _until_version(others, 2)
+
+    support.run(play())
+
+
+def test_a_reader_that_the_store_turns_away_is_passed_over():
+    """Guards against a fleet that waits for a host which can read nothing."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            async with gateway_bench.Gate(bench.store.address) as gate:
+                first = await bench.unready_gateway(
+                    node_id='gate-00',
+                    store=str(gate.address),
+                )
+                others = [
+                    await bench.ready_gateway(node_id=f'gate-{number:02}')
+                    for number in range(1, 6)
+                ]
+                gates = [first, *others]
+                await gateway_bench.until(
+                    lambda: all(
+                        one.figures.gateways_known == 6 for one in gates
+                    ),
+                )
+                await asyncio.sleep(0.5)
+            bench.configure(2, _route())
+            async with asyncio.timeout(3):
+                await _until_version(gates, 2)
+            await asyncio.sleep(1.5)
+            before = bench.store.calls
+            await asyncio.sleep(3)
+            assert bench.store.calls - before <= 8
+
+    support.run(play())
+
+
+def test_a_start_on_cheap_lists_is_followed_by_what_is_new():
+    """Guards against a fleet that starts with what the store had before."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            bench.store.lag()
+            bench.configure(2, _route())
+            gates = await _fleet(bench, 7)
+            await _until_version(gates, 2)
+
+    support.run(play())
+
+
+def _entry(place, **told):
+    return gateway_entry.GatewayEntry(str(place), 'base', **told)
+
+
+class _Sweep:
+    """A sweeper over a store, fed by hand."""
+
+    def __init__(self, store: routed_store.RoutedStore) -> None:
+        self.store = store
+        log = telemetry.Telemetry('gate-0')
+        own = peer_record.PeerRecord(
+            'gate-0',
+            address.parse('127.0.0.1:9').unwrap(),
+            'base',
+            100,
+        )
+        self.peers = peers.Peers(own, log, (), switches.Switches())
+        self.copy = replica.Replica(
+            replica.Sink(lambda found: None, lambda change: None),
+            asyncio.Event(),
+        )
+        self.sweeper = gateway_sweeper.GatewaySweeper(
+            store.address,
+            self.copy,
+            self.peers,
+            None,
+            log,
+        )
+
+    def list(self) -> None:
+        """Read the store's list of gateways."""
+        kind = store_calls.GATEWAYS
+        self.copy.take_list(
+            [
+                store_calls.stored(
+                    name,
+                    self.store.revision(kind, name),
+                    documents.encoded(self.store.spec(kind, name)),
+                )
+                for name in self.store.names(kind)
+            ],
+            self.store.as_of,
+        )
+
+    async def act(self, step: departure.Step, node_id: str) -> None:
+        """Do what the decision says."""
+        await self.sweeper.act(step, node_id)
+
+
+def _gone(store):
+    """Register a gateway that is gone; return its name."""
+    place = address.parse('127.0.0.1:7').unwrap()
+    store.put(
+        store_calls.GATEWAYS,
+        'gate-1',
+        {'address': str(place), 'data_centre': 'base'},
+    )
+    return 'gate-1'
+
+
+def test_the_entry_of_a_gateway_that_is_gone_is_removed():
+    """Guards against entries that take a part of what the living share."""
+
+    async def play() -> None:
+        async with routed_store.RoutedStore() as store:
+            sweep = _Sweep(store)
+            node_id = _gone(store)
+            sweep.list()
+            sweep.sweeper.departures.failed(node_id, 0, 9)
+            await sweep.act(departure.Step.MARK, node_id)
+            marked = store.spec(store_calls.GATEWAYS, node_id)
+            assert marked['suspected_by'] == 'gate-0'
+            await sweep.act(departure.Step.REMOVE, node_id)
+            assert not store.names(store_calls.GATEWAYS)
+
+    support.run(play())
+
+
+def test_a_sweeper_that_stood_still_loses_its_removal():
+    """Guards against the removal of a gateway that came back meanwhile."""
+
+    async def play() -> None:
+        async with routed_store.RoutedStore() as store:
+            sweep = _Sweep(store)
+            node_id = _gone(store)
+            sweep.list()
+            sweep.sweeper.departures.failed(node_id, 0, 9)
+            await sweep.act(departure.Step.MARK, node_id)
+            _gone(store)
+            await sweep.act(departure.Step.REMOVE, node_id)
+            assert store.names(store_calls.GATEWAYS) == [node_id]
+
+    support.run(play())
+
+
+def test_a_living_gateway_writes_its_entry_again():
+    """Guards against a gateway that others have taken for gone."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            kind = store_calls.GATEWAYS
+            spec = dict(bench.store.spec(kind, 'gate-1'))
+            bench.store.put(kind, 'gate-1', spec | {'suspected_by': 'gate-9'})
+            await gateway_bench.until(
+                lambda: not bench.store.spec(kind, 'gate-1')['suspected_by'],
+            )
+            bench.store.remove(kind, 'gate-1')
+            await gateway_bench.until(lambda: bench.store.names(kind))
+            assert gate.is_ready
+
+    support.run(play())
+
+
+def test_a_restart_finds_its_entry_and_writes_nothing():
+    """Guards against writes that a kill of all adds for each host."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _route())
+            gate = await bench.ready_gateway()
+            place = str(gate.peers)
+            await gate.__aexit__(None, None, None)
+            kind = store_calls.GATEWAYS
+            before = bench.store.revision(kind, 'gate-1')
+            await bench.ready_gateway(peers=place)
+            await asyncio.sleep(0.3)
+            assert bench.store.revision(kind, 'gate-1') == before
+
+    support.run(play())
--- a/chivepond/tests/test_gateway_news.py
+++ b/chivepond/tests/test_gateway_news.py
@@ -358,28 +358,30 @@
         ),
         max_size=40,
     ),
+    strategies.booleans(),
 )
-def test_a_follower_knows_what_the_copy_knows(steps):
+def test_a_follower_knows_what_the_copy_knows(steps, may_keep):
     """A follower's searchers differed from those of the gateway it asked.
 
     Whatever comes between two asks, lists included, the follower ends with
     the same objects, and older news change nothing.
     """
-    pair = _Pair()
+    pair = _Pair(may_keep=may_keep)
     for revision, (what, name) in enumerate(steps, start=2):
         pair.step(what, name, revision)
     pair.follow()
     assert pair.follower.names == pair.known.names == set(pair.truth)
     if pair.old_news is not None:
         if pair.old_news.as_of < pair.follower.copy.as_of:
-            pair.follower.copy.take_news(pair.old_news)
+            pair.follower.copy.take_update(pair.old_news)
     assert pair.follower.names == set(pair.truth)
 
 
 class _Pair:
     """A copy that is fed, a follower of it, and the truth."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_keep: bool) -> None:
+        self.may_keep = may_keep
         self.truth: dict[str, int] = {}
         self.known = _Known()
         self.follower = _Known()
@@ -406,9 +408,12 @@
 
     def follow(self) -> None:
         """Let the follower ask."""
-        news = self.known.copy.news(self.follower.copy.as_of)
+        news = self.known.copy.update(
+            self.follower.copy.as_of,
+            may_keep=self.may_keep,
+        )
         if news is not None:
-            self.follower.copy.take_news(news)
+            self.follower.copy.take_update(news)
             self.old_news = self.old_news or news
 
 
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -18,7 +18,8 @@
     peer_record,
     peers,
     searcher_selection,
-    store_news,
+    store_sync,
+    sync_service,
     telemetry,
 )
 from chivepond.platform import documents, headers, store_calls
@@ -297,16 +298,17 @@
     async def play() -> None:
         switched = _without()
         others = _peers(switched)
-        news = store_news.StoreNews(
+        sync = store_sync.StoreSync(
             3,
             address.Address('127.0.0.1', 9),
-            {},
+            sync_service.SyncService({}, asyncio.Event(), 'gate-4', 3),
             others,
             telemetry.Telemetry('gate-4'),
             switched,
+            None,
         )
         assert others.shares.of(frozenset()).part > 1 / others.gateways
-        assert news.leader().end.name == 'gate-1'
+        assert sync.source().end.name == 'gate-1'
         switched.off = frozenset(
             (
                 mechanism.Mechanism.UNEVEN_BUDGET,
@@ -314,7 +316,7 @@
             ),
         )
         assert others.shares.of(frozenset()).part == 1 / others.gateways
-        assert news.leader() is None
+        assert sync.source() is None
 
     support.run(play())
 
--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -116,7 +116,7 @@
         '/api/objects/k?watch=7&wait_ms=100'
     )
     assert store_calls.object_path('k', 'a/b') == '/api/objects/k/a%2Fb'
-    made = msgspec.json.decode(store_calls.new_object('n', {'x': 1}))
+    made = msgspec.json.decode(store_calls.object_body('n', {'x': 1}))
     assert made == {'meta': {'name': 'n'}, 'spec': {'x': 1}}
 
 
--- a/chivepond/wire/gateway_entry.py
+++ b/chivepond/wire/gateway_entry.py
@@ -9,3 +9,5 @@
     address: str
     data_centre: str
     link_mbps: float = 0
+    #: Who takes it for gone and is about to remove it.
+    suspected_by: str = ''
