A hedge that would come too late is left out

Hypothesis: where both copies of a shard are slow, hedges fill the slots of the other copy and come too late as well.

Change: decisions/hedge_gain, asked before a hedge; switch hedge_gain.

--- a/chivepond/gateway/forwarding_service.py
+++ b/chivepond/gateway/forwarding_service.py
@@ -68,7 +68,12 @@
             asked.route,
             second_ask_time.SecondAskTime(),
         )
-        reply = _reply(await ask.run(clock() + asked.left_s, late))
+        came_at = clock()
+        times = service_ask.Times(
+            came_at + asked.target_latency_s,
+            came_at + asked.left_s,
+        )
+        reply = _reply(await ask.run(times, late))
         self._tools.telemetry.tell(
             events.FORWARD_SERVED,
             is_ordinary=reply.response is not None,
--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -121,13 +121,14 @@
         search: searches.Search,
     ) -> None:
         """Begin to ask each of ``shards`` from this gateway."""
-        self.ask(shards, search.request, search.deadline)
+        times = service_ask.Times(search.answer_at, search.deadline)
+        self.ask(shards, search.request, times)
 
     def ask(
         self,
         shards: Iterable[str],
         request: forwarded_request.ForwardedRequest,
-        deadline: float,
+        times: service_ask.Times,
     ) -> None:
         """Begin to ask each of ``shards`` from here."""
         for shard in shards:
@@ -139,7 +140,7 @@
                 self._trace,
             )
             self._asks.append(ask)
-            task = asyncio.create_task(self._ask_one(ask, deadline))
+            task = asyncio.create_task(self._ask_one(ask, times))
             self._tasks.add(task)
             if self._tools.selection.is_hopeless(shard):
                 self._hopeless.add(task)
@@ -199,9 +200,9 @@
     async def _ask_one(
         self,
         ask: service_ask.ServiceAsk,
-        deadline: float,
+        times: service_ask.Times,
     ) -> None:
-        match await ask.run(deadline, self._late):
+        match await ask.run(times, self._late):
             case outcome.Reply() as reply:
                 self.parts.take(ask.service, reply)
             case service_ask.GaveUp() as gave_up:
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -62,7 +62,11 @@
             asked.body,
             is_head=False,
         )
-        self._asks.ask(asked.shards, request, self._began + asked.left_s)
+        times = service_ask.Times(
+            self._began + asked.answer_in_s,
+            self._began + asked.left_s,
+        )
+        self._asks.ask(asked.shards, request, times)
 
     def end(self, *, is_answered: bool) -> None:
         """Ask no more; see ``GatherAsks``."""
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/service_ask.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from chivepond.decisions import (
+    hedge_gain,
     search_admission,
     searcher_choice,
     second_ask_time,
@@ -44,6 +45,16 @@
     switches: switches.Switches
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Times:
+    """Until when a reply is of use, on the steady clock."""
+
+    #: When the answer is due; a reply after it is late.
+    due: float
+    #: When the client stops waiting.
+    deadline: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class GaveUp:
     """No reply that counts, and why."""
@@ -65,7 +76,6 @@
 
     __slots__ = (
         '_arrivals',
-        '_deadline',
         '_is_left_running',
         '_may_have_run',
         '_reason',
@@ -75,6 +85,7 @@
         '_running',
         '_second_at',
         '_sends',
+        '_times',
         '_tools',
         '_trace',
         '_tried',
@@ -106,11 +117,11 @@
         self._reply: outcome.Reply | None = None
         self._is_left_running = False
         self._second_at: float | None = None
-        self._deadline: float = 0
+        self._times = Times(0, 0)
 
     async def run(
         self,
-        deadline: float,
+        times: Times,
         late: second_ask_time.SecondAskTime,
     ) -> outcome.Reply | GaveUp:
         """Return the first good reply, or why there is none.
@@ -118,7 +129,7 @@
         ``late`` says when a second searcher is asked, and learns from this.
         """
         loop = asyncio.get_running_loop()
-        self._deadline = deadline
+        self._times = times
         self._tools.budgets.count_request(self.service)
         started = loop.time()
         if self._may_ask_twice():
@@ -156,7 +167,7 @@
             )
             if not done:
                 self._second_at = None
-                self._send_again()
+                self._hedge()
             for attempt in done:
                 link = self._running.pop(attempt)
                 found = self._take(link.end.name, attempt.result())
@@ -223,6 +234,21 @@
                 if self._route.is_idempotent or not self._may_have_run:
                     self._send_again()
 
+    def _hedge(self) -> None:
+        link = self._choose()
+        if link is None:
+            return
+        now = asyncio.get_running_loop().time()
+        is_worth = hedge_gain.is_worth(
+            link.standing.expected_s(now),
+            self._times.due - now,
+        )
+        is_on = self._tools.switches.is_on(mechanism.Mechanism.HEDGE_GAIN)
+        if is_worth or not is_on:
+            self._send_again()
+        else:
+            self._tools.telemetry.count('second_sends', 'too late')
+
     def _send_again(self) -> None:
         if self._sends >= self._route.max_attempts:
             return
@@ -236,14 +262,7 @@
             self._trace.note(f'{self.service}: no budget to send again')
 
     def _send(self) -> None:
-        link = self._tools.selection.choose(
-            self.service,
-            self._tried,
-            searcher_choice.Need(
-                self._route.target_latency_s,
-                self._route.is_idempotent,
-            ),
-        )
+        link = self._choose()
         if link is None:
             return
         self._tried.add(link.end.name)
@@ -253,9 +272,21 @@
             link.end.name,
             is_second=len(self._tried) > 1,
         )
-        attempt = asyncio.create_task(link.ask(self._request, self._deadline))
+        attempt = asyncio.create_task(
+            link.ask(self._request, self._times.deadline)
+        )
         self._running[attempt] = link
 
+    def _choose(self) -> links.Link | None:
+        return self._tools.selection.choose(
+            self.service,
+            self._tried,
+            searcher_choice.Need(
+                self._route.target_latency_s,
+                self._route.is_idempotent,
+            ),
+        )
+
     def _drop_running(self, *, is_left: bool = False) -> None:
         may_go_on = self._tools.switches.is_on(mechanism.Mechanism.STRAGGLERS)
         for attempt, link in self._running.items():
--- a/chivepond/gateway/single_request.py
+++ b/chivepond/gateway/single_request.py
@@ -36,7 +36,8 @@
     """Return the searcher's answer as it is, or a failure of our own."""
     if tools.searchers.shares.connections(service):
         ask = service_ask.ServiceAsk(service, request, route, tools, trace)
-        ended = await ask.run(deadline, late)
+        due = asyncio.get_running_loop().time() + route.target_latency_s
+        ended = await ask.run(service_ask.Times(due, deadline), late)
     else:
         delegated = delegated_request.DelegatedRequest(
             service,
--- a/chivepond/settings/mechanism.py
+++ b/chivepond/settings/mechanism.py
@@ -8,6 +8,8 @@
 
     #: A late part, or a late reply, is asked for at a second searcher.
     SECOND_ASKS = 'second_asks'
+    #: That is left out where it would come too late.
+    HEDGE_GAIN = 'hedge_gain'
     #: When that is follows the replies of the route; off, the latest moment.
     LEARNED_ASK_TIME = 'learned_ask_time'
     #: Gateways that gather for others have more of the second sends.
