Tables that grow with churn are bounded; the reading of the store is split by job

What was learnt of routes, services and the way to gateways stayed for good; labels of metrics grew with each new route.

--- a/chivepond/decisions/second_send_budget.py
+++ b/chivepond/decisions/second_send_budget.py
@@ -62,6 +62,10 @@
         """Count a request for the service."""
         self._requests.add(now)
 
+    def is_idle(self, now: float) -> bool:
+        """Tell whether nothing of the span is counted any more."""
+        return not (self._requests.read(now) or self._extras.read(now))
+
     def left(self, now: float, part: float) -> float:
         """Return how many second sends are left.
 
--- a/chivepond/gateway/budgets.py
+++ b/chivepond/gateway/budgets.py
@@ -68,5 +68,14 @@
                 self._limits,
                 self._restarted_at,
             )
+            self._forget_idle()
             self._budget_by_service[service] = known
         return known
+
+    def _forget_idle(self) -> None:
+        now = self._loop.time()
+        self._budget_by_service = {
+            service: known
+            for service, known in self._budget_by_service.items()
+            if not known.is_idle(now)
+        }
--- a/chivepond/gateway/forwarding_service.py
+++ b/chivepond/gateway/forwarding_service.py
@@ -1,16 +1,16 @@
 """Forwards requests of gateways that may not connect to a searcher."""
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 
-from chivepond.decisions import second_ask_time
 from chivepond.gateway import (
     answer,
     forwarded_request,
     outcome,
     request_trace,
+    requests_way,
+    route_latencies,
     routing_table,
     service_ask,
 )
@@ -25,27 +25,24 @@
 class ForwardingService:
     """Serves the requests that other gateways hand on to this one."""
 
-    __slots__ = ('_forwards', '_late_by_route', '_tools')
+    __slots__ = ('_latencies', '_tools', '_way')
 
     def __init__(
         self,
         tools: service_ask.AskTools,
-        forwards: Callable[[str, str], bool],
+        way: requests_way.RequestsWay,
     ) -> None:
-        """Forward by the active version.
-
-        ``forwards`` tells whether it has a service on a route.
-        """
+        """Forward by the version that ``way`` routes by."""
         self._tools = tools
-        self._forwards = forwards
-        self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+        self._way = way
+        self._latencies = route_latencies.RouteLatencies(lambda: way.table)
 
     async def serve(
         self, asked: forward_request.ForwardRequest
     ) -> answer.Answer:
         """Return the searcher's response, or why there is none."""
         shares = self._tools.searchers.shares
-        if not self._forwards(asked.route, asked.service):
+        if not self._way.forwards(asked.route, asked.service):
             return answer.refusal(_CONFLICT, 'the active version differs here')
         if not shares.connections(asked.service):
             return answer.refusal(_CONFLICT, 'no connection is allowed here')
@@ -64,10 +61,7 @@
             self._tools,
             trace,
         )
-        late = self._late_by_route.setdefault(
-            asked.route,
-            second_ask_time.SecondAskTime(),
-        )
+        late = self._latencies.of(asked.route)
         came_at = clock()
         times = service_ask.Times(
             came_at + asked.target_latency_s,
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -53,7 +53,7 @@
         kind: str,
         place: address.Address,
         copy: replica.Replica,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         watch_s: Callable[[], float],
         outage: store_outage.StoreOutage,
         is_fresh: Callable[[], bool],
@@ -70,7 +70,7 @@
         self._kind = kind
         self._client = store_client.StoreClient(place)
         self._replica = copy
-        self._telemetry = told
+        self._telemetry = events_log
         self._watch_s = watch_s
         #: Whether what is known was confirmed by a list or watch of this reader
         #: that is new.
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from chivepond.decisions import second_ask_time
 from chivepond.gateway import (
     answer,
     caller_request,
@@ -14,6 +13,7 @@
     held_gather,
     peer_message,
     requests_way,
+    route_latencies,
     service_ask,
     sync_service,
 )
@@ -49,7 +49,7 @@
         '_gathers',
         '_held_by_id',
         '_is_stopping',
-        '_late_by_route',
+        '_latencies',
         '_sync',
         '_tools',
     )
@@ -66,14 +66,11 @@
         What is asked is checked against the version that ``way`` routes by.
         """
         self._gathers = way.gathers
-        self._forwarding = forwarding_service.ForwardingService(
-            tools,
-            way.forwards,
-        )
+        self._forwarding = forwarding_service.ForwardingService(tools, way)
         self._sync = sync
         self._tools = tools
         self._is_stopping = is_stopping
-        self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+        self._latencies = route_latencies.RouteLatencies(lambda: way.table)
         self._held_by_id: dict[bytes, held_gather.HeldGather] = {}
 
     async def serve(
@@ -116,10 +113,7 @@
                 _CONFLICT,
                 'the version in force here has other shards',
             )
-        late = self._late_by_route.setdefault(
-            asked.route,
-            second_ask_time.SecondAskTime(),
-        )
+        late = self._latencies.of(asked.route)
         gather = held_gather.HeldGather(asked, self._tools, late)
         self._hold(asked.request_id, gather, asked.answer_in_s)
         try:
--- /dev/null
+++ b/chivepond/gateway/peer_updates.py
@@ -0,0 +1,60 @@
+"""Takes updates of the store's content from another gateway."""
+
+import asyncio
+from collections.abc import Mapping
+
+import msgspec
+
+from chivepond.gateway import link as links
+from chivepond.gateway import outcome, peer_message, replica, telemetry
+from chivepond.wire import sync_message
+
+#: How much longer than its wait another gateway's reply may take, in seconds.
+_GRACE_S = 0.25
+_OK = 200
+
+
+async def take(
+    link: links.Link,
+    replica_by_kind: Mapping[str, replica.Replica],
+    wait_s: float,
+    age_s: float,
+    events_log: telemetry.Telemetry,
+) -> sync_message.SyncReply | None:
+    """Bring copies up to date; return the reply, or nothing without one.
+
+    The reply may be held for ``wait_s`` seconds, unless it is fresher than the
+    content here, which is ``age_s`` seconds old.
+    """
+    asked = sync_message.SyncRequest(
+        {kind: one.as_of for kind, one in replica_by_kind.items()},
+        wait_s,
+        age_s,
+        takes_kept=True,
+    )
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + wait_s + _GRACE_S
+    reply = _decoded(
+        await link.ask(peer_message.sync_message(asked), deadline),
+    )
+    if reply is None:
+        events_log.count('news', 'failed')
+        return None
+    events_log.count('news', 'taken')
+    for kind, copy in replica_by_kind.items():
+        update = reply.update_by_kind.get(kind)
+        if update is not None:
+            copy.take_update(update)
+        copy.confirm(loop.time() - reply.age_s)
+    return reply
+
+
+def _decoded(ended: outcome.Outcome) -> sync_message.SyncReply | None:
+    match ended:
+        case outcome.Reply(status=status, body=body) if status == _OK:
+            try:
+                return msgspec.msgpack.decode(body, type=sync_message.SyncReply)
+            except msgspec.DecodeError:
+                return None
+        case _:
+            return None
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Iterable
 
-from chivepond.decisions import second_ask_time, weighted_share
+from chivepond.decisions import weighted_share
 from chivepond.gateway import (
     answer,
     caller_request,
@@ -12,6 +12,7 @@
     gathered_request,
     peers,
     request_trace,
+    route_latencies,
     routing_table,
     service_ask,
     single_request,
@@ -40,7 +41,7 @@
     """Routes requests by the version in force when they come."""
 
     __slots__ = (
-        '_late_by_route',
+        '_latencies',
         '_peers',
         '_share_by_route',
         '_table',
@@ -59,7 +60,7 @@
         self._table: routing_table.RoutingTable | None = None
         #: When the version in force was put in force, on the steady clock.
         self.in_force_since: float | None = None
-        self._late_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+        self._latencies = route_latencies.RouteLatencies(lambda: self._table)
         self._share_by_route: dict[str, weighted_share.WeightedShare] = {}
 
     @property
@@ -72,6 +73,11 @@
         if self._table is not None and table.version <= self._table.version:
             return False
         self._table = table
+        self._share_by_route = {
+            name: share
+            for name, share in self._share_by_route.items()
+            if name in table.target_by_name
+        }
         self.in_force_since = asyncio.get_running_loop().time()
         return True
 
@@ -152,10 +158,7 @@
             request,
             is_repeatable=route.is_idempotent,
         )
-        late = self._late_by_route.setdefault(
-            route.name,
-            second_ask_time.SecondAskTime(),
-        )
+        late = self._latencies.of(route.name)
         match route.target:
             case routing_table.AllShards() as target:
                 search = searches.Search(
--- /dev/null
+++ b/chivepond/gateway/route_latencies.py
@@ -0,0 +1,40 @@
+"""What is late on each route, as far as the active version has it."""
+
+from collections.abc import Callable
+
+from chivepond.decisions import second_ask_time
+from chivepond.gateway import routing_table
+
+
+class RouteLatencies:
+    """Hedge delays by route; routes that are gone are forgotten."""
+
+    __slots__ = ('_delay_by_route', '_table', '_version')
+
+    def __init__(
+        self,
+        table: Callable[[], routing_table.RoutingTable | None],
+    ) -> None:
+        """Keep to the routes of the version that ``table`` returns."""
+        self._table = table
+        self._version: int | None = None
+        self._delay_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+
+    def __len__(self) -> int:
+        """Return how many routes are remembered."""
+        return len(self._delay_by_route)
+
+    def of(self, route_name: str) -> second_ask_time.SecondAskTime:
+        """Return what is known of a route."""
+        table = self._table()
+        if table is not None and table.version != self._version:
+            self._version = table.version
+            self._delay_by_route = {
+                name: known
+                for name, known in self._delay_by_route.items()
+                if name in table.target_by_name
+            }
+        return self._delay_by_route.setdefault(
+            route_name,
+            second_ask_time.SecondAskTime(),
+        )
--- /dev/null
+++ b/chivepond/gateway/store_readers.py
@@ -0,0 +1,91 @@
+"""The readers of the store's kinds, which begin and end together."""
+
+import asyncio
+import functools
+from collections.abc import Callable, Mapping
+
+from chivepond.gateway import (
+    closing,
+    kind_reader,
+    replica,
+    store_outage,
+    telemetry,
+)
+from chivepond.transport import address
+
+
+class StoreReaders(closing.Closing):
+    """Reads all kinds while it is started."""
+
+    __slots__ = (
+        '_is_fresh',
+        '_is_watching',
+        '_readers',
+        '_replica_by_kind',
+        '_store',
+        '_tasks',
+        '_telemetry',
+        '_watch_s',
+    )
+
+    def __init__(
+        self,
+        store: address.Address,
+        replica_by_kind: Mapping[str, replica.Replica],
+        events_log: telemetry.Telemetry,
+        watch_s: Callable[[str], float],
+        is_fresh: Callable[[], bool],
+    ) -> None:
+        """Read nothing yet; a watch of a kind waits for ``watch_s`` seconds.
+
+        ``is_fresh`` tells whether the copies are fresh, the store aside.
+        """
+        self._store = store
+        self._replica_by_kind = replica_by_kind
+        self._telemetry = events_log
+        self._watch_s = watch_s
+        self._is_fresh = is_fresh
+        self._readers: list[kind_reader.KindReader] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        #: Set while the store is read beyond first lists.
+        self._is_watching = asyncio.Event()
+
+    def close(self) -> None:
+        """Read no more."""
+        self._is_watching.clear()
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        self._readers.clear()
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store gave no good reply to the last call of a kind."""
+        return any(reader.is_lost for reader in self._readers)
+
+    def watch(self) -> None:
+        """Read what the store has now, and what changes."""
+        self.list_once()
+        self._is_watching.set()
+
+    def list_once(self) -> None:
+        """Begin with lists, which may be old."""
+        if self._tasks:
+            return
+        outage = store_outage.StoreOutage()
+        self._readers = [
+            kind_reader.KindReader(
+                kind,
+                self._store,
+                copy,
+                self._telemetry,
+                functools.partial(self._watch_s, kind),
+                outage,
+                self._is_fresh,
+                self._is_watching,
+            )
+            for kind, copy in self._replica_by_kind.items()
+        ]
+        self._tasks = [
+            asyncio.create_task(reader.run()) for reader in self._readers
+        ]
--- a/chivepond/gateway/store_sync.py
+++ b/chivepond/gateway/store_sync.py
@@ -2,19 +2,15 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
-
-import msgspec
+from collections.abc import Mapping
 
 from chivepond.decisions import switches, sync_source
 from chivepond.gateway import (
-    kind_reader,
-    outcome,
-    peer_message,
     peer_registry,
+    peer_updates,
     peers,
     replica,
-    store_outage,
+    store_readers,
     sync_service,
     telemetry,
 )
@@ -25,8 +21,6 @@
 from chivepond.transport import address
 from chivepond.wire import sync_message
 
-#: How much longer than its wait another gateway's reply may take, in seconds.
-_GRACE_S = 0.25
 #: Between two looks at who is to read, in seconds.
 _LOOK_S = 0.2
 #: After a gateway that gave no fresh reply, in seconds.
@@ -40,7 +34,6 @@
 _START_S = 0.5
 _FIRST_START_S = 2.0
 _START_LOOK_S = 0.02
-_OK = 200
 
 
 class StoreSync:
@@ -55,7 +48,6 @@
         '_bound_s',
         '_drawn',
         '_following',
-        '_is_reader',
         '_origin_since',
         '_peers',
         '_readers',
@@ -64,9 +56,7 @@
         '_service',
         '_stale_until_by_id',
         '_started_at',
-        '_store',
         '_switches',
-        '_tasks',
         '_telemetry',
     )
 
@@ -76,7 +66,7 @@
         store: address.Address,
         service: sync_service.SyncService,
         others: peers.Peers,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         switched: switches.Switches,
         registry: peer_registry.PeerRegistry,
     ) -> None:
@@ -86,29 +76,29 @@
         """
         self._bound_s = bound_s
         self._switches = switched
-        self._store = store
         self._service = service
         self._replica_by_kind = service.replica_by_kind
         self._peers = others
-        self._telemetry = told
+        self._telemetry = events_log
         self._registry = registry
         self._following = ''
         self._drawn = random.random()
         self._origin_since: float = 0
         self._started_at = asyncio.get_running_loop().time()
         self._stale_until_by_id: dict[str, float] = {}
-        self._readers: list[kind_reader.KindReader] = []
-        self._tasks: list[asyncio.Task[None]] = []
-        #: Set while this gateway reads the store beyond its first lists.
-        self._is_reader = asyncio.Event()
+        self._readers = store_readers.StoreReaders(
+            store,
+            self._replica_by_kind,
+            events_log,
+            self._watch_s,
+            self._is_fresh,
+        )
 
     async def run(self) -> None:
         """Keep the copies fresh until cancelled."""
-        try:
+        with self._readers:
             while True:
                 await self._step()
-        finally:
-            self._stop_reading()
 
     def source(self) -> links.Link | None:
         """Return the gateway to follow, or nothing to read the store here."""
@@ -131,14 +121,14 @@
             return
         followed = self.source()
         if followed is None:
-            self._read()
+            self._readers.watch()
             await self._follow_if_lost(_LOOK_S)
             return
         if await self._follow(followed):
-            self._stop_reading()
+            self._readers.close()
             return
         if self._age_s() > self._oldest_s():
-            self._read()
+            self._readers.watch()
         if self.source() is followed:
             await asyncio.sleep(_PAUSE_S)
 
@@ -163,9 +153,9 @@
         """
         followed = self.source()
         if not self._registry.is_first_start:
-            self._list()
+            self._readers.list_once()
         elif self._peers.is_seed:
-            self._read()
+            self._readers.watch()
         elif followed is None:
             await self._follow_seed()
             return
@@ -186,55 +176,15 @@
 
     async def _follow_if_lost(self, look_s: float) -> None:
         is_on = self._switches.is_on(mechanism.Mechanism.PEER_NEWS)
-        if is_on and any(reader.is_lost for reader in self._readers):
+        if is_on and self._readers.is_lost:
             await self._follow_any()
             return
         self._log_source('', self._peers.own_id)
         await asyncio.sleep(look_s)
 
-    def _read(self) -> None:
-        """Read the store, all of it and as it is now."""
-        self._list()
-        self._is_reader.set()
-
-    def _list(self) -> None:
-        """Begin with lists, which may be old."""
-        if self._tasks:
-            return
-        outage = store_outage.StoreOutage()
-        self._readers = [
-            kind_reader.KindReader(
-                kind,
-                self._store,
-                copy,
-                self._telemetry,
-                self._watch_of(kind),
-                outage,
-                self._is_fresh,
-                self._is_reader,
-            )
-            for kind, copy in self._replica_by_kind.items()
-        ]
-        self._tasks = [
-            asyncio.create_task(reader.run()) for reader in self._readers
-        ]
-
-    def _stop_reading(self) -> None:
-        self._is_reader.clear()
-        for task in self._tasks:
-            task.cancel()
-        self._tasks.clear()
-        self._readers.clear()
-
-    def _watch_of(self, kind: str) -> Callable[[], float]:
+    def _watch_s(self, kind: str) -> float:
         if kind == store_calls.GATEWAYS:
-            return self._gateways_watch_s
-        return self._watch_s
-
-    def _gateways_watch_s(self) -> float:
-        return sync_source.gateways_watch_s(self._peers.gateways)
-
-    def _watch_s(self) -> float:
+            return sync_source.gateways_watch_s(self._peers.gateways)
         return sync_source.watch_s(self._bound_s, self._peers.gateways)
 
     def _oldest_s(self) -> float:
@@ -275,28 +225,13 @@
         replica_by_kind: Mapping[str, replica.Replica],
         wait_s: float,
     ) -> sync_message.SyncReply | None:
-        """Take updates of some kinds from another gateway."""
-        asked = sync_message.SyncRequest(
-            {kind: one.as_of for kind, one in replica_by_kind.items()},
+        return await peer_updates.take(
+            link,
+            replica_by_kind,
             wait_s,
             self._age_s(),
-            takes_kept=True,
+            self._telemetry,
         )
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait_s + _GRACE_S
-        reply = _decoded(
-            await link.ask(peer_message.sync_message(asked), deadline),
-        )
-        if reply is None:
-            self._telemetry.count('news', 'failed')
-            return None
-        self._telemetry.count('news', 'taken')
-        for kind, copy in replica_by_kind.items():
-            update = reply.update_by_kind.get(kind)
-            if update is not None:
-                copy.take_update(update)
-            copy.confirm(loop.time() - reply.age_s)
-        return reply
 
     def _is_good(
         self,
@@ -342,14 +277,3 @@
                 origin=origin,
                 age_ms=round(self._age_s() * 1000),
             )
-
-
-def _decoded(ended: outcome.Outcome) -> sync_message.SyncReply | None:
-    match ended:
-        case outcome.Reply(status=status, body=body) if status == _OK:
-            try:
-                return msgspec.msgpack.decode(body, type=sync_message.SyncReply)
-            except msgspec.DecodeError:
-                return None
-        case _:
-            return None
--- a/chivepond/gateway/telemetry.py
+++ b/chivepond/gateway/telemetry.py
@@ -5,7 +5,7 @@
 import collections
 import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from chivepond.decisions import log_limit
 from chivepond.observe import event, journal
@@ -19,6 +19,11 @@
 )
 
 
+#: The most labels of one name: routes come and go while a gateway runs.
+_LABELS = 400
+_OTHERS = 'others'
+
+
 class Latency:
     """A histogram with fixed buckets, the last of them without bound."""
 
@@ -69,7 +74,8 @@
 
     def count(self, name: str, label: str) -> None:
         """Add one to a counter."""
-        self.counts_by_name.setdefault(name, collections.Counter())[label] += 1
+        counts = self.counts_by_name.setdefault(name, collections.Counter())
+        counts[_bounded(counts, label)] += 1
 
     def gauge(self, name: str, told: float) -> None:
         """Set a gauge."""
@@ -85,7 +91,8 @@
 
     def took(self, route: str, took_s: float) -> None:
         """Count the time of one answer."""
-        self.latency_by_route.setdefault(route, Latency()).add(took_s)
+        label = _bounded(self.latency_by_route, route)
+        self.latency_by_route.setdefault(label, Latency()).add(took_s)
 
     def tell(
         self,
@@ -107,3 +114,8 @@
         if left_out:
             told['left_out_before'] = left_out
         journal.log(kind, node=self._node_id, **told)
+
+
+def _bounded(known: Collection[str], label: str) -> str:
+    """Return the label to count by, one for all where there are too many."""
+    return label if label in known or len(known) < _LABELS else _OTHERS
--- a/chivepond/settings/mechanism.py
+++ b/chivepond/settings/mechanism.py
@@ -38,7 +38,7 @@
     LAST_CHOICE = 'last_choice'
     #: Another gateway is followed where the store turns this one away.
     PEER_NEWS = 'peer_news'
-    #: One gateway a data centre reads the store, and the others follow it.
+    #: One gateway reads the store, and the others follow it.
     SHARED_READER = 'shared_reader'
     #: A late group's exchange ends by itself, and keeps its connection.
     KEPT_GROUPS = 'kept_groups'
--- /dev/null
+++ b/chivepond/tests/test_gateway_churn.py
@@ -0,0 +1,77 @@
+"""Tables of a gateway stay bounded while hosts, searchers and routes change."""
+
+from chivepond.gateway import peer_record
+from chivepond.platform import configuration_codec, documents, searcher_codec
+from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
+
+_REPLACED = 2000
+#: Far fewer than are replaced, and more than are registered at a time.
+_BOUND = 500
+
+
+def _size(owner, seen) -> int:
+    """Return the largest table below the parts of a gateway."""
+    largest = 0
+    if id(owner) in seen:
+        return largest
+    seen.add(id(owner))
+    names = getattr(type(owner), '__slots__', ())
+    for name in names:
+        part = getattr(owner, name, None)
+        if isinstance(part, dict | set | list):
+            largest = max(largest, len(part))
+        elif type(part).__module__.startswith('chivepond.gateway'):
+            largest = max(largest, _size(part, seen))
+    return largest
+
+
+def _replace_host(parts, number: int) -> None:
+    place = address.Address('127.0.0.1', number + 1)
+    name = f'host-{number}'
+    parts.others.put(peer_record.PeerRecord(name, place, 'hub', 10))
+    parts.others.learn_way(name, 0.02)
+    parts.others.remove(f'host-{number - 3}')
+
+
+def _replace_searcher(parts, number: int) -> None:
+    place = address.Address('127.0.0.1', number + 1)
+    service = f'service-{number // 10}'
+    told = documents.encoded(documents.searcher(service, place))
+    record = searcher_codec.decode(f's-{number}', told).unwrap()
+    parts.searchers.put(record)
+    parts.searchers.drop_misdirected(f's-{number - 2}')
+    parts.searchers.vanish(f's-{number - 2}')
+    parts.tools.budgets.count_request(service)
+    parts.tools.budgets.left(service)
+
+
+def _replace_route(parts, number: int) -> None:
+    name = f'route-{number}'
+    spec = gateway_bench.configuration(
+        number + 2,
+        gateway_bench.route(name, f'/{number}/', service='desk'),
+    )
+    told = documents.encoded(spec)
+    parts.way.put_in_force(configuration_codec.decode(told).unwrap())
+    parts.way._latencies.of(name).learn(0.1)
+    parts.telemetry.count('requests', f'{name} answered')
+    parts.telemetry.took(name, 0.1)
+
+
+def test_tables_are_bounded_while_hosts_are_replaced():
+    """Guards against memory that grows with each replaced host."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            gate = await bench.unready_gateway()
+            parts = gate._parts
+            for number in range(_REPLACED):
+                _replace_host(parts, number)
+                _replace_searcher(parts, number)
+                _replace_route(parts, number)
+            assert _size(parts, set()) <= _BOUND
+            counters = parts.telemetry.counts_by_name.values()
+            assert max(map(len, counters)) <= _BOUND
+
+    support.run(play())
