A gateway keeps a connection open to one aggregator of each data centre

Cause: on the large deployment a gateway has a search each eight seconds and idle connections were kept for ten, to one of three aggregators at random: each group of a search began with a new connection, 16 ms between regions. The way there and back was believed to take 30 ms, within a data centre too, and each gateway has too few searches to learn better.

Change: peer_warmer opens connections and measures the way; an aggregator with an open connection goes first unless it is twice as slow; the first exchange replaces what was believed; two that are compared are never the same one.

--- a/chivepond/decisions/helper_choice.py
+++ b/chivepond/decisions/helper_choice.py
@@ -19,6 +19,8 @@
 #: The weight of a gateway with a narrow link beside wide ones: it gathers
 #: only where the wide ones can't be reached.
 _NARROW_WEIGHT = 0.2
+#: How many times slower than the quickest one with an open connection may be.
+_WARM_FACTOR = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,6 +31,8 @@
     link_mbps: float
     #: Seconds that one more gather would take it.
     expected_s: float
+    #: Whether a connection to it is open and idle.
+    is_warm: bool = False
 
 
 def is_wider(link_mbps: float, own_mbps: float) -> bool:
@@ -61,14 +65,26 @@
     helpers: Sequence[Helper],
     rng: Callable[[], float],
 ) -> Helper | None:
-    """Return the quicker of two with wide links, picked by ``rng``."""
+    """Return the quicker of two with wide links, picked by ``rng``.
+
+    One with an open connection goes first: a new one takes one more way there
+    and back, much of the time of a short search between regions.
+    """
     widest = max((one.link_mbps for one in helpers), default=0)
     wide = [one for one in helpers if one.link_mbps >= _WIDE_SHARE * widest]
     if not wide:
         return None
-    first = wide[int(rng() * len(wide))]
-    second = wide[int(rng() * len(wide))]
-    return min(first, second, key=_expected_s)
+    quickest_s = min(map(_expected_s, wide))
+    warm = [
+        one
+        for one in wide
+        if one.is_warm and one.expected_s <= _WARM_FACTOR * quickest_s
+    ]
+    wide = warm or wide
+    first = int(rng() * len(wide))
+    step = 1 + int(rng() * (len(wide) - 1))
+    second = (first + step) % len(wide)
+    return min(wide[first], wide[second], key=_expected_s)
 
 
 def _expected_s(one: Helper) -> float:
--- a/chivepond/decisions/round_trip.py
+++ b/chivepond/decisions/round_trip.py
@@ -16,17 +16,20 @@
 _NEWEST = 0.125
 _NEWEST_DEVIATION = 0.25
 _DEVIATIONS = 2.0
+#: The deviation that the first exchange stands for, as a share of its time.
+_FIRST_DEVIATION_SHARE = 0.15
 
 
 class RoundTrip:
     """Learns from exchanges, the other side's work taken off."""
 
-    __slots__ = ('_deviation_s', '_mean_s')
+    __slots__ = ('_deviation_s', '_is_first', '_mean_s')
 
     def __init__(self) -> None:
         """Believe what is usual between regions."""
         self._mean_s = _FIRST_S
         self._deviation_s: float = 0
+        self._is_first = True
 
     @property
     def slow_s(self) -> float:
@@ -34,7 +37,16 @@
         return self._mean_s + _DEVIATIONS * self._deviation_s
 
     def learn(self, took_s: float) -> None:
-        """Take the time of one exchange, in seconds."""
+        """Take the time of one exchange, in seconds.
+
+        The first one replaces what was believed: gateways with few searches
+        would go on with it for minutes.
+        """
+        if self._is_first:
+            self._is_first = False
+            self._mean_s = took_s
+            self._deviation_s = _FIRST_DEVIATION_SHARE * took_s
+            return
         off_s = took_s - self._mean_s
         self._mean_s += _NEWEST * off_s
         self._deviation_s += _NEWEST_DEVIATION * (
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -13,6 +13,7 @@
     gateway_sweeper,
     news,
     peer_registry,
+    peer_warmer,
     peers,
     requests_way,
     searcher_selection,
@@ -150,7 +151,12 @@
         parts.tools.switches,
         registry,
     )
-    return [registry, sync, _sweeper(parts, store, sync)]
+    return [
+        registry,
+        sync,
+        _sweeper(parts, store, sync),
+        peer_warmer.PeerWarmer(parts.others),
+    ]
 
 
 def _sweeper(
--- a/chivepond/gateway/caller_connection.py
+++ b/chivepond/gateway/caller_connection.py
@@ -31,6 +31,13 @@
     is_stopping: Callable[[], bool]
     #: Connections beyond this number are reset before a byte is read.
     most_connections: int = 1000
+    #: How long a connection may be idle where the limits don't say so.
+    idle_timeout_s: float | None = None
+
+    @property
+    def longest_idle_s(self) -> float:
+        """How long a connection may be idle, in seconds."""
+        return self.idle_timeout_s or self.limits().idle_timeout_s
 
 
 class CallerConnection(asyncio.Protocol):
@@ -85,7 +92,7 @@
             transport.abort()
             return
         self._connections.add(self)
-        self._arm(self._service.limits().idle_timeout_s)
+        self._arm(self._service.longest_idle_s)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Give up what the caller no longer waits for."""
@@ -237,7 +244,7 @@
         if not keep_alive or told.is_last or self._refused:
             self._transport.close()
             return
-        self._arm(self._service.limits().idle_timeout_s)
+        self._arm(self._service.longest_idle_s)
         self._work_on_next()
 
     def _refuse(self, status: int, text: str) -> None:
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -15,8 +15,6 @@
 #: How long before the searcher's own time-out an idle connection is given
 #: up, in seconds, so that a request doesn't cross its end.
 _IDLE_MARGIN_S = 1.0
-#: The time-out of idle connections where the searcher states none.
-_IDLE_S = 10.0
 _STATED_IDLE = re.compile(rb'timeout=(\d+)')
 
 
@@ -44,7 +42,7 @@
         self._cap = cap
         self._log = log
         self._idle: list[http_connection.HttpConnection] = []
-        self._idle_s = _IDLE_S
+        self._idle_s = end.idle_s
         self._open: set[http_connection.HttpConnection] = set()
         self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
@@ -55,6 +53,11 @@
         """How many connections are open."""
         return len(self._open)
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether a connection is open on which nothing is under way."""
+        return any(connection.is_open for connection in self._idle)
+
     @property
     def is_closed(self) -> bool:
         """Whether no connection may be opened any more."""
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -30,6 +30,8 @@
 #: What is kept of the grace for the end of the process, in seconds.
 _END_S = 0.5
 _POLL_S = 0.05
+#: How long other gateways may leave a connection idle, in seconds.
+_PEER_IDLE_S = 120.0
 #: The share of the descriptors that connections to one address may take; the
 #: rest is for searchers, other gateways and the store.
 _CALLERS_SHARE = 0.5
@@ -81,6 +83,7 @@
                 self._tell_stopping,
                 self._parts.way,
             ).serve,
+            idle_timeout_s=_PEER_IDLE_S,
         )
         self._metrics_listener = self._make_metrics()
         self._readers: list[asyncio.Task[None]] = []
@@ -232,12 +235,14 @@
         self,
         place: str,
         serve: caller_connection.Serve,
+        idle_timeout_s: float | None = None,
     ) -> listener.Listener:
         return listener.Listener(
             address.parse(place).unwrap(),
             caller_connection.Service(
                 serve=serve,
                 limits=self._limits,
+                idle_timeout_s=idle_timeout_s,
                 is_stopping=self._tell_stopping,
                 most_connections=int(
                     _CALLERS_SHARE * self._settings.max_descriptors,
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -72,6 +72,11 @@
         """How many connections are open."""
         return self._pool.connections
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether the next request needs no new connection."""
+        return self._pool.is_warm
+
     def limit(self, cap: int) -> None:
         """Open at most ``cap`` connections from now on."""
         self._pool.limit(cap)
--- a/chivepond/gateway/link_end.py
+++ b/chivepond/gateway/link_end.py
@@ -8,6 +8,8 @@
 #: How long a new connection may take, in seconds. A first packet that is lost
 #: is sent again after a second; another searcher is asked by then.
 _CONNECT_S = 0.6
+#: The time-out of idle connections of a searcher that states none, in seconds.
+_IDLE_S = 10.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -22,3 +24,6 @@
     failures: int = searcher_standing.USUAL_FAILURES
     #: How long a new connection may take, in seconds.
     connect_s: float = _CONNECT_S
+    #: How long an idle connection is kept where the other end states no
+    #: time-out, in seconds.
+    idle_s: float = _IDLE_S
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -32,6 +32,9 @@
 #: any two gateways. One that has no power does not reply at all, and its
 #: shards are asked from here as soon as that shows.
 _CONNECT_S = 0.1
+#: How long an idle connection to another gateway is kept, in seconds; less than
+#: the other end keeps it.
+_IDLE_S = 100.0
 
 
 class Peers(closing.Closing):
@@ -246,6 +249,7 @@
                         record.node_id,
                         record.link_mbps,
                         link.standing.expected_s(now),
+                        is_warm=link.is_warm,
                     ),
                 )
         chosen = helper_choice.choose(helpers, random.random)
@@ -259,6 +263,7 @@
                 slots=_SLOTS,
                 failures=_FAILURES,
                 connect_s=_CONNECT_S,
+                idle_s=_IDLE_S,
             ),
             _CONNECTIONS,
             self._trust_log,
--- /dev/null
+++ b/chivepond/tests/test_aggregator_links.py
@@ -0,0 +1,96 @@
+"""How a gateway reaches those that aggregate for it."""
+
+import asyncio
+import random
+
+import pytest
+
+from chivepond.decisions import helper_choice, round_trip
+from chivepond.platform import headers
+from chivepond.standins import scripted_searcher
+from chivepond.tests import gateway_bench, support
+
+_SHARDS = ('a', 'b', 'c', 'd')
+
+
+def _helpers(*warm, slow_s=0.02):
+    return [
+        helper_choice.Helper(
+            f'gate-{number}',
+            100,
+            slow_s if number in warm else 0.02,
+            is_warm=number in warm,
+        )
+        for number in range(3)
+    ]
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_an_open_connection_goes_first(seed):
+    """Guards against groups that come late by the way of a new connection."""
+    rng = random.Random(seed)
+    chosen = helper_choice.choose(_helpers(1), rng.random)
+    assert chosen.node_id == 'gate-1'
+
+
+def test_an_open_connection_to_a_slow_aggregator_does_not():
+    """Guards against searches that stay with an aggregator that turned slow."""
+    rng = random.Random(1)
+    helpers = _helpers(1, slow_s=0.2)
+    chosen = {
+        helper_choice.choose(helpers, rng.random).node_id for _ in _SHARDS
+    }
+    assert 'gate-1' not in chosen
+
+
+@pytest.mark.parametrize('way_s', [0.0005, 0.017, 0.06])
+def test_the_way_is_known_after_one_exchange(way_s):
+    """Guards against gateways with few searches that allow for a wrong way."""
+    way = round_trip.RoundTrip()
+    way.learn(way_s)
+    assert way_s <= way.slow_s <= 1.5 * way_s
+
+
+def _part(shard):
+    async def reply(got):
+        return scripted_searcher.good(got, shard.encode() * 16, shard)
+
+    return reply
+
+
+def test_a_search_finds_its_connection_open():
+    """Guards against searches that wait for a connection to each region."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            for shard in _SHARDS:
+                await bench.searcher(shard, shard, _part(shard), zone='hub')
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'search',
+                    '/search/',
+                    gather=list(_SHARDS),
+                    top_k=4,
+                    min_shard_ratio=0.75,
+                ),
+            )
+            there = await bench.ready_gateway(
+                node_id='gate-2',
+                data_centre='hub',
+            )
+            async with gateway_bench.Gate(there.peers) as gate:
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(gate.address), 'data_centre': 'hub'},
+                )
+                here = await bench.ready_gateway()
+                await gateway_bench.until(lambda: gate.connections == 1)
+                await asyncio.sleep(0.1)
+                client = await bench.caller(here.callers)
+                reply = gateway_bench.reply_of(await client.get('/search/x'))
+                assert reply.headers.get(headers.MISSING_SHARDS) == b'0'
+                assert gate.connections == 1
+
+    support.run(play())
