Answers leave in time for the round trip to their client

Cause: 8 ms and 4% of the target were allowed for the way back, which fits a client with a round trip of 2 ms.

Change: the round trip is read from TCP_INFO; on a new connection it counts twice. Where the kernel does not tell, 2 ms.

--- a/chivepond/decisions/gather_time.py
+++ b/chivepond/decisions/gather_time.py
@@ -7,9 +7,8 @@
 
 import dataclasses
 
-#: What the way back takes, in seconds: the link to the caller, a connection
-#: that the caller had to open, and the merge.
-_WAY_BACK_S = 0.008
+#: What the merge and the wake-ups of both sides take, in seconds.
+_MERGE_S = 0.004
 #: The same for bytes on a slow link, as a share of the target latency.
 _WAY_BACK_SHARE = 0.04
 
@@ -29,7 +28,15 @@
         return max(1, whole if is_enough else whole + 1)
 
 
-def answer_at(came_at: float, target_latency_s: float) -> float:
-    """Return when to answer with what is in, on the steady clock."""
-    way_back_s = _WAY_BACK_S + _WAY_BACK_SHARE * target_latency_s
-    return came_at + max(target_latency_s / 2, target_latency_s - way_back_s)
+def answer_at(
+    came_at: float,
+    target_latency_s: float,
+    way_s: float,
+) -> float:
+    """Return when to answer with what is in, on the steady clock.
+
+    ``way_s`` is what the client's ways took and will take: one round trip on a
+    connection that was open, two on a new one.
+    """
+    away_s = way_s + _MERGE_S + _WAY_BACK_SHARE * target_latency_s
+    return came_at + max(target_latency_s / 2, target_latency_s - away_s)
--- a/chivepond/gateway/caller_connection.py
+++ b/chivepond/gateway/caller_connection.py
@@ -6,10 +6,18 @@
 
 import httptools
 
-from chivepond.gateway import answer, caller_request, header_list, routing_table
+from chivepond.gateway import (
+    answer,
+    caller_request,
+    header_list,
+    routing_table,
+    tcp_round_trip,
+)
 
 #: Requests that wait behind one in work before reading pauses.
 _PIPELINED = 8
+#: The round trip to a client where the kernel does not tell, in seconds.
+_ROUND_TRIP_S = 0.002
 #: What frames one field: a colon, a space and the end of the line.
 _FIELD_FRAME = 4
 _BAD_REQUEST = 400
@@ -52,6 +60,7 @@
         '_headers',
         '_in_head',
         '_is_blocked',
+        '_is_first',
         '_loop',
         '_parser',
         '_read_head_bytes',
@@ -80,6 +89,8 @@
         #: The request in work; none while the connection is idle.
         self.working: asyncio.Task[None] | None = None
         self._refused = False
+        #: Whether no request of this connection has been read yet.
+        self._is_first = True
         self._is_blocked = False
         self._head_bytes = 0
         self._in_head = False
@@ -197,12 +208,20 @@
                 body=b''.join(self._body),
                 came_at=self._came_at,
                 is_kept_alive=self._parser.should_keep_alive(),
+                way_s=self._way_s(),
             ),
         )
         if len(self._waiting) > _PIPELINED:
             self._transport.pause_reading()
         self._work_on_next()
 
+    def _way_s(self) -> float:
+        """Return what the ways of a request take, that to connect included."""
+        round_trip_s = tcp_round_trip.seconds(self._transport, _ROUND_TRIP_S)
+        ways = 2 if self._is_first else 1
+        self._is_first = False
+        return ways * round_trip_s
+
     def _begin_head(self) -> None:
         self._in_head = True
         self._came_at = self._loop.time()
--- a/chivepond/gateway/caller_request.py
+++ b/chivepond/gateway/caller_request.py
@@ -22,6 +22,8 @@
     #: Seconds on the steady clock.
     came_at: float
     is_kept_alive: bool
+    #: What the client's ways there and back take, in seconds.
+    way_s: float
 
     @property
     def path(self) -> bytes:
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/requests_way.py
@@ -167,6 +167,7 @@
                     target,
                     request.came_at,
                     deadline,
+                    request.way_s,
                 )
                 return await gathered_request.GatheredRequest(
                     search,
--- a/chivepond/gateway/search.py
+++ b/chivepond/gateway/search.py
@@ -15,9 +15,15 @@
     target: routing_table.AllShards
     came_at: float
     deadline: float
+    #: What the client's ways there and back take, in seconds.
+    way_s: float
 
     @property
     def answer_at(self) -> float:
         """When to answer with what is in."""
-        at = gather_time.answer_at(self.came_at, self.route.target_latency_s)
+        at = gather_time.answer_at(
+            self.came_at,
+            self.route.target_latency_s,
+            self.way_s,
+        )
         return min(at, self.deadline)
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -427,3 +427,34 @@
             assert left == is_on
 
     support.run(play())
+
+
+async def _quarter(got: scripted_searcher.Got) -> scripted_searcher.Told:
+    await asyncio.sleep(0.25)
+    return scripted_searcher.good(got, b'0' * 16)
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_hedge_gain(is_on):
+    """A hedge that would come too late is left out, while that is on."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            copies = [
+                await bench.searcher(name, 'one', _quarter)
+                for name in ('a', 'b')
+            ]
+            told = {'service': 'one', 'target_latency_ms': 300}
+            bench.configure(1, gateway_bench.route('all', '/all/', **told))
+            off = () if is_on else (mechanism.Mechanism.HEDGE_GAIN,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            clients = [await bench.caller(gate.callers) for _ in range(8)]
+            for _ in range(2):
+                await asyncio.gather(*(one.get('/all/x') for one in clients))
+            assert all(len(one.got) > 2 for one in copies)
+            before = sum(len(one.got) for one in copies)
+            await clients[0].get('/all/x')
+            sent = sum(len(one.got) for one in copies) - before
+            assert sent == 2 - is_on
+
+    support.run(play())
