Shards that can't reply in time are left out by some searches

Asked by fewer, each does the work that it can do in time.

Change: decisions/shard_shedding, asked by each gateway for the shards that it asks itself; those left out are asked where parts run short. Switch shard_shedding.

--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/gather_asks.py
@@ -1,11 +1,13 @@
 """Asks the shards of one gathered request, and collects the parts."""
 
 import asyncio
+import functools
+import random
 import types
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol, Self
 
-from chivepond.decisions import second_ask_time
+from chivepond.decisions import second_ask_time, shard_shedding
 from chivepond.gateway import (
     forwarded_request,
     gathering,
@@ -15,6 +17,7 @@
     service_ask,
 )
 from chivepond.gateway import search as searches
+from chivepond.settings import mechanism
 
 
 Fallback = Callable[[], Coroutine[Any, Any, None]]
@@ -113,7 +116,7 @@
         """
         self._fallbacks.append(fallback)
         if self._is_overdue and not self.parts.is_enough:
-            self._begin_fallbacks()
+            self.begin_fallbacks()
 
     def ask_from_here(
         self,
@@ -130,20 +133,28 @@
         request: forwarded_request.ForwardedRequest,
         times: service_ask.Times,
     ) -> None:
-        """Begin to ask each of ``shards`` from here."""
-        for shard in shards:
-            ask = service_ask.ServiceAsk(
-                shard,
-                request,
-                self._route,
-                self._tools,
-                self._trace,
+        """Begin to ask ``shards`` from here, but for those that are shed."""
+        asked = list(shards)
+        shed = self._shed(asked, times)
+        self.parts.shed |= shed
+        if shed:
+            self.add_fallback(
+                functools.partial(self._ask_shed, shed, request, times),
             )
-            self._asks.append(ask)
-            task = asyncio.create_task(self._ask_one(ask, times))
-            self._tasks.add(task)
-            if self._tools.selection.is_hopeless(shard):
-                self._hopeless.add(task)
+        self._begin(
+            [shard for shard in asked if shard not in shed],
+            request,
+            times,
+        )
+
+    def begin_fallbacks(self) -> None:
+        """Begin what may bring more parts."""
+        begun = {
+            asyncio.create_task(fallback()) for fallback in self._fallbacks
+        }
+        self._fallbacks.clear()
+        self._tasks |= begun
+        self._hopeless |= begun
 
     async def wait_all(self, until: float) -> None:
         """Wait for all tasks, those that are added meanwhile included.
@@ -164,20 +175,64 @@
         """Wait until the parts are enough, or can't be any more."""
         self._is_overdue = True
         if not self.parts.is_enough:
-            self._begin_fallbacks()
+            self.begin_fallbacks()
         try:
             async with asyncio.timeout_at(until):
                 await self.parts.settled.wait()
         except TimeoutError:
             return
 
-    def _begin_fallbacks(self) -> None:
-        begun = {
-            asyncio.create_task(fallback()) for fallback in self._fallbacks
-        }
-        self._fallbacks.clear()
-        self._tasks |= begun
-        self._hopeless |= begun
+    def _shed(
+        self,
+        shards: list[str],
+        times: service_ask.Times,
+    ) -> frozenset[str]:
+        """Return the shards that are asked only if there are too few parts."""
+        most = shard_shedding.allowed(
+            len(shards),
+            self.parts.least_share,
+            random.random,
+        )
+        is_on = self._tools.switches.is_on(mechanism.Mechanism.SHARD_SHEDDING)
+        left_s = times.due - asyncio.get_running_loop().time()
+        if not (most and is_on and left_s > 0):
+            return frozenset()
+        expected_s = self._tools.selection.expected_s
+        return shard_shedding.left_out(
+            {shard: expected_s(shard) for shard in shards},
+            left_s,
+            most,
+            random.random,
+        )
+
+    async def _ask_shed(
+        self,
+        shards: frozenset[str],
+        request: forwarded_request.ForwardedRequest,
+        times: service_ask.Times,
+    ) -> None:
+        self.parts.shed -= shards
+        self._begin(shards, request, times)
+
+    def _begin(
+        self,
+        shards: Iterable[str],
+        request: forwarded_request.ForwardedRequest,
+        times: service_ask.Times,
+    ) -> None:
+        for shard in shards:
+            ask = service_ask.ServiceAsk(
+                shard,
+                request,
+                self._route,
+                self._tools,
+                self._trace,
+            )
+            self._asks.append(ask)
+            task = asyncio.create_task(self._ask_one(ask, times))
+            self._tasks.add(task)
+            if self._tools.selection.is_hopeless(shard):
+                self._hopeless.add(task)
 
     async def _wait_hopeful(self) -> None:
         while hopeful := self._pending() - self._hopeless:
@@ -185,7 +240,7 @@
 
     async def _wait_one(self) -> bool:
         """Wait for one task of little hope; tell whether there was any."""
-        self._begin_fallbacks()
+        self.begin_fallbacks()
         pending = self._pending()
         if pending:
             await asyncio.wait(
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/gathered_request.py
@@ -45,7 +45,7 @@
         coverage = gather_time.Coverage(len(shards), search.target.least_share)
         self._work = group_ask.SearchWork(
             search=search,
-            parts=gathering.Gathering(shards, coverage.needed),
+            parts=gathering.Gathering(shards, coverage),
             tools=tools,
             others=others,
             trace=trace,
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/gathering.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
+from chivepond.decisions import gather_time
 from chivepond.gateway import outcome
 from chivepond.platform import headers
 from chivepond.wire import gather_request
@@ -15,19 +16,27 @@
         '_needed',
         'bodies',
         'changed',
+        'least_share',
         '_has_run',
         'queued',
         'reason_by_shard',
         'settled',
+        'shed',
         'shards',
         'signature_by_shard',
         'unasked',
     )
 
-    def __init__(self, shards: tuple[str, ...], needed: int) -> None:
-        """Wait for ``needed`` parts of ``shards``."""
+    def __init__(
+        self,
+        shards: tuple[str, ...],
+        coverage: gather_time.Coverage,
+    ) -> None:
+        """Wait for as many parts of ``shards`` as ``coverage`` needs."""
         self.shards = shards
-        self._needed = needed
+        self._needed = coverage.needed
+        #: The share of the shards that makes a success.
+        self.least_share = coverage.least_share
         self.bodies: list[bytes] = []
         self.signature_by_shard: dict[str, bytes] = {}
         self.reason_by_shard: dict[str, str] = {}
@@ -36,6 +45,8 @@
         self.queued = 0
         #: Shards whose part won't come and that no searcher was asked for.
         self.unasked: list[str] = []
+        #: Shards that are asked only if there are too few parts without them.
+        self.shed: set[str] = set()
         #: Set with each part that came, or won't come.
         self.changed = asyncio.Event()
         #: Set once there are enough parts, or can't be any more.
@@ -63,12 +74,13 @@
             for shard in shards
             if shard not in self.signature_by_shard
             and shard not in self.reason_by_shard
+            and shard not in self.shed
         ]
 
     def why_missing(self) -> dict[str, str]:
         """Return why each shard that is left out is missing."""
         return {
-            shard: self.reason_by_shard.get(shard, 'late')
+            shard: self._why_missing(shard)
             for shard in self.shards
             if shard not in self.signature_by_shard
         }
@@ -105,11 +117,17 @@
         self.bodies.append(reply.records)
         self.signature_by_shard.update(reply.signature_by_shard)
         self.queued += reply.queued
+        self.shed.update(reply.shed)
         for shard, reason in reply.reason_by_shard.items():
             if shard not in reply.unasked:
                 self.reason_by_shard[shard] = reason
         self._settle()
 
+    def _why_missing(self, shard: str) -> str:
+        if shard in self.shed:
+            return 'too slow to be asked'
+        return self.reason_by_shard.get(shard, 'late')
+
     def _settle(self) -> None:
         self.changed.set()
         lost = len(self.reason_by_shard)
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/held_gather.py
@@ -47,7 +47,7 @@
         coverage = gather_time.Coverage(len(asked.shards), asked.least_share)
         self._parts = gathering.Gathering(
             tuple(asked.shards),
-            coverage.needed,
+            coverage,
         )
         self._asks = gather_asks.GatherAsks(
             self._parts,
@@ -88,6 +88,7 @@
         Guards against a shard of the group that stays out: waiting for the
         whole group kept back parts by which the search would have enough.
         """
+        self._asks.begin_fallbacks()
         try:
             async with asyncio.timeout_at(self._began + self._asked.left_s):
                 await self._next_news()
@@ -102,14 +103,14 @@
     async def _next_news(self) -> None:
         parts = self._parts
         while self._told >= parts.signature_by_shard.keys():
-            if not parts.open_among(parts.shards):
+            if not (parts.shed or parts.open_among(parts.shards)):
                 return
             parts.changed.clear()
             await parts.changed.wait()
 
     def _reply(self) -> gather_request.GatherReply:
         parts = self._parts
-        has_more = bool(parts.open_among(parts.shards))
+        has_more = bool(parts.shed or parts.open_among(parts.shards))
         new = {
             shard: signature
             for shard, signature in parts.signature_by_shard.items()
@@ -128,6 +129,7 @@
             has_more=has_more,
             queued=sum(map(self._tools.selection.is_queued, parts.shards)),
             may_have_run=parts.may_have_run,
+            shed=list(parts.shed),
         )
 
 
--- a/chivepond/gateway/searcher_selection.py
+++ b/chivepond/gateway/searcher_selection.py
@@ -69,6 +69,17 @@
         """Tell whether any searcher was not tried yet."""
         return bool(self._untried(service, tried))
 
+    def expected_s(self, service: str) -> float:
+        """Return how long the quickest searcher of a service would take."""
+        now = self._loop.time()
+        return min(
+            (
+                one.standing.expected_s(now)
+                for one in self._searchers.candidates(service)
+            ),
+            default=0,
+        )
+
     def is_queued(self, service: str) -> bool:
         """Tell whether all searchers of a service have long queues."""
         now = self._loop.time()
--- a/chivepond/settings/mechanism.py
+++ b/chivepond/settings/mechanism.py
@@ -30,6 +30,8 @@
     TARGET_ANSWER = 'target_answer'
     #: Shards without a sound searcher hold up no answer.
     HOPELESS_SHARDS = 'hopeless_shards'
+    #: Shards that can't reply in time are left out by some searches.
+    SHARD_SHEDDING = 'shard_shedding'
     #: Fewer searches are let in while queues are long.
     SEARCH_ADMISSION = 'search_admission'
     #: A version that serves less waits for its searchers.
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from chivepond.decisions import gather_time
 from chivepond.gateway import gather_asks, gathering, merge
 from chivepond.platform import headers
 from chivepond.standins import routed_store, scripted_searcher
@@ -545,7 +546,8 @@
     """
 
     async def play() -> None:
-        parts = gathering.Gathering(('a', 'b'), 2)
+        coverage = gather_time.Coverage(2, 1)
+        parts = gathering.Gathering(('a', 'b'), coverage)
         reply = gather_request.GatherReply(
             records=b'',
             signature_by_shard={'a': b'1', 'b': b'2'},
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -458,3 +458,37 @@
             assert sent == 2 - is_on
 
     support.run(play())
+
+
+@pytest.mark.parametrize('is_on', [True, False])
+def test_shard_shedding(is_on):
+    """A shard that can't reply in time is asked by few, while that is on."""
+    shards = [f'shard-{number}' for number in range(20)]
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = [
+                await bench.searcher(name, name, _quick) for name in shards[1:]
+            ]
+            assert searchers
+            slow = await bench.searcher('slow', shards[0], _slow)
+            bench.configure(
+                1,
+                gateway_bench.route(
+                    'all',
+                    '/all/',
+                    gather=shards,
+                    top_k=3,
+                    min_shard_ratio=0.9,
+                    target_latency_ms=60,
+                ),
+            )
+            off = () if is_on else (mechanism.Mechanism.SHARD_SHEDDING,)
+            gate = await bench.ready_gateway(switched_off=list(off))
+            client = await bench.caller(gate.callers)
+            for _ in range(20):
+                await client.get('/all/x')
+                await asyncio.sleep(0.02)
+            assert (len(slow.got) < 20) == is_on
+
+    support.run(play())
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -40,6 +40,8 @@
     took_s: float
     #: Whether a searcher ran the request, or may still run it.
     may_have_run: bool = True
+    #: Shards that are asked only if the asker has too few parts.
+    shed: list[str] = msgspec.field(default_factory=list)
 
 
 class MoreRequest(msgspec.Struct, array_like=True):
