--- a/chivepond/decisions/helper_choice.py
+++ b/chivepond/decisions/aggregator_selection.py
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Helper:
+class Aggregator:
     """A gateway that may be asked."""
 
     node_id: str
@@ -62,9 +62,9 @@
 
 
 def choose(
-    helpers: Sequence[Helper],
+    helpers: Sequence[Aggregator],
     rng: Callable[[], float],
-) -> Helper | None:
+) -> Aggregator | None:
     """Return the quicker of two with wide links, picked by ``rng``.
 
     One with an open connection goes first: a new one takes one more way there
@@ -87,5 +87,5 @@
     return min(wide[first], wide[second], key=_expected_s)
 
 
-def _expected_s(one: Helper) -> float:
+def _expected_s(one: Aggregator) -> float:
     return one.expected_s
--- a/chivepond/decisions/second_send_budget.py
+++ b/chivepond/decisions/hedge_budget.py
@@ -38,7 +38,7 @@
     span_s: float
 
 
-class SecondSendBudget:
+class HedgeBudget:
     """The budget of one service at one gateway."""
 
     __slots__ = ('_extras', '_requests', '_restarted_at', 'limits')
--- a/chivepond/decisions/second_ask_time.py
+++ b/chivepond/decisions/hedge_timing.py
@@ -20,7 +20,7 @@
 _NEWEST = 0.02
 
 
-class SecondAskTime:
+class HedgeTiming:
     """Learns what is late from the replies on one route."""
 
     __slots__ = ('_deviation_s', '_mean_s')
--- a/chivepond/decisions/searcher_choice.py
+++ b/chivepond/decisions/searcher_choice.py
@@ -11,7 +11,7 @@
 import operator
 from collections.abc import Iterable
 
-from chivepond.decisions import searcher_standing, switches
+from chivepond.decisions import switches, upstream_health
 from chivepond.settings import mechanism
 
 #: What a searcher in another data centre of the region, and in another
@@ -38,7 +38,7 @@
     """One searcher that holds what is asked for."""
 
     searcher_id: str
-    standing: searcher_standing.SearcherStanding
+    health: upstream_health.UpstreamHealth
     data_centre: str
     is_in_data_centre: bool
     is_in_region: bool
@@ -99,21 +99,21 @@
     )
 
 
-def trust(
+def health_state(
     one: Candidate,
     now: float,
     switched: switches.Switches,
-) -> searcher_standing.Trust:
+) -> upstream_health.HealthState:
     """Return how good a choice a searcher is, by what is switched on."""
-    found = one.standing.trust(now)
+    found = one.health.state(now)
     match found:
-        case searcher_standing.Trust.OVERDUE:
+        case upstream_health.HealthState.OVERDUE:
             is_on = switched.is_on(mechanism.Mechanism.OVERDUE)
-        case searcher_standing.Trust.USABLE:
+        case upstream_health.HealthState.USABLE:
             is_on = True
         case _:
             is_on = switched.is_on(mechanism.Mechanism.DISTRUST)
-    return found if is_on else searcher_standing.Trust.USABLE
+    return found if is_on else upstream_health.HealthState.USABLE
 
 
 def _rank(
@@ -122,13 +122,13 @@
     need: Need,
     one: Candidate,
 ) -> tuple[bool, int, float]:
-    found = trust(one, now, switched)
+    found = health_state(one, now, switched)
     may_try = need.is_idempotent and switched.is_on(
         mechanism.Mechanism.TRIALS,
     )
-    if may_try and found is searcher_standing.Trust.ON_TRIAL:
-        found = searcher_standing.Trust.USABLE
-    cost_s = one.standing.expected_s(now)
+    if may_try and found is upstream_health.HealthState.ON_TRIAL:
+        found = upstream_health.HealthState.USABLE
+    cost_s = one.health.expected_s(now)
     if switched.is_on(mechanism.Mechanism.LINK_PRICE):
         cost_s += _link_price_s(one, need.target_latency_s)
     return (one.is_last_choice, found, cost_s)
--- a/chivepond/decisions/searcher_standing.py
+++ b/chivepond/decisions/upstream_health.py
@@ -55,7 +55,7 @@
 _RECENT_S = 0.5
 
 
-class Trust(enum.IntEnum):
+class HealthState(enum.IntEnum):
     """How good a choice a searcher is; lower is better."""
 
     USABLE = 0
@@ -67,7 +67,7 @@
     DISTRUSTED = 3
 
 
-class SearcherStanding:
+class UpstreamHealth:
     """Latency, failures and what is in flight; times are in seconds."""
 
     __slots__ = (
@@ -108,7 +108,7 @@
         self._waiting_at: float = 0
 
     @property
-    def is_distrusted(self) -> bool:
+    def is_ejected(self) -> bool:
         """Whether it failed too often in a row to be asked first."""
         return self._failures_in_row >= self._failures
 
@@ -177,14 +177,16 @@
                 _DISTRUST_S * 2 ** min(beyond, 8),
             )
 
-    def trust(self, now: float) -> Trust:
+    def state(self, now: float) -> HealthState:
         """Return how good a choice it is now."""
-        if self.is_distrusted:
+        if self.is_ejected:
             is_on_trial = now >= self._distrusted_until and not self.in_flight
-            return Trust.ON_TRIAL if is_on_trial else Trust.DISTRUSTED
+            return (
+                HealthState.ON_TRIAL if is_on_trial else HealthState.DISTRUSTED
+            )
         if self._is_overdue(now):
-            return Trust.OVERDUE
-        return Trust.USABLE
+            return HealthState.OVERDUE
+        return HealthState.USABLE
 
     def expected_s(self, now: float) -> float:
         """Return how long one more request would take."""
--- a/chivepond/decisions/upstream_share.py
+++ b/chivepond/decisions/upstream_share.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
-from chivepond.decisions import helper_choice, rendezvous
+from chivepond.decisions import aggregator_selection, rendezvous
 
 #: The weight of a gateway in a data centre without a searcher of the service.
 _REMOTE_WEIGHT = 0.1
@@ -139,7 +139,7 @@
             for place, links in self._links_by_place.items()
         )
         one = self._gateway_by_id[node_id]
-        weight = helper_choice.gather_weight(
+        weight = aggregator_selection.gather_weight(
             one.link_mbps,
             self._links_by_place[one.data_centre],
         )
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -11,20 +11,20 @@
     budgets,
     closing,
     gateway_sweeper,
-    news,
+    late_responses,
     peer_registry,
     peer_warmer,
     peers,
-    requests_way,
+    request_router,
     searcher_selection,
     searchers,
-    service_ask,
     settings_parts,
     store_copies,
     store_sync,
-    stragglers,
+    store_updates,
     sync_service,
     telemetry,
+    upstream_request,
 )
 from chivepond.platform import store_calls
 from chivepond.settings import gateway_settings
@@ -45,16 +45,16 @@
     telemetry: telemetry.Telemetry
     others: peers.Peers
     searchers: searchers.Searchers
-    tools: service_ask.AskTools
-    way: requests_way.RequestsWay
-    news: news.News
+    tools: upstream_request.RequestTools
+    router: request_router.RequestRouter
+    updates: store_updates.StoreUpdates
     sync: sync_service.SyncService
     opened: contextlib.ExitStack
 
     def __enter__(self) -> Self:
         """Enter all that has to be left."""
         for part in (
-            self.news,
+            self.updates,
             self.searchers,
             self.tools.stragglers,
             self.others,
@@ -69,14 +69,14 @@
 
 def make(
     settings: gateway_settings.GatewaySettings,
-    on_news: Callable[[], None],
+    on_update: Callable[[], None],
 ) -> Parts:
-    """Return parts that know nothing yet; ``on_news`` hears what comes."""
-    told = telemetry.Telemetry(settings.node_id)
+    """Return parts that know nothing yet; ``on_update`` hears what comes."""
+    events_log = telemetry.Telemetry(settings.node_id)
     switched = switches.Switches(settings.switched_off)
     others = peers.Peers(
         settings_parts.own_record(settings),
-        told,
+        events_log,
         settings_parts.seeds(settings),
         switched,
         is_seed=settings_parts.is_seed(settings),
@@ -85,10 +85,10 @@
         settings.data_centre,
         settings.region_by_data_centre,
         others,
-        told,
+        events_log,
         switched,
     )
-    tools = service_ask.AskTools(
+    tools = upstream_request.RequestTools(
         searchers=known,
         selection=searcher_selection.SearcherSelection(known, switched),
         budgets=budgets.Budgets(
@@ -96,30 +96,30 @@
             known.shares,
             is_first_start=settings.is_first_start,
         ),
-        stragglers=stragglers.Stragglers(),
-        telemetry=told,
+        stragglers=late_responses.LateResponses(),
+        telemetry=events_log,
         admission=search_admission.SearchAdmission(),
         switches=switched,
     )
-    way = requests_way.RequestsWay(tools, others)
-    taken = news.News(
+    router = request_router.RequestRouter(tools, others)
+    updates = store_updates.StoreUpdates(
         known,
-        way,
-        told,
+        router,
+        events_log,
         settings.news_bound_s,
-        on_news,
+        on_update,
         switched,
     )
     changed = asyncio.Event()
     return Parts(
-        telemetry=told,
+        telemetry=events_log,
         others=others,
         searchers=known,
         tools=tools,
-        way=way,
-        news=taken,
+        router=router,
+        updates=updates,
         sync=sync_service.SyncService(
-            store_copies.by_kind(taken, others, changed),
+            store_copies.by_kind(updates, others, changed),
             changed,
             settings.node_id,
             settings.news_bound_s,
--- a/chivepond/gateway/budgets.py
+++ b/chivepond/gateway/budgets.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 
-from chivepond.decisions import second_send_budget
+from chivepond.decisions import hedge_budget
 from chivepond.gateway import upstream_shares
 
 
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        limits: second_send_budget.BudgetLimits,
+        limits: hedge_budget.BudgetLimits,
         shares: upstream_shares.UpstreamShares,
         *,
         is_first_start: bool,
@@ -31,11 +31,11 @@
         self._restarted_at = -math.inf if is_first_start else self._loop.time()
         self._budget_by_service: dict[
             str,
-            second_send_budget.SecondSendBudget,
+            hedge_budget.HedgeBudget,
         ] = {}
         self._shares = shares
 
-    def change(self, limits: second_send_budget.BudgetLimits) -> None:
+    def change(self, limits: hedge_budget.BudgetLimits) -> None:
         """Take other limits; what was spent still counts."""
         self._limits = limits
         for budget in self._budget_by_service.values():
@@ -61,10 +61,10 @@
             service: self.left(service) for service in self._budget_by_service
         }
 
-    def _of(self, service: str) -> second_send_budget.SecondSendBudget:
+    def _of(self, service: str) -> hedge_budget.HedgeBudget:
         known = self._budget_by_service.get(service)
         if known is None:
-            known = second_send_budget.SecondSendBudget(
+            known = hedge_budget.HedgeBudget(
                 self._limits,
                 self._restarted_at,
             )
--- a/chivepond/gateway/caller_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -7,8 +7,8 @@
 import httptools
 
 from chivepond.gateway import (
-    answer,
-    caller_request,
+    client_request,
+    client_response,
     header_list,
     routing_table,
     tcp_round_trip,
@@ -27,7 +27,9 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-Serve = Callable[[caller_request.CallerRequest], Awaitable[answer.Answer]]
+Serve = Callable[
+    [client_request.ClientRequest], Awaitable[client_response.ClientResponse]
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,7 +37,7 @@
     """What a connection needs of the gateway."""
 
     serve: Serve
-    limits: Callable[[], routing_table.CallerLimits]
+    limits: Callable[[], routing_table.ClientLimits]
     is_stopping: Callable[[], bool]
     #: Connections beyond this number are reset before a byte is read.
     most_connections: int = 1000
@@ -48,7 +50,7 @@
         return self.idle_timeout_s or self.limits().idle_timeout_s
 
 
-class CallerConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol):
     """Reads one request after the other and answers in that order."""
 
     __slots__ = (
@@ -76,7 +78,7 @@
     def __init__(
         self,
         service: Service,
-        connections: set['CallerConnection'],
+        connections: set['ClientConnection'],
     ) -> None:
         """Enter itself in ``connections`` while it is open."""
         self._service = service
@@ -85,7 +87,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._waiting: list[caller_request.CallerRequest] = []
+        self._waiting: list[client_request.ClientRequest] = []
         #: The request in work; none while the connection is idle.
         self.working: asyncio.Task[None] | None = None
         self._refused = False
@@ -201,7 +203,7 @@
         if self._refused:
             return
         self._waiting.append(
-            caller_request.CallerRequest(
+            client_request.ClientRequest(
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
@@ -250,7 +252,7 @@
         self._transport.resume_reading()
         self.working = self._loop.create_task(self._work_on(request))
 
-    async def _work_on(self, request: caller_request.CallerRequest) -> None:
+    async def _work_on(self, request: client_request.ClientRequest) -> None:
         told = await self._service.serve(request)
         self.working = None
         keep_alive = request.is_kept_alive and not self._service.is_stopping()
@@ -274,7 +276,7 @@
             # The answer in work goes first; the connection ends after it.
             self._waiting.clear()
             return
-        told = answer.refusal(status, text)
+        told = client_response.refusal(status, text)
         told.is_last = True
         self._transport.write(told.encode(keep_alive=False, has_body=True))
         self._transport.close()
--- a/chivepond/gateway/caller_request.py
+++ b/chivepond/gateway/client_request.py
@@ -11,7 +11,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class CallerRequest:
+class ClientRequest:
     """A request and when its first byte came, on the steady clock."""
 
     method: bytes
--- a/chivepond/gateway/answer.py
+++ b/chivepond/gateway/client_response.py
@@ -5,7 +5,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Answer:
+class ClientResponse:
     """A status, the fields to send with it, and the whole body."""
 
     status: int
@@ -50,7 +50,7 @@
     status: int,
     text: str,
     retry_after_s: float | None = None,
-) -> Answer:
+) -> ClientResponse:
     """Return an answer of the gateway's own that is no success.
 
     ``retry_after_s`` is when to come back, in seconds.
@@ -58,4 +58,4 @@
     told = [(b'Content-Type', b'text/plain')]
     if retry_after_s is not None:
         told.append((b'Retry-After', b'%.2f' % retry_after_s))
-    return Answer(status, told, f'{text}\n'.encode(), reason=text)
+    return ClientResponse(status, told, f'{text}\n'.encode(), reason=text)
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -5,10 +5,10 @@
 import re
 
 from chivepond.gateway import (
+    health_log,
     http_connection,
     link_end,
     outcome,
-    trust_log,
 )
 from chivepond.platform import headers
 
@@ -35,7 +35,7 @@
         self,
         end: link_end.LinkEnd,
         cap: int,
-        log: trust_log.TrustLog,
+        log: health_log.HealthLog,
     ) -> None:
         """Open at most ``cap`` connections, each when it is needed."""
         self._end = end
--- a/chivepond/gateway/delegated_request.py
+++ b/chivepond/gateway/delegated_request.py
@@ -12,7 +12,7 @@
     peers,
     request_trace,
     routing_table,
-    service_ask,
+    upstream_request,
     upstream_shares,
 )
 from chivepond.wire import forward_request
@@ -46,7 +46,7 @@
         self,
         deadline: float,
         trace: request_trace.RequestTrace,
-    ) -> outcome.Reply | service_ask.GaveUp:
+    ) -> outcome.Reply | upstream_request.GaveUp:
         """Return the response, or why there is none.
 
         Another gateway is tried only where the one before did not take the
@@ -96,7 +96,9 @@
             return False
 
 
-def _response(ended: outcome.Outcome) -> outcome.Reply | service_ask.GaveUp:
+def _response(
+    ended: outcome.Outcome,
+) -> outcome.Reply | upstream_request.GaveUp:
     match ended:
         case outcome.Reply(status=status, body=body) if status == _OK:
             return _decoded(body)
@@ -109,7 +111,7 @@
             return _gave_up(reason, may_have_run=False)
 
 
-def _decoded(body: bytes) -> outcome.Reply | service_ask.GaveUp:
+def _decoded(body: bytes) -> outcome.Reply | upstream_request.GaveUp:
     try:
         reply = msgspec.msgpack.decode(body, type=forward_request.ForwardReply)
     except msgspec.DecodeError as error:
@@ -124,8 +126,8 @@
             return _gave_up(reply.reason, may_have_run=reply.may_have_run)
 
 
-def _gave_up(reason: str, *, may_have_run: bool) -> service_ask.GaveUp:
-    return service_ask.GaveUp(
+def _gave_up(reason: str, *, may_have_run: bool) -> upstream_request.GaveUp:
+    return upstream_request.GaveUp(
         reason,
         may_have_run=may_have_run,
         is_unasked=not may_have_run,
--- a/chivepond/gateway/delegated_shards.py
+++ b/chivepond/gateway/delegated_shards.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from chivepond.decisions import upstream_share
-from chivepond.gateway import gather_asks, group_ask
+from chivepond.gateway import group_request, shard_requests
 
 
 class DelegatedShards:
@@ -13,8 +13,8 @@
 
     def __init__(
         self,
-        work: group_ask.SearchWork,
-        asks: gather_asks.GatherAsks,
+        work: group_request.SearchWork,
+        asks: shard_requests.ShardRequests,
     ) -> None:
         """Collect through ``asks``."""
         self._work = work
@@ -51,5 +51,7 @@
             return
         self._tried.add(link.end.name)
         self._asks.ask_group(
-            group_ask.GroupAsk(self._work, link, shards, self._asks, self.ask),
+            group_request.GroupRequest(
+                self._work, link, shards, self._asks, self.ask
+            ),
         )
--- a/chivepond/gateway/figures.py
+++ b/chivepond/gateway/figures.py
@@ -1,28 +1,28 @@
 """What a gateway knows, in figures."""
 
-from chivepond.gateway import peers, requests_way, searchers
+from chivepond.gateway import peers, request_router, searchers
 
 
 class Figures:
     """Reads figures off the parts of a gateway."""
 
-    __slots__ = ('_peers', '_searchers', '_way')
+    __slots__ = ('_peers', '_searchers', '_router')
 
     def __init__(
         self,
-        way: requests_way.RequestsWay,
+        router: request_router.RequestRouter,
         known: searchers.Searchers,
         others: peers.Peers,
     ) -> None:
         """Read off these parts."""
-        self._way = way
+        self._router = router
         self._searchers = known
         self._peers = others
 
     @property
     def routes_version(self) -> int | None:
         """The version of the routes in force."""
-        return self._way.table and self._way.table.version
+        return self._router.table and self._router.table.version
 
     @property
     def searchers_known(self) -> int:
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -2,7 +2,7 @@
 
 from typing import Self
 
-from chivepond.gateway import caller_request
+from chivepond.gateway import client_request
 from chivepond.platform import headers
 
 _MS_PER_S = 1000
@@ -45,7 +45,7 @@
     @classmethod
     def of(
         cls,
-        request: caller_request.CallerRequest,
+        request: client_request.ClientRequest,
         *,
         is_repeatable: bool,
     ) -> Self:
--- a/chivepond/gateway/forwarding_service.py
+++ b/chivepond/gateway/forwarding_service.py
@@ -5,14 +5,14 @@
 import msgspec
 
 from chivepond.gateway import (
-    answer,
+    client_response,
     forwarded_request,
     outcome,
+    request_router,
     request_trace,
-    requests_way,
     route_latencies,
     routing_table,
-    service_ask,
+    upstream_request,
 )
 from chivepond.observe import events
 from chivepond.platform import headers
@@ -25,30 +25,34 @@
 class ForwardingService:
     """Serves the requests that other gateways hand on to this one."""
 
-    __slots__ = ('_latencies', '_tools', '_way')
+    __slots__ = ('_latencies', '_tools', '_router')
 
     def __init__(
         self,
-        tools: service_ask.AskTools,
-        way: requests_way.RequestsWay,
+        tools: upstream_request.RequestTools,
+        router: request_router.RequestRouter,
     ) -> None:
-        """Forward by the version that ``way`` routes by."""
+        """Forward by the version that ``router`` routes by."""
         self._tools = tools
-        self._way = way
-        self._latencies = route_latencies.RouteLatencies(lambda: way.table)
+        self._router = router
+        self._latencies = route_latencies.RouteLatencies(lambda: router.table)
 
     async def serve(
         self, asked: forward_request.ForwardRequest
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         """Return the searcher's response, or why there is none."""
         shares = self._tools.searchers.shares
-        if not self._way.forwards(asked.route, asked.service):
-            return answer.refusal(_CONFLICT, 'the active version differs here')
+        if not self._router.forwards(asked.route, asked.service):
+            return client_response.refusal(
+                _CONFLICT, 'the active version differs here'
+            )
         if not shares.connections(asked.service):
-            return answer.refusal(_CONFLICT, 'no connection is allowed here')
+            return client_response.refusal(
+                _CONFLICT, 'no connection is allowed here'
+            )
         clock = asyncio.get_running_loop().time
         trace = request_trace.RequestTrace(clock, clock())
-        ask = service_ask.ServiceAsk(
+        ask = upstream_request.UpstreamRequest(
             asked.service,
             forwarded_request.ForwardedRequest(
                 asked.request_id,
@@ -63,12 +67,12 @@
         )
         late = self._latencies.of(asked.route)
         came_at = clock()
-        times = service_ask.Times(
+        times = upstream_request.Times(
             came_at + asked.target_latency_s,
             came_at + asked.left_s,
         )
         reply = _reply(await ask.run(times, late))
-        self._tools.telemetry.tell(
+        self._tools.telemetry.emit(
             events.FORWARD_SERVED,
             is_ordinary=reply.response is not None,
             request=asked.request_id.decode(errors='replace'),
@@ -77,7 +81,7 @@
             sends=trace.sends,
             notes=trace.notes,
         )
-        return answer.Answer(
+        return client_response.ClientResponse(
             _OK,
             [(headers.REQUEST_ID, asked.request_id)],
             msgspec.msgpack.encode(reply),
@@ -85,14 +89,14 @@
 
 
 def _reply(
-    ended: outcome.Reply | service_ask.GaveUp,
+    ended: outcome.Reply | upstream_request.GaveUp,
 ) -> forward_request.ForwardReply:
     match ended:
         case outcome.Reply() as response:
             return forward_request.ForwardReply(_response(response))
-        case service_ask.GaveUp(reply=outcome.Reply() as response):
+        case upstream_request.GaveUp(reply=outcome.Reply() as response):
             return forward_request.ForwardReply(_response(response))
-        case service_ask.GaveUp(reason=reason, may_have_run=may_have_run):
+        case upstream_request.GaveUp(reason=reason, may_have_run=may_have_run):
             return forward_request.ForwardReply(None, reason, may_have_run)
 
 
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -6,10 +6,10 @@
 from typing import Self
 
 from chivepond.gateway import (
-    answer,
     assembly,
-    caller_connection,
-    caller_request,
+    client_connection,
+    client_request,
+    client_response,
     figures,
     gauges,
     listener,
@@ -44,7 +44,7 @@
         '_front',
         '_is_stopping',
         '_metrics_listener',
-        '_news',
+        '_updates',
         '_open',
         '_parts',
         '_peer_listener',
@@ -62,26 +62,28 @@
         self._open = contextlib.AsyncExitStack()
         self._is_stopping = False
         self._was_ready = False
-        self._parts = assembly.make(settings, self._take_news)
+        self._parts = assembly.make(settings, self._take_update)
         self._telemetry = self._parts.telemetry
-        self._news = self._parts.news
+        self._updates = self._parts.updates
         self.figures = figures.Figures(
-            self._parts.way,
+            self._parts.router,
             self._parts.searchers,
             self._parts.others,
         )
         self._front = self._listener(
             settings.callers,
-            self._parts.way.serve,
+            self._parts.router.serve,
+        )
+        self._readiness = self._listener(
+            settings.readiness, self._serve_readiness
         )
-        self._readiness = self._listener(settings.readiness, self._tell_ready)
         self._peer_listener = self._listener(
             settings.peers,
             peer_service.PeerService(
                 self._parts.tools,
                 self._parts.sync,
-                self._tell_stopping,
-                self._parts.way,
+                self._is_draining,
+                self._parts.router,
             ).serve,
             idle_timeout_s=_PEER_IDLE_S,
         )
@@ -106,13 +108,13 @@
                 self.peers,
             )
         ]
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.GATEWAY_STARTED,
             data_centre=self._settings.data_centre,
             callers=self._settings.callers,
         )
         if self._settings.switched_off:
-            self._tell_switches()
+            self._log_switches()
         return self
 
     async def __aexit__(
@@ -154,7 +156,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer shall send callers here."""
-        return self._news.is_informed and not self._is_stopping
+        return self._updates.is_informed and not self._is_stopping
 
     async def stop(self) -> None:
         """Stop as planned: no request that was read is cut.
@@ -166,7 +168,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._is_stopping = True
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.GATEWAY_STOPPING,
             connections=self._front.connections,
             working=self._front.working,
@@ -182,7 +184,7 @@
         while self._front.connections and loop.time() < ends_at:
             self._front.close_idle()
             await asyncio.sleep(_POLL_S)
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.GATEWAY_STOPPED,
             connections=self._front.connections,
             working=self._front.working,
@@ -190,7 +192,7 @@
 
     def refuse_settings(self, why: str) -> None:
         """Take the news that the settings file is wrong."""
-        self._telemetry.tell(events.SETTINGS_REFUSED, why=why)
+        self._telemetry.emit(events.SETTINGS_REFUSED, why=why)
 
     def reload(
         self,
@@ -201,16 +203,16 @@
 
         Addresses are taken at the next start; nothing here cuts a request.
         """
-        self._telemetry.tell(events.SETTINGS_RELOADED, changes=changes)
+        self._telemetry.emit(events.SETTINGS_RELOADED, changes=changes)
         self._settings = settings
         self._parts.tools.switches.off = frozenset(settings.switched_off)
         if 'switched_off' in changes:
-            self._tell_switches()
+            self._log_switches()
         self._parts.searchers.relocate(settings.region_by_data_centre)
         self._parts.tools.budgets.change(settings_parts.budget_limits(settings))
 
-    def _tell_switches(self) -> None:
-        self._telemetry.tell(
+    def _log_switches(self) -> None:
+        self._telemetry.emit(
             events.MECHANISMS_SWITCHED,
             off=self._settings.switched_off,
         )
@@ -226,7 +228,7 @@
         gauges.Gauges(
             front=self._front,
             figures=self.figures,
-            way=self._parts.way,
+            router=self._parts.router,
             searchers=self._parts.searchers,
             tools=self._parts.tools,
         ).read(self._telemetry, is_ready=self.is_ready)
@@ -234,44 +236,44 @@
     def _listener(
         self,
         place: str,
-        serve: caller_connection.Serve,
+        serve: client_connection.Serve,
         idle_timeout_s: float | None = None,
     ) -> listener.Listener:
         return listener.Listener(
             address.parse(place).unwrap(),
-            caller_connection.Service(
+            client_connection.Service(
                 serve=serve,
                 limits=self._limits,
                 idle_timeout_s=idle_timeout_s,
-                is_stopping=self._tell_stopping,
+                is_stopping=self._is_draining,
                 most_connections=int(
                     _CALLERS_SHARE * self._settings.max_descriptors,
                 ),
             ),
         )
 
-    def _limits(self) -> routing_table.CallerLimits:
-        table = self._parts.way.table
+    def _limits(self) -> routing_table.ClientLimits:
+        table = self._parts.router.table
         if table is None:
             return routing_table.DEFAULT_LIMITS
         return table.limits
 
-    def _tell_stopping(self) -> bool:
+    def _is_draining(self) -> bool:
         return self._is_stopping
 
-    def _take_news(self) -> None:
+    def _take_update(self) -> None:
         if self.is_ready and not self._was_ready:
             self._was_ready = True
-            self._telemetry.tell(
+            self._telemetry.emit(
                 events.GATEWAY_READY,
-                version=self._parts.way.table.version,
+                version=self._parts.router.table.version,
                 searchers=self._parts.searchers.count,
             )
 
-    async def _tell_ready(
+    async def _serve_readiness(
         self,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
         if self.is_ready:
-            return answer.Answer(_OK, [], b'ready\n')
-        return answer.refusal(_UNAVAILABLE, 'not ready')
+            return client_response.ClientResponse(_OK, [], b'ready\n')
+        return client_response.refusal(_UNAVAILABLE, 'not ready')
--- a/chivepond/gateway/gateway_sweeper.py
+++ b/chivepond/gateway/gateway_sweeper.py
@@ -146,7 +146,7 @@
         self._revision_by_id[node_id] = stored.meta.revision
         now = asyncio.get_running_loop().time()
         self.departures.marked(node_id, now)
-        self._telemetry.tell(events.PEER_SUSPECTED, peer=node_id)
+        self._telemetry.emit(events.PEER_SUSPECTED, peer=node_id)
 
     async def _remove(self, node_id: str) -> None:
         revision = self._revision_by_id.pop(node_id, 0)
@@ -160,6 +160,6 @@
         )
         match await self._client.delete(path, _CALL_S):
             case outcome.Reply(status=status) if status in _REMOVED:
-                self._telemetry.tell(events.PEER_REMOVED, peer=node_id)
+                self._telemetry.emit(events.PEER_REMOVED, peer=node_id)
             case _:
                 self._telemetry.count('sweeps', 'not removed')
--- a/chivepond/gateway/gauges.py
+++ b/chivepond/gateway/gauges.py
@@ -4,14 +4,14 @@
 import collections
 import dataclasses
 
-from chivepond.decisions import searcher_standing
+from chivepond.decisions import upstream_health
 from chivepond.gateway import (
     figures,
     listener,
-    requests_way,
+    request_router,
     searchers,
-    service_ask,
     telemetry,
+    upstream_request,
 )
 from chivepond.settings import mechanism
 
@@ -22,26 +22,26 @@
 
     front: listener.Listener
     figures: figures.Figures
-    way: requests_way.RequestsWay
+    router: request_router.RequestRouter
     searchers: searchers.Searchers
-    tools: service_ask.AskTools
+    tools: upstream_request.RequestTools
 
-    def read(self, told: telemetry.Telemetry, *, is_ready: bool) -> None:
+    def read(self, events_log: telemetry.Telemetry, *, is_ready: bool) -> None:
         """Set all gauges to what holds now."""
-        told.gauge('ready', int(is_ready))
-        told.gauge('caller_connections', self.front.connections)
-        told.gauge('requests_in_work', self.front.working)
-        told.gauge('searches_let_in', self.tools.admission.share)
+        events_log.gauge('ready', int(is_ready))
+        events_log.gauge('caller_connections', self.front.connections)
+        events_log.gauge('requests_in_work', self.front.working)
+        events_log.gauge('searches_let_in', self.tools.admission.share)
         for name in (
             'gateways_known',
             'searchers_known',
             'searcher_connections',
         ):
-            told.gauge(name, getattr(self.figures, name))
-        told.gauge('routes_age_seconds', self._routes_age_s())
-        told.labelled_gauge('searchers', self._searchers_by_state())
-        told.labelled_gauge('mechanism_is_on', self._mechanisms())
-        told.labelled_gauge(
+            events_log.gauge(name, getattr(self.figures, name))
+        events_log.gauge('routes_age_seconds', self._routes_age_s())
+        events_log.labelled_gauge('searchers', self._searchers_by_state())
+        events_log.labelled_gauge('mechanism_is_on', self._mechanisms())
+        events_log.labelled_gauge(
             'second_sends_left',
             self.tools.budgets.left_by_service(),
         )
@@ -53,15 +53,15 @@
         }
 
     def _routes_age_s(self) -> float:
-        if self.way.in_force_since is None:
+        if self.router.active_since is None:
             return 0
         now = asyncio.get_running_loop().time()
-        return now - self.way.in_force_since
+        return now - self.router.active_since
 
     def _searchers_by_state(self) -> dict[str, float]:
         now = asyncio.get_running_loop().time()
         counts: collections.Counter[str] = collections.Counter()
-        for trust in searcher_standing.Trust:
+        for trust in upstream_health.HealthState:
             counts[trust.name.lower()] = 0
         counts['leaving'] = 0
         counts.update(self.searchers.states(now))
--- a/chivepond/gateway/group_ask.py
+++ b/chivepond/gateway/group_request.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from chivepond.gateway import (
-    gather_asks,
-    gathering,
     outcome,
     peer_message,
     peers,
     request_trace,
-    service_ask,
+    search_parts,
+    shard_requests,
+    upstream_request,
 )
 from chivepond.gateway import link as links
 from chivepond.gateway import search as searches
@@ -37,13 +37,13 @@
     """What the parts of one search's way share."""
 
     search: searches.Search
-    parts: gathering.Gathering
-    tools: service_ask.AskTools
+    parts: search_parts.SearchParts
+    tools: upstream_request.RequestTools
     others: peers.Peers
     trace: request_trace.RequestTrace
 
 
-class GroupAsk:
+class GroupRequest:
     """One group of shards at one gateway, from the ask to the last part."""
 
     __slots__ = (
@@ -61,7 +61,7 @@
         work: SearchWork,
         link: links.Link,
         shards: list[str],
-        asks: gather_asks.GatherAsks,
+        asks: shard_requests.ShardRequests,
         ask_otherwise: Callable[[Iterable[str]], None],
     ) -> None:
         """Ask nothing yet.
--- a/chivepond/gateway/trust_log.py
+++ b/chivepond/gateway/health_log.py
@@ -4,38 +4,38 @@
 from chivepond.observe import event, events
 
 
-class TrustLog:
+class HealthLog:
     """Compares what is believed before and after each exchange."""
 
     __slots__ = ('_distrusted', '_kind', '_lost', '_regained', '_telemetry')
 
     def __init__(
         self,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         kind: str,
         lost: event.Event,
         regained: event.Event,
     ) -> None:
         """Tell ``lost`` and ``regained``; ``kind`` labels the metrics."""
-        self._telemetry = told
+        self._telemetry = events_log
         self._kind = kind
         self._lost = lost
         self._regained = regained
         self._distrusted: set[str] = set()
 
-    def look(self, name: str, reason: str, *, is_distrusted: bool) -> None:
+    def look(self, name: str, reason: str, *, is_ejected: bool) -> None:
         """Take what is believed of ``name`` after an exchange.
 
         ``reason`` says how that exchange ended.
         """
-        if is_distrusted == (name in self._distrusted):
+        if is_ejected == (name in self._distrusted):
             return
-        if is_distrusted:
+        if is_ejected:
             self._distrusted.add(name)
-            self._telemetry.tell(self._lost, name=name, why=reason)
+            self._telemetry.emit(self._lost, name=name, why=reason)
         else:
             self._distrusted.discard(name)
-            self._telemetry.tell(self._regained, name=name)
+            self._telemetry.emit(self._regained, name=name)
 
     def forget(self, name: str) -> None:
         """Take the news that ``name`` is registered no more."""
@@ -46,16 +46,16 @@
         self._telemetry.waited(self._kind, took_s)
 
 
-def of_searchers(told: telemetry.Telemetry) -> TrustLog:
+def of_searchers(events_log: telemetry.Telemetry) -> HealthLog:
     """Return the log for searchers."""
-    return TrustLog(
-        told,
+    return HealthLog(
+        events_log,
         'searcher',
         events.SEARCHER_DISTRUSTED,
         events.SEARCHER_TRUSTED,
     )
 
 
-def of_peers(told: telemetry.Telemetry) -> TrustLog:
+def of_peers(events_log: telemetry.Telemetry) -> HealthLog:
     """Return the log for other gateways."""
-    return TrustLog(told, 'gateway', events.PEER_LOST, events.PEER_FOUND)
+    return HealthLog(events_log, 'gateway', events.PEER_LOST, events.PEER_FOUND)
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -172,7 +172,7 @@
     async def _lose(self, why: str) -> None:
         if not self.is_lost:
             self.is_lost = True
-            self._telemetry.tell(events.SOURCE_LOST, kind=self._kind, why=why)
+            self._telemetry.emit(events.SOURCE_LOST, kind=self._kind, why=why)
         await self._outage.pause(
             self._kind,
             is_known=bool(self._replica.as_of),
@@ -183,7 +183,7 @@
         self._outage.over()
         if self.is_lost:
             self.is_lost = False
-            self._telemetry.tell(events.SOURCE_REGAINED, kind=self._kind)
+            self._telemetry.emit(events.SOURCE_REGAINED, kind=self._kind)
 
 
 def _decode(body: bytes, kind: type[Told]) -> tuple[str, Told | None]:
--- a/chivepond/gateway/stragglers.py
+++ b/chivepond/gateway/late_responses.py
@@ -10,7 +10,7 @@
 _LEFT_S = 0.35
 
 
-class Stragglers(closing.Closing):
+class LateResponses(closing.Closing):
     """Holds exchanges until they end by themselves or are cancelled."""
 
     __slots__ = ('_probed', '_tasks')
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -6,13 +6,13 @@
 import re
 from typing import Protocol
 
-from chivepond.decisions import searcher_standing, usual_latency
+from chivepond.decisions import upstream_health, usual_latency
 from chivepond.gateway import (
     closing,
     connection_pool,
+    health_log,
     link_end,
     outcome,
-    trust_log,
 )
 from chivepond.platform import headers
 
@@ -43,19 +43,19 @@
 class Link(closing.Closing):
     """Sends requests within a cap of connections; a queue beyond it."""
 
-    __slots__ = ('_log', '_pool', 'end', 'standing')
+    __slots__ = ('_log', '_pool', 'end', 'health')
 
     def __init__(
         self,
         end: link_end.LinkEnd,
         cap: int,
-        log: trust_log.TrustLog,
+        log: health_log.HealthLog,
         usual: usual_latency.UsualLatency,
     ) -> None:
         """Open at most ``cap`` connections, each when it is needed."""
         self._log = log
         self.end = end
-        self.standing = searcher_standing.SearcherStanding(
+        self.health = upstream_health.UpstreamHealth(
             end.slots,
             end.failures,
             usual,
@@ -94,7 +94,7 @@
         loop = asyncio.get_running_loop()
         attempt = next(_attempts)
         if not request.is_held:
-            self.standing.sent(attempt, loop.time())
+            self.health.sent(attempt, loop.time())
         try:
             async with asyncio.timeout_at(deadline):
                 ended = await self._exchange(request, deadline)
@@ -102,9 +102,9 @@
             ended = outcome.Broken('no reply in time')
             self._pool.drop_idle()
         except asyncio.CancelledError:
-            if self.standing.given_up(attempt, loop.time()):
+            if self.health.given_up(attempt, loop.time()):
                 self._pool.drop_idle()
-                self._tell_trust('no reply for long')
+                self._log_health('no reply for long')
             raise
         if request.is_held:
             self._judge_held(attempt, ended, loop.time())
@@ -142,7 +142,7 @@
         """Take what a searcher says of its load."""
         found = _LOAD.fullmatch(told or b'')
         if found:
-            self.standing.told_waiting(int(found[1]), now)
+            self.health.told_waiting(int(found[1]), now)
 
     def _judge_held(
         self,
@@ -157,8 +157,8 @@
         """
         match ended:
             case outcome.Reply():
-                self.standing.heard(now)
-                self._tell_trust('')
+                self.health.heard(now)
+                self._log_health('')
             case _:
                 self._judge(attempt, ended, now)
 
@@ -168,19 +168,19 @@
                 self._hear(told.get(headers.LOAD), now)
         match ended:
             case outcome.Reply(status=status) if status < _SERVER_ERROR:
-                self.standing.replied(attempt, now)
-                self._tell_trust('')
+                self.health.replied(attempt, now)
+                self._log_health('')
             case outcome.Reply(status=status):
-                self.standing.failed(attempt, now)
-                self._tell_trust(f'a reply with {status}')
+                self.health.failed(attempt, now)
+                self._log_health(f'a reply with {status}')
             case outcome.NotSent(reason=reason) | outcome.Broken(reason=reason):
-                self.standing.failed(attempt, now)
-                self._tell_trust(reason)
+                self.health.failed(attempt, now)
+                self._log_health(reason)
 
-    def _tell_trust(self, reason: str) -> None:
+    def _log_health(self, reason: str) -> None:
         if not self._pool.is_closed:
             self._log.look(
                 self.end.name,
                 reason,
-                is_distrusted=self.standing.is_distrusted,
+                is_ejected=self.health.is_ejected,
             )
--- a/chivepond/gateway/link_end.py
+++ b/chivepond/gateway/link_end.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from chivepond.decisions import searcher_standing
+from chivepond.decisions import upstream_health
 from chivepond.transport import address
 
 #: How long a new connection may take, in seconds. A first packet that is lost
@@ -21,7 +21,7 @@
     #: How many requests it works on at a time.
     slots: int
     #: Failures in a row after which it is distrusted.
-    failures: int = searcher_standing.USUAL_FAILURES
+    failures: int = upstream_health.USUAL_FAILURES
     #: How long a new connection may take, in seconds.
     connect_s: float = _CONNECT_S
     #: How long an idle connection is kept where the other end states no
--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -4,7 +4,7 @@
 import types
 from typing import Self
 
-from chivepond.gateway import caller_connection
+from chivepond.gateway import client_connection
 from chivepond.transport import address
 
 _BACKLOG = 512
@@ -18,12 +18,12 @@
     def __init__(
         self,
         place: address.Address,
-        service: caller_connection.Service,
+        service: client_connection.Service,
     ) -> None:
         """Listen on ``place`` once entered."""
         self._place = place
         self._service = service
-        self._connections: set[caller_connection.CallerConnection] = set()
+        self._connections: set[client_connection.ClientConnection] = set()
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> Self:
@@ -76,8 +76,8 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _connection(self) -> caller_connection.CallerConnection:
-        return caller_connection.CallerConnection(
+    def _connection(self) -> client_connection.ClientConnection:
+        return client_connection.ClientConnection(
             self._service,
             self._connections,
         )
--- a/chivepond/gateway/metrics_page.py
+++ b/chivepond/gateway/metrics_page.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from chivepond.gateway import answer, caller_request, telemetry
+from chivepond.gateway import client_request, client_response, telemetry
 
 _OK = 200
 _NOT_FOUND = 404
@@ -24,22 +24,26 @@
 
     def __init__(
         self,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         read_gauges: Callable[[], None],
     ) -> None:
         """Call ``read_gauges`` before each page."""
-        self._telemetry = told
+        self._telemetry = events_log
         self._read_gauges = read_gauges
 
     async def serve(
         self,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
         """Return the page."""
         if request.path != _PATH:
-            return answer.refusal(_NOT_FOUND, 'metrics are at /metrics')
+            return client_response.refusal(
+                _NOT_FOUND, 'metrics are at /metrics'
+            )
         self._read_gauges()
-        return answer.Answer(_OK, [_TYPE], self.render().encode())
+        return client_response.ClientResponse(
+            _OK, [_TYPE], self.render().encode()
+        )
 
     def render(self) -> str:
         """Return the lines of the page."""
--- a/chivepond/gateway/peer_news.py
+++ b/chivepond/gateway/peer_list.py
@@ -8,7 +8,7 @@
 from chivepond.wire import gateway_entry
 
 
-class PeerNews:
+class PeerList:
     """Decodes entries and hands them on; others' bytes are passed over."""
 
     __slots__ = ('_peers',)
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -7,15 +7,15 @@
 import msgspec
 
 from chivepond.gateway import (
-    answer,
-    caller_request,
+    client_request,
+    client_response,
     forwarding_service,
-    held_gather,
     peer_message,
-    requests_way,
+    pending_search,
+    request_router,
     route_latencies,
-    service_ask,
     sync_service,
+    upstream_request,
 )
 from chivepond.observe import events
 from chivepond.platform import headers
@@ -56,47 +56,51 @@
 
     def __init__(
         self,
-        tools: service_ask.AskTools,
+        tools: upstream_request.RequestTools,
         sync: sync_service.SyncService,
         is_stopping: Callable[[], bool],
-        way: requests_way.RequestsWay,
+        router: request_router.RequestRouter,
     ) -> None:
         """Begin nothing once ``is_stopping``.
 
-        What is asked is checked against the version that ``way`` routes by.
+        What is asked is checked against the version that ``router`` routes by.
         """
-        self._gathers = way.gathers
-        self._forwarding = forwarding_service.ForwardingService(tools, way)
+        self._gathers = router.gathers
+        self._forwarding = forwarding_service.ForwardingService(tools, router)
         self._sync = sync
         self._tools = tools
         self._is_stopping = is_stopping
-        self._latencies = route_latencies.RouteLatencies(lambda: way.table)
-        self._held_by_id: dict[bytes, held_gather.HeldGather] = {}
+        self._latencies = route_latencies.RouteLatencies(lambda: router.table)
+        self._held_by_id: dict[bytes, pending_search.PendingSearch] = {}
 
     async def serve(
         self,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
         """Return the answer to one request."""
         kind = _KIND_BY_PATH.get(request.path)
         if kind is None:
-            return answer.refusal(_NOT_FOUND, 'nothing is served there')
+            return client_response.refusal(
+                _NOT_FOUND, 'nothing is served there'
+            )
         try:
             asked = msgspec.msgpack.decode(request.body, type=kind)
         except msgspec.DecodeError as error:
-            return answer.refusal(_BAD_REQUEST, str(error))
+            return client_response.refusal(_BAD_REQUEST, str(error))
         return await self._dispatch(request.request_id, asked)
 
     async def _dispatch(
         self,
         request_id: bytes,
         asked: msgspec.Struct,
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         match asked:
             case gather_request.MoreRequest():
                 return await self._more(asked)
             case _ if self._is_stopping():
-                return answer.refusal(_UNAVAILABLE, 'this gateway stops')
+                return client_response.refusal(
+                    _UNAVAILABLE, 'this gateway stops'
+                )
             case gather_request.GatherRequest():
                 return await self._gather(asked)
             case forward_request.ForwardRequest():
@@ -107,14 +111,14 @@
     async def _gather(
         self,
         asked: gather_request.GatherRequest,
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         if not self._gathers(asked.route, asked.shards):
-            return answer.refusal(
+            return client_response.refusal(
                 _CONFLICT,
                 'the version in force here has other shards',
             )
         late = self._latencies.of(asked.route)
-        gather = held_gather.HeldGather(asked, self._tools, late)
+        gather = pending_search.PendingSearch(asked, self._tools, late)
         self._hold(asked.request_id, gather, asked.answer_in_s)
         try:
             reply = await gather.first()
@@ -125,10 +129,12 @@
         self._log(asked, gather, reply)
         return _answer(asked.request_id, reply)
 
-    async def _more(self, asked: gather_request.MoreRequest) -> answer.Answer:
+    async def _more(
+        self, asked: gather_request.MoreRequest
+    ) -> client_response.ClientResponse:
         gather = self._held_by_id.get(asked.request_id)
         if gather is None:
-            return answer.refusal(_NOT_FOUND, 'no such gather is held')
+            return client_response.refusal(_NOT_FOUND, 'no such gather is held')
         if not asked.has_reply:
             return _answer(asked.request_id, gather.again())
         self._held_by_id.pop(asked.request_id)
@@ -143,7 +149,7 @@
     def _hold(
         self,
         request_id: bytes,
-        gather: held_gather.HeldGather,
+        gather: pending_search.PendingSearch,
         due_in_s: float,
     ) -> None:
         """Keep a gather until its reply is due and a while longer."""
@@ -165,11 +171,11 @@
     def _log(
         self,
         asked: gather_request.GatherRequest,
-        gather: held_gather.HeldGather,
+        gather: pending_search.PendingSearch,
         reply: gather_request.GatherReply,
     ) -> None:
         missing = gather.missing()
-        self._tools.telemetry.tell(
+        self._tools.telemetry.emit(
             events.GATHER_SERVED,
             is_ordinary=not missing,
             request=asked.request_id.decode(errors='replace'),
@@ -182,8 +188,10 @@
         )
 
 
-def _answer(request_id: bytes, reply: msgspec.Struct) -> answer.Answer:
-    return answer.Answer(
+def _answer(
+    request_id: bytes, reply: msgspec.Struct
+) -> client_response.ClientResponse:
+    return client_response.ClientResponse(
         _OK,
         [(headers.REQUEST_ID, request_id)],
         msgspec.msgpack.encode(reply),
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -5,16 +5,16 @@
 from collections.abc import Iterable, Iterator
 
 from chivepond.decisions import (
-    helper_choice,
+    aggregator_selection,
     round_trip,
-    searcher_standing,
     switches,
     sync_source,
+    upstream_health,
     upstream_share,
     usual_latency,
 )
 from chivepond.gateway import closing, link as links
-from chivepond.gateway import link_end, peer_record, telemetry, trust_log
+from chivepond.gateway import health_log, link_end, peer_record, telemetry
 from chivepond.observe import events
 from chivepond.settings import mechanism
 from chivepond.transport import address
@@ -50,7 +50,7 @@
         '_shares',
         '_switches',
         '_telemetry',
-        '_trust_log',
+        '_health_log',
         '_way_by_id',
         'is_seed',
         'own_id',
@@ -59,7 +59,7 @@
     def __init__(
         self,
         own: peer_record.PeerRecord,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         seeds: Iterable[address.Address],
         switched: switches.Switches,
         *,
@@ -73,8 +73,8 @@
         self._switches = switched
         self._is_listed = False
         self._link_mbps = own.link_mbps
-        self._telemetry = told
-        self._trust_log = trust_log.of_peers(told)
+        self._telemetry = events_log
+        self._health_log = health_log.of_peers(events_log)
         self._seeds = [
             self._link(peer_record.PeerRecord(str(place), place, '', 0))
             for place in seeds
@@ -140,7 +140,7 @@
         self._shares = None
         self._known_by_id[node_id] = record
         self._link_by_id[node_id] = self._link(record)
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.PEER_LEARNED,
             peer=node_id,
             address=str(record.address),
@@ -152,7 +152,7 @@
             self._shares = None
             self._way_by_id.pop(node_id, None)
             self._link_by_id.pop(node_id).close()
-            self._telemetry.tell(events.PEER_GONE, peer=node_id)
+            self._telemetry.emit(events.PEER_GONE, peer=node_id)
 
     def link(self, node_id: str) -> links.Link:
         """Return the link to a gateway that is known."""
@@ -245,14 +245,14 @@
             link = self._link_by_id[record.node_id]
             if _is_sound(link, now):
                 helpers.append(
-                    helper_choice.Helper(
+                    aggregator_selection.Aggregator(
                         record.node_id,
                         record.link_mbps,
-                        link.standing.expected_s(now),
+                        link.health.expected_s(now),
                         is_warm=link.is_warm,
                     ),
                 )
-        chosen = helper_choice.choose(helpers, random.random)
+        chosen = aggregator_selection.choose(helpers, random.random)
         return chosen and self._link_by_id[chosen.node_id]
 
     def _link(self, record: peer_record.PeerRecord) -> links.Link:
@@ -266,18 +266,18 @@
                 idle_s=_IDLE_S,
             ),
             _CONNECTIONS,
-            self._trust_log,
+            self._health_log,
             usual_latency.UsualLatency(),
         )
 
     def _may_help(self, record: peer_record.PeerRecord) -> bool:
         if record.data_centre != self._here:
             return True
-        return helper_choice.is_wider(record.link_mbps, self._link_mbps)
+        return aggregator_selection.is_wider(record.link_mbps, self._link_mbps)
 
 
 def _is_sound(link: links.Link, now: float) -> bool:
-    return link.standing.trust(now) in {
-        searcher_standing.Trust.USABLE,
-        searcher_standing.Trust.ON_TRIAL,
+    return link.health.state(now) in {
+        upstream_health.HealthState.USABLE,
+        upstream_health.HealthState.ON_TRIAL,
     }
--- a/chivepond/gateway/held_gather.py
+++ b/chivepond/gateway/pending_search.py
@@ -2,20 +2,20 @@
 
 import asyncio
 
-from chivepond.decisions import gather_time, second_ask_time
+from chivepond.decisions import gather_time, hedge_timing
 from chivepond.gateway import (
     forwarded_request,
-    gather_asks,
-    gathering,
     merge,
     request_trace,
     routing_table,
-    service_ask,
+    search_parts,
+    shard_requests,
+    upstream_request,
 )
 from chivepond.wire import gather_request
 
 
-class HeldGather:
+class PendingSearch:
     """Asks the shards; tells what is in, each part once."""
 
     __slots__ = (
@@ -32,8 +32,8 @@
     def __init__(
         self,
         asked: gather_request.GatherRequest,
-        tools: service_ask.AskTools,
-        late: second_ask_time.SecondAskTime,
+        tools: upstream_request.RequestTools,
+        late: hedge_timing.HedgeTiming,
     ) -> None:
         """Begin to ask."""
         clock = asyncio.get_running_loop().time
@@ -45,11 +45,11 @@
         self.turn = 0
         self.trace = request_trace.RequestTrace(clock, self._began)
         coverage = gather_time.Coverage(len(asked.shards), asked.least_share)
-        self._parts = gathering.Gathering(
+        self._parts = search_parts.SearchParts(
             tuple(asked.shards),
             coverage,
         )
-        self._asks = gather_asks.GatherAsks(
+        self._asks = shard_requests.ShardRequests(
             self._parts,
             _route(asked),
             tools,
@@ -62,7 +62,7 @@
             asked.body,
             is_head=False,
         )
-        times = service_ask.Times(
+        times = upstream_request.Times(
             self._began + asked.answer_in_s,
             self._began + asked.left_s,
         )
@@ -91,7 +91,7 @@
         self._asks.begin_fallbacks()
         try:
             async with asyncio.timeout_at(self._began + self._asked.left_s):
-                await self._next_news()
+                await self._next_part()
         except TimeoutError:
             return self._reply()
         return self._reply()
@@ -100,7 +100,7 @@
         """Return why each shard is missing."""
         return self._parts.why_missing()
 
-    async def _next_news(self) -> None:
+    async def _next_part(self) -> None:
         parts = self._parts
         while self._told >= parts.signature_by_shard.keys():
             if not (parts.shed or parts.open_among(parts.shards)):
--- a/chivepond/gateway/registered_searcher.py
+++ b/chivepond/gateway/registered_searcher.py
@@ -18,7 +18,7 @@
         """Return the state, as metrics name it."""
         if self.record.is_leaving:
             return 'leaving'
-        return self.link.standing.trust(now).name.lower()
+        return self.link.health.state(now).name.lower()
 
     def candidate(
         self,
@@ -30,7 +30,7 @@
         """Return it as the decisions see it."""
         return searcher_choice.Candidate(
             searcher_id=self.record.searcher_id,
-            standing=self.link.standing,
+            health=self.link.health,
             data_centre=self.record.data_centre,
             is_in_data_centre=is_in_data_centre,
             is_in_region=is_in_region,
--- a/chivepond/gateway/requests_way.py
+++ b/chivepond/gateway/request_router.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request from its route to its answer."""
+"""Takes a client's request from its route to its response."""
 
 import asyncio
 import random
@@ -6,22 +6,23 @@
 
 from chivepond.decisions import weighted_share
 from chivepond.gateway import (
-    answer,
-    caller_request,
+    client_request,
+    client_response,
     forwarded_request,
-    gathered_request,
     peers,
     request_trace,
     route_latencies,
     routing_table,
-    service_ask,
+    scatter_gather,
     single_request,
+    upstream_request,
 )
 from chivepond.gateway import search as searches
 from chivepond.observe import event, events
 
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
+_INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 _SUCCESSES = range(200, 300)  # noqa: WPS432
 _REFUSALS = frozenset((_BAD_REQUEST, _NOT_FOUND, 408, 421, 429, _UNAVAILABLE))
@@ -29,16 +30,16 @@
 #: When to come back while no configuration is known, in seconds. A store
 #: that is away is so for seconds, and many callers come back just once.
 _UNKNOWN_RETRY_S = 1.0
-#: How long before the caller's deadline the last word is said, in seconds:
-#: the way back to the caller, and the loop's delay on a busy host.
-_LAST_WORD_S = 0.02
+#: How long before the client's deadline a request is given up, in seconds: the
+#: way back to the client, and the loop's delay on a busy host.
+_DEADLINE_MARGIN_S = 0.02
 #: The least time in which a searcher may reply, in seconds; a request with
 #: less is refused before any is asked.
 _LEAST_S = 0.01
 
 
-class RequestsWay:
-    """Routes requests by the version in force when they come."""
+class RequestRouter:
+    """Routes requests by the version that is active when they come."""
 
     __slots__ = (
         '_latencies',
@@ -46,29 +47,29 @@
         '_share_by_route',
         '_table',
         '_tools',
-        'in_force_since',
+        'active_since',
     )
 
     def __init__(
         self,
-        tools: service_ask.AskTools,
+        tools: upstream_request.RequestTools,
         others: peers.Peers,
     ) -> None:
         """Know no configuration yet."""
         self._tools = tools
         self._peers = others
         self._table: routing_table.RoutingTable | None = None
-        #: When the version in force was put in force, on the steady clock.
-        self.in_force_since: float | None = None
+        #: When that version became active, on the steady clock.
+        self.active_since: float | None = None
         self._latencies = route_latencies.RouteLatencies(lambda: self._table)
         self._share_by_route: dict[str, weighted_share.WeightedShare] = {}
 
     @property
     def table(self) -> routing_table.RoutingTable | None:
-        """The version in force."""
+        """The active version."""
         return self._table
 
-    def put_in_force(self, table: routing_table.RoutingTable) -> bool:
+    def activate(self, table: routing_table.RoutingTable) -> bool:
         """Route by ``table`` from now on, unless a newer one is in force."""
         if self._table is not None and table.version <= self._table.version:
             return False
@@ -78,14 +79,14 @@
             for name, share in self._share_by_route.items()
             if name in table.target_by_name
         }
-        self.in_force_since = asyncio.get_running_loop().time()
+        self.active_since = asyncio.get_running_loop().time()
         return True
 
     def gathers(self, route_name: str, shards: Iterable[str]) -> bool:
-        """Tell whether the version in force gathers ``shards`` on a route.
+        """Tell whether the active version gathers ``shards`` on a route.
 
-        Guards against acts by an older version, or by a newer one than is in
-        force here, for another gateway that has read it later or sooner.
+        Guards against acts by an older version, or by a newer one than is
+        active here, for another gateway that has read it later or sooner.
         """
         if self._table is None:
             return False
@@ -109,51 +110,56 @@
 
     async def serve(
         self,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
-        """Return the answer to one request, and write what became of it."""
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
+        """Return the response to one request, and log what became of it."""
         clock = asyncio.get_running_loop().time
         trace = request_trace.RequestTrace(clock, request.came_at)
         table = self._table
         route = table and table.find(request.host, request.path)
         try:
-            told = await self._answer(request, table, route, trace)
+            response = await self._respond(request, table, route, trace)
         except asyncio.CancelledError:
-            told = answer.refusal(0, 'the caller left')
+            response = client_response.refusal(0, 'the client left')
             raise
         except Exception as error:
-            # Whatever a fault of ours is, the caller gets an answer now.
-            told = answer.refusal(500, 'a fault of the gateway')  # noqa: WPS432
-            self._tools.telemetry.tell(events.GATEWAY_FAULT, what=repr(error))
+            # Unexpected errors still produce a response.
+            response = client_response.refusal(
+                _INTERNAL_ERROR,
+                'a fault of the gateway',
+            )
+            self._tools.telemetry.emit(events.GATEWAY_FAULT, what=repr(error))
         finally:
-            self._tell(request, route, told, trace)
-        return told
+            self._log(request, route, response, trace)
+        return response
 
-    async def _answer(
+    async def _respond(
         self,
-        request: caller_request.CallerRequest,
+        request: client_request.ClientRequest,
         table: routing_table.RoutingTable | None,
         route: routing_table.Route | None,
         trace: request_trace.RequestTrace,
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         if table is None:
             text = 'no configuration is known yet'
-            return answer.refusal(_UNAVAILABLE, text, _UNKNOWN_RETRY_S)
+            return client_response.refusal(_UNAVAILABLE, text, _UNKNOWN_RETRY_S)
         if route is None:
-            return answer.refusal(_NOT_FOUND, 'no route leads there')
+            return client_response.refusal(_NOT_FOUND, 'no route leads there')
         if not request.request_id:
-            return answer.refusal(_BAD_REQUEST, 'the request has no identifier')
+            return client_response.refusal(
+                _BAD_REQUEST, 'the request has no identifier'
+            )
         return await self._route(request, route, trace)
 
     async def _route(
         self,
-        request: caller_request.CallerRequest,
+        request: client_request.ClientRequest,
         route: routing_table.Route,
         trace: request_trace.RequestTrace,
-    ) -> answer.Answer:
-        deadline = request.deadline(route.timeout_s) - _LAST_WORD_S
+    ) -> client_response.ClientResponse:
+        deadline = request.deadline(route.timeout_s) - _DEADLINE_MARGIN_S
         if deadline - asyncio.get_running_loop().time() < _LEAST_S:
-            return answer.refusal(_UNAVAILABLE, 'the time is over', 0)
+            return client_response.refusal(_UNAVAILABLE, 'the time is over', 0)
         forwarded = forwarded_request.ForwardedRequest.of(
             request,
             is_repeatable=route.is_idempotent,
@@ -169,7 +175,7 @@
                     deadline,
                     request.way_s,
                 )
-                return await gathered_request.GatheredRequest(
+                return await scatter_gather.ScatterGather(
                     search,
                     self._tools,
                     self._peers,
@@ -201,33 +207,33 @@
             case _:
                 raise TypeError(route.target)
 
-    def _tell(
+    def _log(
         self,
-        request: caller_request.CallerRequest,
+        request: client_request.ClientRequest,
         route: routing_table.Route | None,
-        told: answer.Answer,
+        response: client_response.ClientResponse,
         trace: request_trace.RequestTrace,
     ) -> None:
         took_s = asyncio.get_running_loop().time() - request.came_at
-        kind = _kind(told)
+        kind = _kind(response)
         label = route.name if route else 'none'
         telemetry = self._tools.telemetry
         telemetry.count('requests', f'{label} {kind.text}')
         telemetry.took(label, took_s)
         is_late = route is not None and took_s > route.target_latency_s
         is_ordinary = kind is events.REQUEST_ANSWERED and not trace.notes
-        telemetry.tell(
+        telemetry.emit(
             kind,
             is_ordinary=is_ordinary and not is_late,
             request=request.request_id.decode(errors='replace'),
             route=label,
             version=self._table.version if self._table else None,
-            status=told.status,
+            status=response.status,
             took_ms=round(took_s * _MS_PER_S),
             is_late=is_late,
             shards=_shard_count(route),
-            reason=told.reason,
-            missing=told.reason_by_shard,
+            reason=response.reason,
+            missing=response.reason_by_shard,
             sends=trace.sends,
             second_sends=trace.second_sends,
             notes=trace.notes,
@@ -242,13 +248,13 @@
             return 0
 
 
-def _kind(told: answer.Answer) -> event.Event:
-    if told.status in _SUCCESSES:
-        if told.reason_by_shard:
+def _kind(response: client_response.ClientResponse) -> event.Event:
+    if response.status in _SUCCESSES:
+        if response.reason_by_shard:
             return events.REQUEST_ANSWERED_IN_PART
         return events.REQUEST_ANSWERED
-    if not told.status:
+    if not response.status:
         return events.REQUEST_ABANDONED
-    if told.status in _REFUSALS:
+    if response.status in _REFUSALS:
         return events.REQUEST_REFUSED
     return events.REQUEST_UNANSWERED
--- a/chivepond/gateway/route_latencies.py
+++ b/chivepond/gateway/route_latencies.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from chivepond.decisions import second_ask_time
+from chivepond.decisions import hedge_timing
 from chivepond.gateway import routing_table
 
 
@@ -18,13 +18,13 @@
         """Keep to the routes of the version that ``table`` returns."""
         self._table = table
         self._version: int | None = None
-        self._delay_by_route: dict[str, second_ask_time.SecondAskTime] = {}
+        self._delay_by_route: dict[str, hedge_timing.HedgeTiming] = {}
 
     def __len__(self) -> int:
         """Return how many routes are remembered."""
         return len(self._delay_by_route)
 
-    def of(self, route_name: str) -> second_ask_time.SecondAskTime:
+    def of(self, route_name: str) -> hedge_timing.HedgeTiming:
         """Return what is known of a route."""
         table = self._table()
         if table is not None and table.version != self._version:
@@ -36,5 +36,5 @@
             }
         return self._delay_by_route.setdefault(
             route_name,
-            second_ask_time.SecondAskTime(),
+            hedge_timing.HedgeTiming(),
         )
--- a/chivepond/gateway/routing_table.py
+++ b/chivepond/gateway/routing_table.py
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class CallerLimits:
+class ClientLimits:
     """What a caller may send, and how long it may take over it."""
 
     header_bytes: int
@@ -65,7 +65,7 @@
 _BODY_BYTES = 262144
 _IDLE_S = 15
 #: Bounds until a configuration is known, those of the usual deployments.
-DEFAULT_LIMITS = CallerLimits(
+DEFAULT_LIMITS = ClientLimits(
     header_bytes=_HEADER_BYTES,
     body_bytes=_BODY_BYTES,
     header_timeout_s=3,
@@ -80,7 +80,7 @@
     version: int
     routes_by_host: Mapping[bytes, tuple[Route, ...]]
     connection_cap_by_service: Mapping[str, int]
-    limits: CallerLimits
+    limits: ClientLimits
     target_by_name: Mapping[str, Target]
 
     def find(self, host: bytes, path: bytes) -> Route | None:
--- a/chivepond/gateway/gathered_request.py
+++ b/chivepond/gateway/scatter_gather.py
@@ -3,19 +3,19 @@
 from chivepond.decisions import (
     gather_plan,
     gather_time,
+    hedge_timing,
     searcher_choice,
-    second_ask_time,
 )
 from chivepond.gateway import (
-    answer,
+    client_response,
     delegated_shards,
-    gather_asks,
-    gathered_answer,
-    gathering,
-    group_ask,
+    group_request,
     peers,
     request_trace,
-    service_ask,
+    search_parts,
+    search_response,
+    shard_requests,
+    upstream_request,
 )
 from chivepond.gateway import search as searches
 from chivepond.settings import mechanism
@@ -26,7 +26,7 @@
 _RUSH_RETRY_S = 0.6
 
 
-class GatheredRequest:
+class ScatterGather:
     """Serves one search with the help of other gateways."""
 
     __slots__ = ('_late', '_work')
@@ -34,32 +34,32 @@
     def __init__(
         self,
         search: searches.Search,
-        tools: service_ask.AskTools,
+        tools: upstream_request.RequestTools,
         others: peers.Peers,
-        late: second_ask_time.SecondAskTime,
+        late: hedge_timing.HedgeTiming,
         trace: request_trace.RequestTrace,
     ) -> None:
         """Ask nothing yet."""
         self._late = late
         shards = search.target.shards
         coverage = gather_time.Coverage(len(shards), search.target.least_share)
-        self._work = group_ask.SearchWork(
+        self._work = group_request.SearchWork(
             search=search,
-            parts=gathering.Gathering(shards, coverage),
+            parts=search_parts.SearchParts(shards, coverage),
             tools=tools,
             others=others,
             trace=trace,
         )
 
-    async def serve(self) -> answer.Answer:
+    async def serve(self) -> client_response.ClientResponse:
         """Return the merged answer, or why there are too few parts."""
         work = self._work
         places_by_shard = self._places()
         if work.parts.settled.is_set():
-            return gathered_answer.not_run(work.parts)
+            return search_response.not_run(work.parts)
         if not self._is_let_in():
             work.tools.telemetry.count('searches_turned_away', 'queues')
-            return answer.refusal(
+            return client_response.refusal(
                 _UNAVAILABLE,
                 'too many searches wait',
                 _RUSH_RETRY_S,
@@ -69,7 +69,7 @@
             work.others.helpers(),
             work.tools.switches,
         )
-        with gather_asks.GatherAsks(
+        with shard_requests.ShardRequests(
             work.parts,
             work.search.route,
             work.tools,
@@ -80,7 +80,7 @@
             await asks.wait_all(self._answer_at())
             self._learn(made)
             await asks.wait_enough(work.search.deadline)
-        return gathered_answer.of(work.search, work.parts)
+        return search_response.of(work.search, work.parts)
 
     def _is_let_in(self) -> bool:
         tools = self._work.tools
@@ -111,7 +111,7 @@
     def _begin(
         self,
         made: gather_plan.GatherPlan,
-        asks: gather_asks.GatherAsks,
+        asks: shard_requests.ShardRequests,
     ) -> None:
         otherwise = delegated_shards.DelegatedShards(self._work, asks).ask
         otherwise(made.direct)
@@ -121,7 +121,7 @@
                 otherwise(shards)
             else:
                 asks.ask_group(
-                    group_ask.GroupAsk(
+                    group_request.GroupRequest(
                         self._work,
                         link,
                         shards,
--- a/chivepond/gateway/gathering.py
+++ b/chivepond/gateway/search_parts.py
@@ -9,7 +9,7 @@
 from chivepond.wire import gather_request
 
 
-class Gathering:
+class SearchParts:
     """Takes parts, and tells when there are enough or can't be."""
 
     __slots__ = (
--- a/chivepond/gateway/gathered_answer.py
+++ b/chivepond/gateway/search_response.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from chivepond.gateway import answer, gathering, merge, search, single_request
+from chivepond.gateway import (
+    client_response,
+    merge,
+    search,
+    search_parts,
+    single_request,
+)
 from chivepond.platform import headers
 
 _OK = 200
@@ -11,7 +17,9 @@
 _TIMED_OUT = 504
 
 
-def of(asked: search.Search, parts: gathering.Gathering) -> answer.Answer:
+def of(
+    asked: search.Search, parts: search_parts.SearchParts
+) -> client_response.ClientResponse:
     """Return the merged answer, or why there are too few parts.
 
     A search that may have run anywhere is never said not to have run.
@@ -19,16 +27,18 @@
     if parts.is_enough:
         return _success(asked, parts)
     if asyncio.get_running_loop().time() >= asked.deadline:
-        return _with_reasons(answer.refusal(_TIMED_OUT, _count(parts)), parts)
+        return _with_reasons(
+            client_response.refusal(_TIMED_OUT, _count(parts)), parts
+        )
     if parts.may_have_run:
-        told = answer.refusal(_BAD_GATEWAY, _count(parts))
+        told = client_response.refusal(_BAD_GATEWAY, _count(parts))
         return _with_reasons(told, parts)
     return not_run(parts)
 
 
-def not_run(parts: gathering.Gathering) -> answer.Answer:
+def not_run(parts: search_parts.SearchParts) -> client_response.ClientResponse:
     """Return the refusal of a search that no searcher ran, or will run."""
-    told = answer.refusal(
+    told = client_response.refusal(
         _UNAVAILABLE,
         _count(parts),
         single_request.RETRY_AFTER_S,
@@ -38,10 +48,10 @@
 
 def _success(
     asked: search.Search,
-    parts: gathering.Gathering,
-) -> answer.Answer:
+    parts: search_parts.SearchParts,
+) -> client_response.ClientResponse:
     signatures = b', '.join(parts.signature_by_shard.values())
-    return answer.Answer(
+    return client_response.ClientResponse(
         status=_OK,
         headers=[
             (headers.REQUEST_ID, asked.request.request_id),
@@ -53,14 +63,14 @@
     )
 
 
-def _count(parts: gathering.Gathering) -> str:
+def _count(parts: search_parts.SearchParts) -> str:
     in_count = len(parts.signature_by_shard)
     return f'{in_count} of {len(parts.shards)} shards replied'
 
 
 def _with_reasons(
-    told: answer.Answer,
-    parts: gathering.Gathering,
-) -> answer.Answer:
+    told: client_response.ClientResponse,
+    parts: search_parts.SearchParts,
+) -> client_response.ClientResponse:
     told.reason_by_shard = parts.why_missing()
     return told
--- a/chivepond/gateway/searcher_selection.py
+++ b/chivepond/gateway/searcher_selection.py
@@ -5,8 +5,8 @@
 
 from chivepond.decisions import (
     searcher_choice,
-    searcher_standing,
     switches,
+    upstream_health,
 )
 from chivepond.gateway import link as links
 from chivepond.gateway import searchers
@@ -74,7 +74,7 @@
         now = self._loop.time()
         return min(
             (
-                one.standing.expected_s(now)
+                one.health.expected_s(now)
                 for one in self._searchers.candidates(service)
             ),
             default=0,
@@ -84,7 +84,7 @@
         """Tell whether all searchers of a service have long queues."""
         now = self._loop.time()
         return all(
-            one.standing.is_queued(now)
+            one.health.is_queued(now)
             for one in self._searchers.candidates(service)
         )
 
@@ -94,8 +94,8 @@
             return False
         now = self._loop.time()
         return all(
-            searcher_choice.trust(one, now, self._switches)
-            >= searcher_standing.Trust.ON_TRIAL
+            searcher_choice.health_state(one, now, self._switches)
+            >= upstream_health.HealthState.ON_TRIAL
             for one in self._searchers.candidates(service)
         )
 
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -11,11 +11,11 @@
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     closing,
+    health_log,
     peers,
     registered_searcher,
     searcher_record,
     telemetry,
-    trust_log,
     upstream_shares,
 )
 from chivepond.observe import events
@@ -46,7 +46,7 @@
         '_switches',
         '_usual_by_service',
         '_telemetry',
-        '_trust_log',
+        '_health_log',
     )
 
     def __init__(
@@ -54,7 +54,7 @@
         here: str,
         region_by_data_centre: Mapping[str, str],
         others: peers.Peers,
-        told: telemetry.Telemetry,
+        events_log: telemetry.Telemetry,
         switched: switches.Switches,
     ) -> None:
         """Start empty, in the data centre ``here``."""
@@ -73,8 +73,8 @@
         self._switches = switched
         self._candidates_by_service: dict[str, _Candidates] = {}
         self._usual_by_service: dict[str, usual_latency.UsualLatency] = {}
-        self._telemetry = told
-        self._trust_log = trust_log.of_searchers(told)
+        self._telemetry = events_log
+        self._health_log = health_log.of_searchers(events_log)
 
     def close(self) -> None:
         """Close all links."""
@@ -121,7 +121,7 @@
                 return
             if known.is_same(record):
                 self._keep(record.searcher_id)
-                self._tell_leaving(known.record, record)
+                self._log_leaving(known.record, record)
                 known.record = record
                 self._candidates_by_service.pop(record.service, None)
                 return
@@ -226,13 +226,13 @@
                 links.Link(
                     registered_searcher.end(record),
                     self.shares.connections(record.service),
-                    self._trust_log,
+                    self._health_log,
                     self._usual(record.service),
                 ),
             )
         )
         self._id_by_address[record.address] = record.searcher_id
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.SEARCHER_LEARNED,
             searcher=record.searcher_id,
             service=record.service,
@@ -255,11 +255,11 @@
         self._keep(searcher_id)
         known = self._known_by_id.pop(searcher_id)
         known.link.close()
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.SEARCHER_GONE,
             searcher=searcher_id,
             service=known.record.service,
-            in_flight=known.link.standing.in_flight,
+            in_flight=known.link.health.in_flight,
         )
         self._id_by_address.pop(known.record.address)
         service = known.record.service
@@ -278,13 +278,13 @@
         )
         self.shares.place(service, frozenset(found))
 
-    def _tell_leaving(
+    def _log_leaving(
         self,
         before: searcher_record.SearcherRecord,
         record: searcher_record.SearcherRecord,
     ) -> None:
         if record.is_leaving and not before.is_leaving:
-            self._telemetry.tell(
+            self._telemetry.emit(
                 events.SEARCHER_LEAVING,
                 searcher=record.searcher_id,
                 service=record.service,
--- a/chivepond/gateway/settings_parts.py
+++ b/chivepond/gateway/settings_parts.py
@@ -1,6 +1,6 @@
 """What the parts of a gateway take from its settings."""
 
-from chivepond.decisions import second_send_budget
+from chivepond.decisions import hedge_budget
 from chivepond.gateway import peer_record
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
@@ -58,9 +58,9 @@
 
 def budget_limits(
     settings: gateway_settings.GatewaySettings,
-) -> second_send_budget.BudgetLimits:
+) -> hedge_budget.BudgetLimits:
     """Return the bounds on second sends."""
-    return second_send_budget.BudgetLimits(
+    return hedge_budget.BudgetLimits(
         share=settings.second_send_share,
         burst=settings.second_send_burst,
         span_s=settings.second_send_span_s,
--- a/chivepond/gateway/gather_asks.py
+++ b/chivepond/gateway/shard_requests.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol, Self
 
-from chivepond.decisions import second_ask_time, shard_shedding
+from chivepond.decisions import hedge_timing, shard_shedding
 from chivepond.gateway import (
     forwarded_request,
-    gathering,
     outcome,
     request_trace,
     routing_table,
-    service_ask,
+    search_parts,
+    upstream_request,
 )
 from chivepond.gateway import search as searches
 from chivepond.settings import mechanism
@@ -35,7 +35,7 @@
         """Take the parts, or what became of them."""
 
 
-class GatherAsks:
+class ShardRequests:
     """The asks of one request; leaving it ends what still runs.
 
     Where the request was answered, exchanges in flight may end by
@@ -58,10 +58,10 @@
 
     def __init__(
         self,
-        parts: gathering.Gathering,
+        parts: search_parts.SearchParts,
         route: routing_table.Route,
-        tools: service_ask.AskTools,
-        late: second_ask_time.SecondAskTime,
+        tools: upstream_request.RequestTools,
+        late: hedge_timing.HedgeTiming,
         trace: request_trace.RequestTrace,
     ) -> None:
         """Collect into ``parts``."""
@@ -124,14 +124,14 @@
         search: searches.Search,
     ) -> None:
         """Begin to ask each of ``shards`` from this gateway."""
-        times = service_ask.Times(search.answer_at, search.deadline)
+        times = upstream_request.Times(search.answer_at, search.deadline)
         self.ask(shards, search.request, times)
 
     def ask(
         self,
         shards: Iterable[str],
         request: forwarded_request.ForwardedRequest,
-        times: service_ask.Times,
+        times: upstream_request.Times,
     ) -> None:
         """Begin to ask ``shards`` from here, but for those that are shed."""
         asked = list(shards)
@@ -185,7 +185,7 @@
     def _shed(
         self,
         shards: list[str],
-        times: service_ask.Times,
+        times: upstream_request.Times,
     ) -> frozenset[str]:
         """Return the shards that are asked only if there are too few parts."""
         most = shard_shedding.allowed(
@@ -209,7 +209,7 @@
         self,
         shards: frozenset[str],
         request: forwarded_request.ForwardedRequest,
-        times: service_ask.Times,
+        times: upstream_request.Times,
     ) -> None:
         self.parts.shed -= shards
         self._begin(shards, request, times)
@@ -218,10 +218,10 @@
         self,
         shards: Iterable[str],
         request: forwarded_request.ForwardedRequest,
-        times: service_ask.Times,
+        times: upstream_request.Times,
     ) -> None:
         for shard in shards:
-            ask = service_ask.ServiceAsk(
+            ask = upstream_request.UpstreamRequest(
                 shard,
                 request,
                 self._route,
@@ -254,13 +254,13 @@
 
     async def _ask_one(
         self,
-        ask: service_ask.ServiceAsk,
-        times: service_ask.Times,
+        ask: upstream_request.UpstreamRequest,
+        times: upstream_request.Times,
     ) -> None:
         match await ask.run(times, self._late):
             case outcome.Reply() as reply:
                 self.parts.take(ask.service, reply)
-            case service_ask.GaveUp() as gave_up:
+            case upstream_request.GaveUp() as gave_up:
                 self.parts.miss(
                     ask.service,
                     gave_up.reason,
--- a/chivepond/gateway/single_request.py
+++ b/chivepond/gateway/single_request.py
@@ -2,16 +2,16 @@
 
 import asyncio
 
-from chivepond.decisions import second_ask_time
+from chivepond.decisions import hedge_timing
 from chivepond.gateway import (
-    answer,
+    client_response,
     delegated_request,
     forwarded_request,
     outcome,
     peers,
     request_trace,
     routing_table,
-    service_ask,
+    upstream_request,
 )
 
 _UNAVAILABLE = 503
@@ -28,16 +28,18 @@
     request: forwarded_request.ForwardedRequest,
     route: routing_table.Route,
     deadline: float,
-    tools: service_ask.AskTools,
+    tools: upstream_request.RequestTools,
     others: peers.Peers,
-    late: second_ask_time.SecondAskTime,
+    late: hedge_timing.HedgeTiming,
     trace: request_trace.RequestTrace,
-) -> answer.Answer:
+) -> client_response.ClientResponse:
     """Return the searcher's answer as it is, or a failure of our own."""
     if tools.searchers.shares.connections(service):
-        ask = service_ask.ServiceAsk(service, request, route, tools, trace)
+        ask = upstream_request.UpstreamRequest(
+            service, request, route, tools, trace
+        )
         due = asyncio.get_running_loop().time() + route.target_latency_s
-        ended = await ask.run(service_ask.Times(due, deadline), late)
+        ended = await ask.run(upstream_request.Times(due, deadline), late)
     else:
         delegated = delegated_request.DelegatedRequest(
             service,
@@ -50,21 +52,23 @@
     match ended:
         case outcome.Reply() as reply:
             return _forwarded(reply, is_head=request.is_head)
-        case service_ask.GaveUp(reply=outcome.Reply() as reply):
+        case upstream_request.GaveUp(reply=outcome.Reply() as reply):
             return _forwarded(reply, is_head=request.is_head)
-        case service_ask.GaveUp(reason=reason, may_have_run=True):
+        case upstream_request.GaveUp(reason=reason, may_have_run=True):
             is_late = asyncio.get_running_loop().time() >= deadline
-            return answer.refusal(
+            return client_response.refusal(
                 _TIMED_OUT if is_late else _BAD_GATEWAY,
                 reason,
             )
-        case service_ask.GaveUp(reason=reason):
-            return answer.refusal(_UNAVAILABLE, reason, RETRY_AFTER_S)
+        case upstream_request.GaveUp(reason=reason):
+            return client_response.refusal(_UNAVAILABLE, reason, RETRY_AFTER_S)
 
 
-def _forwarded(reply: outcome.Reply, *, is_head: bool) -> answer.Answer:
+def _forwarded(
+    reply: outcome.Reply, *, is_head: bool
+) -> client_response.ClientResponse:
     stated = reply.headers.get(b'content-length') if is_head else None
-    return answer.Answer(
+    return client_response.ClientResponse(
         status=reply.status,
         headers=reply.headers.end_to_end((b'content-length',)),
         body=reply.body,
--- a/chivepond/gateway/store_copies.py
+++ b/chivepond/gateway/store_copies.py
@@ -2,31 +2,31 @@
 
 import asyncio
 
-from chivepond.gateway import news, peer_news, peers, replica
+from chivepond.gateway import peer_list, peers, replica, store_updates
 from chivepond.platform import store_calls
 
 
 def by_kind(
-    told: news.News,
+    updates: store_updates.StoreUpdates,
     others: peers.Peers,
     changed: asyncio.Event,
 ) -> dict[str, replica.Replica]:
-    """Return empty copies that feed ``told`` and ``others``."""
-    of_peers = peer_news.PeerNews(others)
+    """Return empty copies that feed ``updates`` and ``others``."""
+    gateways = peer_list.PeerList(others)
     return {
         store_calls.SEARCHERS: replica.Replica(
-            replica.Sink(told.take_searchers, told.take_searcher_change),
+            replica.Sink(updates.take_searchers, updates.take_searcher_change),
             changed,
         ),
         store_calls.CONFIGURATION: replica.Replica(
             replica.Sink(
-                told.take_configurations,
-                told.take_configuration_change,
+                updates.take_configurations,
+                updates.take_configuration_change,
             ),
             changed,
         ),
         store_calls.GATEWAYS: replica.Replica(
-            replica.Sink(of_peers.take_list, of_peers.take_change),
+            replica.Sink(gateways.take_list, gateways.take_change),
             changed,
             is_bound=False,
         ),
--- a/chivepond/gateway/store_sync.py
+++ b/chivepond/gateway/store_sync.py
@@ -271,7 +271,7 @@
             self._origin_since = asyncio.get_running_loop().time()
         if peer != self._following:
             self._following = peer
-            self._telemetry.tell(
+            self._telemetry.emit(
                 events.SYNC_SOURCE,
                 source=peer or 'store',
                 origin=origin,
--- a/chivepond/gateway/news.py
+++ b/chivepond/gateway/store_updates.py
@@ -7,7 +7,7 @@
 from chivepond.decisions import switches
 from chivepond.gateway import (
     closing,
-    requests_way,
+    request_router,
     routing_table,
     searchers,
     telemetry,
@@ -17,7 +17,7 @@
 from chivepond.platform import configuration_codec, searcher_codec, store_calls
 
 
-class News(closing.Closing):
+class StoreUpdates(closing.Closing):
     """Decodes objects and hands them on; what can't be read is logged."""
 
     __slots__ = (
@@ -26,14 +26,14 @@
         '_searchers',
         '_telemetry',
         '_versions',
-        '_way',
+        '_router',
     )
 
     def __init__(
         self,
         known: searchers.Searchers,
-        way: requests_way.RequestsWay,
-        told: telemetry.Telemetry,
+        router: request_router.RequestRouter,
+        events_log: telemetry.Telemetry,
         bound_s: float,
         on_informed: Callable[[], None],
         switched: switches.Switches,
@@ -43,15 +43,15 @@
         Each version is in force within ``bound_s`` seconds.
         """
         self._versions = version_queue.VersionQueue(
-            way,
+            router,
             known,
             bound_s,
-            self._tell_in_force,
+            self._on_active,
             switched,
         )
         self._searchers = known
-        self._way = way
-        self._telemetry = told
+        self._router = router
+        self._telemetry = events_log
         self._on_informed = on_informed
         self._is_listed = False
 
@@ -62,7 +62,7 @@
     @property
     def is_informed(self) -> bool:
         """Whether both routes and searchers are known."""
-        return self._is_listed and self._way.table is not None
+        return self._is_listed and self._router.table is not None
 
     def take_searchers(self, found: list[store_calls.StoredObject]) -> None:
         """Take the whole list of searchers."""
@@ -111,23 +111,23 @@
         match configuration_codec.decode(stored.spec):
             case result.Ok(table):
                 if self._versions.take(table):
-                    self._telemetry.tell(
+                    self._telemetry.emit(
                         events.ROUTES_WAIT,
                         version=table.version,
                         revision=stored.meta.revision,
-                        in_force=self._way.table.version,
+                        in_force=self._router.table.version,
                     )
             case wrong:
-                self._telemetry.tell(
+                self._telemetry.emit(
                     events.ROUTES_REFUSED,
                     revision=stored.meta.revision,
                     why=str(wrong.unwrap_err()),
                 )
 
-    def _tell_in_force(self, table: routing_table.RoutingTable) -> None:
+    def _on_active(self, table: routing_table.RoutingTable) -> None:
         self._searchers.shares.limit(table.connection_cap_by_service)
         self._telemetry.gauge('routes_version', table.version)
-        self._telemetry.tell(events.ROUTES_IN_FORCE, version=table.version)
+        self._telemetry.emit(events.ROUTES_IN_FORCE, version=table.version)
         self._on_informed()
 
     def _refuse_entry(
@@ -135,7 +135,7 @@
         stored: store_calls.StoredObject,
         why: str,
     ) -> None:
-        self._telemetry.tell(
+        self._telemetry.emit(
             events.SEARCHER_ENTRY_REFUSED,
             searcher=stored.meta.name,
             revision=stored.meta.revision,
--- a/chivepond/gateway/telemetry.py
+++ b/chivepond/gateway/telemetry.py
@@ -94,7 +94,7 @@
         label = _bounded(self.latency_by_route, route)
         self.latency_by_route.setdefault(label, Latency()).add(took_s)
 
-    def tell(
+    def emit(
         self,
         kind: event.Event,
         /,
--- a/chivepond/gateway/service_ask.py
+++ b/chivepond/gateway/upstream_request.py
@@ -5,21 +5,21 @@
 
 from chivepond.decisions import (
     hedge_gain,
+    hedge_timing,
     search_admission,
     searcher_choice,
-    second_ask_time,
     switches,
 )
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
     forwarded_request,
+    late_responses,
     outcome,
     request_trace,
     routing_table,
     searcher_selection,
     searchers,
-    stragglers,
     telemetry,
 )
 from chivepond.platform import headers
@@ -33,13 +33,13 @@
 
 
 @dataclasses.dataclass(slots=True)
-class AskTools:
+class RequestTools:
     """What all asks of a gateway share."""
 
     searchers: searchers.Searchers
     selection: searcher_selection.SearcherSelection
     budgets: budgets.Budgets
-    stragglers: stragglers.Stragglers
+    stragglers: late_responses.LateResponses
     telemetry: telemetry.Telemetry
     admission: search_admission.SearchAdmission
     switches: switches.Switches
@@ -71,7 +71,7 @@
 Attempt = asyncio.Task[outcome.Outcome]
 
 
-class ServiceAsk:
+class UpstreamRequest:
     """One request at one service, from the first attempt to the end."""
 
     __slots__ = (
@@ -98,7 +98,7 @@
         service: str,
         request: forwarded_request.ForwardedRequest,
         route: routing_table.Route,
-        tools: AskTools,
+        tools: RequestTools,
         trace: request_trace.RequestTrace,
     ) -> None:
         """Ask nothing yet."""
@@ -122,7 +122,7 @@
     async def run(
         self,
         times: Times,
-        late: second_ask_time.SecondAskTime,
+        late: hedge_timing.HedgeTiming,
     ) -> outcome.Reply | GaveUp:
         """Return the first good reply, or why there is none.
 
@@ -243,7 +243,7 @@
             return
         now = asyncio.get_running_loop().time()
         is_worth = hedge_gain.is_worth(
-            link.standing.expected_s(now),
+            link.health.expected_s(now),
             self._times.due - now,
         )
         is_on = self._tools.switches.is_on(mechanism.Mechanism.HEDGE_GAIN)
--- a/chivepond/gateway/version_queue.py
+++ b/chivepond/gateway/version_queue.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from chivepond.decisions import switches, version_wait
-from chivepond.gateway import closing, requests_way, routing_table, searchers
+from chivepond.gateway import closing, request_router, routing_table, searchers
 from chivepond.settings import mechanism
 
 
@@ -18,19 +18,19 @@
         '_searchers',
         '_switches',
         '_waiting',
-        '_way',
+        '_router',
     )
 
     def __init__(
         self,
-        way: requests_way.RequestsWay,
+        router: request_router.RequestRouter,
         known: searchers.Searchers,
         bound_s: float,
         on_in_force: Callable[[routing_table.RoutingTable], None],
         switched: switches.Switches,
     ) -> None:
         """Have each version in force within ``bound_s`` seconds."""
-        self._way = way
+        self._router = router
         self._switches = switched
         self._searchers = known
         self._bound_s = bound_s
@@ -47,7 +47,7 @@
 
         One that waits is put aside by a newer one, which is due no later.
         """
-        newest = self._waiting or self._way.table
+        newest = self._waiting or self._router.table
         if newest is not None and table.version <= newest.version:
             return False
         if not self._serves_less(table):
@@ -72,7 +72,7 @@
 
     def _put_in_force(self, table: routing_table.RoutingTable) -> None:
         self._forget()
-        if self._way.put_in_force(table):
+        if self._router.activate(table):
             self._on_in_force(table)
 
     def _forget(self) -> None:
@@ -83,9 +83,9 @@
 
     def _serves_less(self, table: routing_table.RoutingTable) -> bool:
         is_on = self._switches.is_on(mechanism.Mechanism.VERSION_WAIT)
-        if self._way.table is None or not is_on:
+        if self._router.table is None or not is_on:
             return False
-        return self._unserved(table) > self._unserved(self._way.table)
+        return self._unserved(table) > self._unserved(self._router.table)
 
     def _unserved(self, table: routing_table.RoutingTable) -> int:
         return sum(
--- a/chivepond/platform/configuration_codec.py
+++ b/chivepond/platform/configuration_codec.py
@@ -73,7 +73,7 @@
         connection_cap_by_service={
             one.name: one.max_conns for one in told.services
         },
-        limits=routing_table.CallerLimits(
+        limits=routing_table.ClientLimits(
             header_bytes=told.limits.max_header_bytes,
             body_bytes=told.limits.max_body_bytes,
             header_timeout_s=told.limits.header_timeout_ms / _MS_PER_S,
--- a/chivepond/platform/documents.py
+++ b/chivepond/platform/documents.py
@@ -48,7 +48,7 @@
 def configuration(
     version: int,
     routes: list[dict[str, Any]],
-    limits: routing_table.CallerLimits,
+    limits: routing_table.ClientLimits,
     connection_cap: int = 40,
 ) -> dict[str, Any]:
     """Return a whole configuration."""
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from chivepond.gateway import (
-    answer,
-    caller_connection,
-    caller_request,
+    client_connection,
+    client_request,
+    client_response,
     listener,
     routing_table,
 )
@@ -70,7 +70,7 @@
         self.refuse: Callable[[str], int | None] = _refuse_none
         self._listener = listener.Listener(
             address.Address('127.0.0.1', 0),
-            caller_connection.Service(
+            client_connection.Service(
                 serve=self._serve,
                 limits=lambda: routing_table.DEFAULT_LIMITS,
                 is_stopping=bool,
@@ -154,13 +154,13 @@
 
     async def _serve(
         self,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
         self.calls += 1
         place = request.target.decode()
         refused = self.refuse(place)
         if refused is not None:
-            return answer.refusal(refused, 'turned away')
+            return client_response.refusal(refused, 'turned away')
         path, _, query = place.partition('?')
         kind, _, name = path.removeprefix('/api/objects/').partition('/')
         asked = dict(urls.parse_qsl(query))
@@ -175,7 +175,7 @@
         kind: str,
         name: str,
         query: dict[str, str],
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         if name:
             stored = self._object_by_place.get((kind, name))
             return _json(_OK if stored else _NOT_FOUND, stored)
@@ -200,7 +200,7 @@
         kind: str,
         since: int,
         wait_s: float,
-    ) -> answer.Answer:
+    ) -> client_response.ClientResponse:
         try:
             async with asyncio.timeout(wait_s):
                 while since >= self._oldest and not self._news(kind, since):
@@ -223,8 +223,8 @@
         self,
         kind: str,
         name: str,
-        request: caller_request.CallerRequest,
-    ) -> answer.Answer:
+        request: client_request.ClientRequest,
+    ) -> client_response.ClientResponse:
         told = msgspec.json.decode(request.body)
         if not name:
             name = told['meta']['name']
@@ -237,7 +237,9 @@
         self.put(kind, name, told['spec'])
         return _json(_CREATED, self._object_by_place[place])
 
-    def _delete(self, place: tuple[str, str], revision: int) -> answer.Answer:
+    def _delete(
+        self, place: tuple[str, str], revision: int
+    ) -> client_response.ClientResponse:
         conflict = self._conflict(place, revision)
         if conflict is not None:
             return conflict
@@ -248,7 +250,7 @@
         self,
         place: tuple[str, str],
         revision: int,
-    ) -> answer.Answer | None:
+    ) -> client_response.ClientResponse | None:
         """Return the refusal of a call on an object that has changed."""
         stored = self._object_by_place.get(place)
         if not revision or (stored and stored['meta']['revision'] == revision):
@@ -264,7 +266,7 @@
     object_by_place: dict[tuple[str, str], dict[str, Any]],
     after: tuple[str, str],
     as_of: int,
-) -> answer.Answer:
+) -> client_response.ClientResponse:
     places = sorted(
         place
         for place in object_by_place
@@ -279,5 +281,5 @@
     return _json(_OK, page)
 
 
-def _json(status: int, told: object) -> answer.Answer:
-    return answer.Answer(status, [], msgspec.json.encode(told))
+def _json(status: int, told: object) -> client_response.ClientResponse:
+    return client_response.ClientResponse(status, [], msgspec.json.encode(told))
--- a/chivepond/tests/hedge_play.py
+++ b/chivepond/tests/hedge_play.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Callable
 
-from chivepond.decisions import searcher_standing, usual_latency
+from chivepond.decisions import upstream_health, usual_latency
 
 _Act = Callable[[float], None]
 #: When, in which order, and what happens.
@@ -52,8 +52,8 @@
         """Hedge after ``hedge_delay_s`` where ``is_worth``."""
         usual = usual_latency.UsualLatency()
         self._copies = copies
-        self._standings = [
-            searcher_standing.SearcherStanding(2, usual=usual) for _ in copies
+        self._healths = [
+            upstream_health.UpstreamHealth(2, usual=usual) for _ in copies
         ]
         self._due_s = due_s
         self._hedge_delay_s = hedge_delay_s
@@ -85,7 +85,7 @@
 
         def hedge(at: float) -> None:
             other = 1 - first
-            expected_s = self._standings[other].expected_s(at)
+            expected_s = self._healths[other].expected_s(at)
             if not done and self._is_worth(expected_s, due - at):
                 self.played.hedges += 1
                 self._send(other, at, done, due)
@@ -94,8 +94,8 @@
         self._at(now + self._hedge_delay_s(), hedge)
 
     def _rank(self, which: int, now: float) -> tuple[int, float]:
-        standing = self._standings[which]
-        return (int(standing.trust(now)), standing.expected_s(now))
+        health = self._healths[which]
+        return (int(health.state(now)), health.expected_s(now))
 
     def _send(
         self,
@@ -104,12 +104,12 @@
         done: list[float],
         due: float,
     ) -> None:
-        standing = self._standings[which]
+        health = self._healths[which]
         attempt = next(self._numbers)
-        standing.sent(attempt, now)
+        health.sent(attempt, now)
 
         def end(at: float) -> None:
-            standing.replied(attempt, at)
+            health.replied(attempt, at)
             if not done:
                 self.played.in_time += at <= due
             done.append(at)
--- a/chivepond/tests/load_play.py
+++ b/chivepond/tests/load_play.py
@@ -7,8 +7,8 @@
 
 from chivepond.decisions import (
     searcher_choice,
-    searcher_standing,
     switches,
+    upstream_health,
 )
 
 
@@ -51,7 +51,7 @@
 class Gateway:
     """What one gateway believes of each searcher."""
 
-    standing_by_name: dict[str, searcher_standing.SearcherStanding]
+    standing_by_name: dict[str, upstream_health.UpstreamHealth]
     owed: list[tuple[float, int, str]] = dataclasses.field(
         default_factory=list,
     )
@@ -107,7 +107,7 @@
 ) -> searcher_choice.Candidate:
     return searcher_choice.Candidate(
         searcher_id=one.name,
-        standing=gateway.standing_by_name[one.name],
+        health=gateway.standing_by_name[one.name],
         data_centre='base' if one.is_near else 'hub',
         is_in_data_centre=one.is_near,
         is_in_region=one.is_near,
--- a/chivepond/tests/test_aggregator_links.py
+++ b/chivepond/tests/test_aggregator_links.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chivepond.decisions import helper_choice, round_trip
+from chivepond.decisions import aggregator_selection, round_trip
 from chivepond.platform import headers
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
@@ -15,7 +15,7 @@
 
 def _helpers(*warm, slow_s=0.02):
     return [
-        helper_choice.Helper(
+        aggregator_selection.Aggregator(
             f'gate-{number}',
             100,
             slow_s if number in warm else 0.02,
@@ -29,7 +29,7 @@
 def test_an_open_connection_goes_first(seed):
     """Guards against groups that come late by the way of a new connection."""
     rng = random.Random(seed)
-    chosen = helper_choice.choose(_helpers(1), rng.random)
+    chosen = aggregator_selection.choose(_helpers(1), rng.random)
     assert chosen.node_id == 'gate-1'
 
 
@@ -38,7 +38,8 @@
     rng = random.Random(1)
     helpers = _helpers(1, slow_s=0.2)
     chosen = {
-        helper_choice.choose(helpers, rng.random).node_id for _ in _SHARDS
+        aggregator_selection.choose(helpers, rng.random).node_id
+        for _ in _SHARDS
     }
     assert 'gate-1' not in chosen
 
--- a/chivepond/tests/test_gateway_churn.py
+++ b/chivepond/tests/test_gateway_churn.py
@@ -53,8 +53,8 @@
         gateway_bench.route(name, f'/{number}/', service='desk'),
     )
     told = documents.encoded(spec)
-    parts.way.put_in_force(configuration_codec.decode(told).unwrap())
-    parts.way._latencies.of(name).learn(0.1)
+    parts.router.activate(configuration_codec.decode(told).unwrap())
+    parts.router._latencies.of(name).learn(0.1)
     parts.telemetry.count('requests', f'{name} answered')
     parts.telemetry.took(name, 0.1)
 
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -7,34 +7,34 @@
 from hypothesis import strategies
 
 from chivepond.decisions import (
+    aggregator_selection,
     gather_plan,
     gather_time,
-    helper_choice,
+    hedge_budget,
+    hedge_timing,
     log_limit,
-    sync_source,
     recent_count,
     round_trip,
     search_admission,
     searcher_choice,
-    searcher_standing,
-    second_ask_time,
-    second_send_budget,
     switches,
+    sync_source,
+    upstream_health,
     usual_latency,
     weighted_share,
 )
 
-_LIMITS = second_send_budget.BudgetLimits(share=0.2, burst=54, span_s=10)
+_LIMITS = hedge_budget.BudgetLimits(share=0.2, burst=54, span_s=10)
 
 
-def _standing() -> searcher_standing.SearcherStanding:
-    return searcher_standing.SearcherStanding(2)
+def _health() -> upstream_health.UpstreamHealth:
+    return upstream_health.UpstreamHealth(2)
 
 
-def _candidate(name, standing, *, near=True, last=False):
+def _candidate(name, health, *, near=True, last=False):
     return searcher_choice.Candidate(
         searcher_id=name,
-        standing=standing,
+        health=health,
         data_centre='base' if near else 'hub',
         is_in_data_centre=near,
         is_in_region=near,
@@ -70,9 +70,7 @@
     Each wants a second send for each request, however requests fall on them;
     in any ten seconds the sum stays within share and burst.
     """
-    budgets = [
-        second_send_budget.SecondSendBudget(_LIMITS) for _ in range(gateways)
-    ]
+    budgets = [hedge_budget.HedgeBudget(_LIMITS) for _ in range(gateways)]
     now = 100.0
     requests, extras = [], []
     for pause_s, which in steps:
@@ -103,7 +101,7 @@
     spent_at: list[float] = []
     for restarted_at in (-math.inf, 100 + after_s):
         budgets = [
-            second_send_budget.SecondSendBudget(_LIMITS, restarted_at)
+            hedge_budget.HedgeBudget(_LIMITS, restarted_at)
             for _ in range(gateways)
         ]
         for step in range(200):
@@ -118,7 +116,7 @@
 
 def test_the_first_start_of_all_has_the_whole_burst():
     """Nobody has spent anything before the first start."""
-    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    budget = hedge_budget.HedgeBudget(_LIMITS)
     assert sum(budget.spend(1, 1) for _ in range(100)) == 43
 
 
@@ -127,7 +125,7 @@
 
     It had the list of searchers, but not yet that of the other gateways.
     """
-    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    budget = hedge_budget.HedgeBudget(_LIMITS)
     assert not budget.spend(1, 0)
 
 
@@ -178,7 +176,7 @@
 def test_weights_of_all_gateways_add_up_to_their_number(data_centres):
     """A bound shared by weight must not grow with uneven links."""
     weights = [
-        helper_choice.gather_weight(own, links)
+        aggregator_selection.gather_weight(own, links)
         for links in data_centres
         for own in links
     ]
@@ -192,17 +190,17 @@
     which kept five sixths of the burst and spent none of it.
     """
     links = [*(12 for _ in range(10)), 100, 100]
-    wide = helper_choice.gather_weight(100, links)
+    wide = aggregator_selection.gather_weight(100, links)
     assert wide == 5
-    assert helper_choice.gather_weight(12, links) == 0.2
-    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    assert aggregator_selection.gather_weight(12, links) == 0.2
+    budget = hedge_budget.HedgeBudget(_LIMITS)
     spent = sum(budget.spend(1, wide / len(links)) for _ in range(100))
     assert spent == 18
 
 
 def test_a_budget_forgets_what_is_older_than_its_span():
     """A spent budget is whole again after the span."""
-    budget = second_send_budget.SecondSendBudget(_LIMITS)
+    budget = hedge_budget.HedgeBudget(_LIMITS)
     spent = sum(budget.spend(1, 1 / 4) for _ in range(100))
     assert spent == 10
     assert not budget.spend(10.5, 1 / 4)
@@ -229,8 +227,8 @@
     A searcher owes a reply for far longer than usual; the next search asks
     the other one first, at no cost to the budget.
     """
-    paused = _standing()
-    other = _standing()
+    paused = _health()
+    other = _health()
     near = _candidate('near', paused)
     far = _candidate('far', other, near=False)
     for at in range(5):
@@ -247,8 +245,8 @@
 def test_a_slow_searcher_gets_less_and_is_tried_again():
     """Requests stayed with a searcher that had turned slow."""
     usual = usual_latency.UsualLatency()
-    slow = searcher_standing.SearcherStanding(2, usual=usual)
-    sound = searcher_standing.SearcherStanding(2, usual=usual)
+    slow = upstream_health.UpstreamHealth(2, usual=usual)
+    sound = upstream_health.UpstreamHealth(2, usual=usual)
     near = _candidate('near', slow)
     far = _candidate('far', sound, near=False)
     now = float(0)
@@ -268,27 +266,27 @@
 
 def test_a_silent_searcher_is_distrusted_then_tried():
     """Each request to a crashed searcher waited out its time."""
-    dark = _standing()
+    dark = _health()
     near = _candidate('near', dark)
-    far = _candidate('far', _standing(), near=False)
+    far = _candidate('far', _health(), near=False)
     dark.sent(1, 0)
     dark.failed(1, 0.1)
     dark.sent(2, 0.1)
     dark.failed(2, 0.2)
-    assert dark.trust(0.3) is searcher_standing.Trust.DISTRUSTED
+    assert dark.state(0.3) is upstream_health.HealthState.DISTRUSTED
     assert _choose([near, far], 0.3) == 'far'
-    assert dark.trust(0.8) is searcher_standing.Trust.ON_TRIAL
+    assert dark.state(0.8) is upstream_health.HealthState.ON_TRIAL
     # What must not run twice goes to a searcher that is known to be sound.
     assert _choose([near, far], 5, is_idempotent=False) == 'far'
     dark.sent(3, 5)
-    assert dark.trust(5.1) is searcher_standing.Trust.DISTRUSTED
+    assert dark.state(5.1) is upstream_health.HealthState.DISTRUSTED
     dark.replied(3, 5.2)
-    assert dark.trust(5.3) is searcher_standing.Trust.USABLE
+    assert dark.state(5.3) is upstream_health.HealthState.USABLE
 
 
 def test_a_searcher_that_fails_some_requests_gets_fewer():
     """Half of the requests failed at a searcher with good health checks."""
-    grey = _standing()
+    grey = _health()
     rng = random.Random(5)
     for attempt in range(30):
         grey.sent(attempt, attempt / 10)
@@ -298,15 +296,15 @@
             grey.replied(attempt, attempt / 10 + 0.02)
     candidates = [
         _candidate('near', grey),
-        _candidate('far', _standing(), near=False),
+        _candidate('far', _health(), near=False),
     ]
     assert _choose(candidates, 3) == 'far'
 
 
 def test_a_searcher_that_is_gone_is_the_last_choice():
     """An entry that vanished counts only where there is no other."""
-    gone = _candidate('gone', _standing(), last=True)
-    slow = _standing()
+    gone = _candidate('gone', _health(), last=True)
+    slow = _health()
     slow.sent(1, 0)
     assert _choose([gone, _candidate('slow', slow)], 5) == 'slow'
     assert _choose([gone], 5) == 'gone'
@@ -315,7 +313,7 @@
 
 def test_second_asks_follow_the_usual_reply():
     """Late is slower than usual, and never so late that it is no use."""
-    late = second_ask_time.SecondAskTime()
+    late = hedge_timing.HedgeTiming()
     assert late.delay_s(0.2, switches.Switches()) == 0.2 * 0.38
     for _ in range(300):
         late.learn(0.02)
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from chivepond.decisions import gather_time
-from chivepond.gateway import gather_asks, gathering, merge
+from chivepond.gateway import merge, search_parts, shard_requests
 from chivepond.platform import headers
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
@@ -547,7 +547,7 @@
 
     async def play() -> None:
         coverage = gather_time.Coverage(2, 1)
-        parts = gathering.Gathering(('a', 'b'), coverage)
+        parts = search_parts.SearchParts(('a', 'b'), coverage)
         reply = gather_request.GatherReply(
             records=b'',
             signature_by_shard={'a': b'1', 'b': b'2'},
@@ -563,7 +563,9 @@
 
         loop = asyncio.get_running_loop()
         began = loop.time()
-        with gather_asks.GatherAsks(parts, None, None, None, None) as asks:
+        with shard_requests.ShardRequests(
+            parts, None, None, None, None
+        ) as asks:
             waiting = asyncio.create_task(asks.wait_enough(began + 3))
             await asyncio.sleep(0.05)
             asks.add_fallback(more)
--- a/chivepond/tests/test_gateway_load.py
+++ b/chivepond/tests/test_gateway_load.py
@@ -9,7 +9,7 @@
 
 from chivepond.decisions import (
     searcher_choice,
-    searcher_standing,
+    upstream_health,
     usual_latency,
 )
 from chivepond.tests import load_play
@@ -19,7 +19,7 @@
     usual = usual_latency.UsualLatency()
     return load_play.Gateway(
         {
-            name: searcher_standing.SearcherStanding(slots, usual=usual)
+            name: upstream_health.UpstreamHealth(slots, usual=usual)
             for name in names
         },
     )
--- a/chivepond/tests/test_gateway_switches.py
+++ b/chivepond/tests/test_gateway_switches.py
@@ -8,13 +8,13 @@
 
 from chivepond.decisions import (
     gather_plan,
+    hedge_timing,
     searcher_choice,
-    searcher_standing,
-    second_ask_time,
     switches,
+    upstream_health,
 )
 from chivepond.gateway import (
-    group_ask,
+    group_request,
     peer_record,
     peers,
     searcher_selection,
@@ -43,10 +43,10 @@
     return switches.Switches(off)
 
 
-def _candidate(standing, *, near=True):
+def _candidate(health, *, near=True):
     return searcher_choice.Candidate(
         searcher_id='near' if near else 'far',
-        standing=standing,
+        health=health,
         data_centre='base' if near else 'hub',
         is_in_data_centre=near,
         is_in_region=near,
@@ -63,8 +63,8 @@
     ).searcher_id
 
 
-def _standing():
-    return searcher_standing.SearcherStanding(2)
+def _health():
+    return upstream_health.UpstreamHealth(2)
 
 
 def test_unknown_mechanism_is_refused_by_its_place():
@@ -82,44 +82,44 @@
 
 def test_distrust_off_asks_a_searcher_that_fails():
     """With distrust off, a searcher that failed twice is still a choice."""
-    near, far = _standing(), _standing()
+    near, far = _health(), _health()
     near.failed(1, 1.0)
     near.failed(2, 1.0)
     off = _without(mechanism.Mechanism.DISTRUST)
     assert _chosen(near, far, _without()) == 'far'
-    found = searcher_choice.trust(_candidate(near), 1.0, off)
-    assert found is searcher_standing.Trust.USABLE
+    found = searcher_choice.health_state(_candidate(near), 1.0, off)
+    assert found is upstream_health.HealthState.USABLE
 
 
 def test_trials_off_leave_a_distrusted_searcher_alone():
     """With trials off, a searcher that is due for a try is not asked."""
-    near, far = _standing(), _standing()
+    near, far = _health(), _health()
     for attempt in range(2):
         near.failed(attempt, 1.0)
         far.failed(attempt, 20.0)
     assert _chosen(near, far, _without(), 20.1) == 'near'
     near_only = _candidate(near)
-    found = searcher_choice.trust(near_only, 20.1, _without())
-    assert found is searcher_standing.Trust.ON_TRIAL
-    sound = _standing()
+    found = searcher_choice.health_state(near_only, 20.1, _without())
+    assert found is upstream_health.HealthState.ON_TRIAL
+    sound = _health()
     off = _without(mechanism.Mechanism.TRIALS)
     assert _chosen(near, sound, off, 20.1) == 'far'
 
 
 def test_overdue_off_asks_a_searcher_in_a_pause():
     """With overdue off, a reply that is owed for long moves nothing."""
-    near, far = _standing(), _standing()
+    near, far = _health(), _health()
     near.sent(1, 0.8)
     assert _chosen(near, far, _without()) == 'far'
     off = _without(mechanism.Mechanism.OVERDUE)
-    assert searcher_choice.trust(_candidate(near), 1.0, off) is (
-        searcher_standing.Trust.USABLE
+    assert searcher_choice.health_state(_candidate(near), 1.0, off) is (
+        upstream_health.HealthState.USABLE
     )
 
 
 def test_link_price_off():
     """Without it a searcher across a link is chosen where it is quicker."""
-    near, far = _standing(), _standing()
+    near, far = _health(), _health()
     near.sent(1, 0.99)
     assert _chosen(near, far, _without()) == 'near'
     assert _chosen(near, far, _without(mechanism.Mechanism.LINK_PRICE)) == 'far'
@@ -127,7 +127,7 @@
 
 def test_learned_ask_time_off_is_the_latest_moment():
     """Without it a second ask comes at 0.38 of the target latency."""
-    late = second_ask_time.SecondAskTime()
+    late = hedge_timing.HedgeTiming()
     for _ in range(100):
         late.learn(0.02)
     off = _without(mechanism.Mechanism.LEARNED_ASK_TIME)
@@ -326,7 +326,7 @@
     """A dead shard holds up no answer, unless that is switched off."""
 
     async def play() -> None:
-        dead = _standing()
+        dead = _health()
         for attempt in range(2):
             dead.failed(attempt, asyncio.get_running_loop().time())
         off = () if is_on else (mechanism.Mechanism.HOPELESS_SHARDS,)
@@ -395,7 +395,7 @@
             switches=_without() if is_on else _without(*off),
         ),
     )
-    group = group_ask.GroupAsk(work, None, [], None, list)
+    group = group_request.GroupRequest(work, None, [], None, list)
     group.leave_running()
     assert group.is_left_running is is_on
     assert group.may_repeat() is is_on
--- a/chivepond/tests/test_hedge_load.py
+++ b/chivepond/tests/test_hedge_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chivepond.decisions import hedge_gain, second_ask_time, switches
+from chivepond.decisions import hedge_gain, hedge_timing, switches
 from chivepond.tests import hedge_play, load_play
 
 
@@ -62,7 +62,7 @@
     """Guards against hedges that come when the group is due already."""
 
     def play(left_s):
-        late = second_ask_time.SecondAskTime()
+        late = hedge_timing.HedgeTiming()
         played = hedge_play.HedgePlay(
             _paused_copies(seed),
             due_s=0.045,
--- a/chivepond/tests/test_shard_shedding.py
+++ b/chivepond/tests/test_shard_shedding.py
@@ -7,8 +7,8 @@
 import pytest
 
 from chivepond.decisions import (
-    searcher_standing,
     shard_shedding,
+    upstream_health,
     usual_latency,
 )
 
@@ -25,21 +25,21 @@
         self._rng = rng
         self._slowness = slowness
         self._free_at = [0, 0, 0, 0]
-        self._standing = searcher_standing.SearcherStanding(4, usual=usual)
+        self._health = upstream_health.UpstreamHealth(4, usual=usual)
         self._owed = []
 
     def expected_s(self, now):
         while self._owed and self._owed[0][0] <= now:
             at, attempt = heapq.heappop(self._owed)
-            self._standing.replied(attempt, at)
-        return self._standing.expected_s(now)
+            self._health.replied(attempt, at)
+        return self._health.expected_s(now)
 
     def ask(self, now, attempt):
         begins = max(now, heapq.heappop(self._free_at))
         ends = begins + self._slowness * self._rng.lognormvariate(-4.26, 0.35)
         heapq.heappush(self._free_at, ends)
         heapq.heappush(self._owed, (ends, attempt))
-        self._standing.sent(attempt, now)
+        self._health.sent(attempt, now)
         return ends
 
 
--- a/chivepond/tests/test_status.py
+++ b/chivepond/tests/test_status.py
@@ -62,7 +62,7 @@
                 other = self.nodes[0 if node is self.nodes[1] else 1]
                 node.believe(other.node_id, state)
             case 'start' if node.running is None or node.running.is_done:
-                node.put_in_force(int(self.now) + 1)
+                node.activate(int(self.now) + 1)
                 node.running = node.start()
             case 'step' if node.running is not None:
                 node.running.step(_FATES[pick])
@@ -123,7 +123,7 @@
         self.hosts.members.take([told], self.world.now)
         self.hosts.refresh(self.world.now)
 
-    def put_in_force(self, revision: int) -> None:
+    def activate(self, revision: int) -> None:
         """See an accepted revision."""
         raw = codec.to_raw({'revision': revision, 'document': {}})
         told = notice.Notice(kinds.DEPLOYMENT_ACCEPTED, revision, raw)
@@ -213,7 +213,7 @@
     assert _version(world) <= 7
     for revision in range(1, 121):
         world.now += 0.5
-        world.first.put_in_force(revision)
+        world.first.activate(revision)
         world.first.start().finish()
     assert 20 <= _version(world) <= 38
 
--- a/chivepond/tests/test_upstream_share.py
+++ b/chivepond/tests/test_upstream_share.py
@@ -6,9 +6,9 @@
 import pytest
 from hypothesis import strategies
 
-from chivepond.decisions import second_send_budget, upstream_share
+from chivepond.decisions import hedge_budget, upstream_share
 
-_LIMITS = second_send_budget.BudgetLimits(share=0.2, burst=430, span_s=10)
+_LIMITS = hedge_budget.BudgetLimits(share=0.2, burst=430, span_s=10)
 _PLACES = ('base', 'gate', 'hub', 'lodge', 'yard', 'ford')
 _HOLDERS = frozenset(('base', 'hub'))
 
@@ -76,7 +76,7 @@
     gateways = _gateways(195)
     spent = 0
     for own, shares in zip(gateways, _shares(gateways), strict=True):
-        budget = second_send_budget.SecondSendBudget(_LIMITS)
+        budget = hedge_budget.HedgeBudget(_LIMITS)
         part = shares.of(_HOLDERS).part
         sent = sum(budget.spend(1, part) for _ in range(500))
         if own.data_centre in _HOLDERS and own.link_mbps == 100:
