--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -22,6 +22,7 @@
         'is_head',
         'is_held',
         'is_repeatable',
+        'progress',
         'request_id',
     )
 
@@ -41,6 +42,7 @@
         self.body = body
         self.is_head = is_head
         self.is_held = False
+        self.progress = None
 
     @classmethod
     def of(
--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from chivepond.gateway import header_list, outcome
+from chivepond.gateway import header_list, outcome, transfer
 
 #: The largest reply that is held, in bytes; the memory of a small host bears
 #: a few dozen of them at a time.
@@ -35,6 +35,7 @@
         '_parser',
         '_pending',
         '_size',
+        '_transfer',
         '_transport',
         'closes_after',
         'idle_since',
@@ -50,6 +51,7 @@
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._pending: asyncio.Future[outcome.Outcome] | None = None
+        self._transfer: transfer.Transfer | None = None
         self._expected_id = b''
         self._is_head = False
         #: Whether the other side, or what it sent, forbids another exchange.
@@ -73,15 +75,18 @@
         expected_id: bytes,
         *,
         is_head: bool = False,
+        followed_by: transfer.Transfer | None = None,
     ) -> asyncio.Future[outcome.Outcome]:
         """Send a request; the future never raises.
 
-        An empty ``expected_id`` takes the first reply that comes.
+        An empty ``expected_id`` takes the first reply that comes. What comes of
+        the reply is counted by ``followed_by``.
         """
         pending = asyncio.get_running_loop().create_future()
         self._pending = pending
         self._expected_id = expected_id
         self._is_head = is_head
+        self._transfer = followed_by
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(message)
         return pending
@@ -107,6 +112,8 @@
         if self._pending is None:
             self.abort()
             return
+        if self._transfer is not None:
+            self._transfer.take(len(chunk))
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -153,26 +153,34 @@
         timeout_s: float,
     ) -> Told | None:
         told = None
+        received = 0
         ended = await self._client.get(path, timeout_s)
         match ended:
             case outcome.Reply(status=status, body=body) if status == _OK:
                 why, told = _decode(body, kind)
             case outcome.Reply(status=status):
                 why = f'a reply with {status}'
-            case outcome.NotSent(reason=why) | outcome.Broken(reason=why):
+            case outcome.NotSent(reason=why):
+                told = None
+            case outcome.Broken(reason=why, received_bytes=received):
                 told = None
         if told is None:
             self._telemetry.count('store_calls', f'{self._kind} {why}')
-            await self._lose(why)
+            await self._lose(why, received)
             return None
         self._telemetry.count('store_calls', self._kind)
         self._regain()
         return told
 
-    async def _lose(self, why: str) -> None:
+    async def _lose(self, why: str, received_bytes: int) -> None:
         if not self.is_lost:
             self.is_lost = True
-            self._telemetry.emit(events.SOURCE_LOST, kind=self._kind, why=why)
+            self._telemetry.emit(
+                events.SOURCE_LOST,
+                kind=self._kind,
+                why=why,
+                received_bytes=received_bytes,
+            )
         await self._outage.pause(
             self._kind,
             is_known=bool(self._replica.as_of),
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -13,6 +13,7 @@
     health_log,
     link_end,
     outcome,
+    transfer,
 )
 from chivepond.platform import headers
 
@@ -35,6 +36,8 @@
     is_repeatable: bool
     #: Whether its reply is held until there is something to tell.
     is_held: bool
+    #: Follows the reply, where it may be large.
+    progress: transfer.Transfer | None
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
@@ -99,7 +102,7 @@
             async with asyncio.timeout_at(deadline):
                 ended = await self._exchange(request, deadline)
         except TimeoutError:
-            ended = outcome.Broken('no reply in time')
+            ended = outcome.Broken('no reply in time', _received(request))
             self._pool.drop_idle()
         except asyncio.CancelledError:
             if self.health.given_up(attempt, loop.time()):
@@ -131,6 +134,7 @@
                 message,
                 request.request_id,
                 is_head=request.is_head,
+                followed_by=request.progress,
             )
         except asyncio.CancelledError:
             connection.abort()
@@ -173,9 +177,14 @@
             case outcome.Reply(status=status):
                 self.health.failed(attempt, now)
                 self._log_health(f'a reply with {status}')
-            case outcome.NotSent(reason=reason) | outcome.Broken(reason=reason):
+            case outcome.NotSent(reason=reason):
                 self.health.failed(attempt, now)
                 self._log_health(reason)
+            case outcome.Broken(reason=reason, received_bytes=received):
+                self.health.failed(attempt, now)
+                self._log_health(
+                    f'{reason}, {received} bytes came' if received else reason,
+                )
 
     def _log_health(self, reason: str) -> None:
         if not self._pool.is_closed:
@@ -184,3 +193,7 @@
                 reason,
                 is_ejected=self.health.is_ejected,
             )
+
+
+def _received(request: Message) -> int:
+    return request.progress.received_bytes if request.progress else 0
--- a/chivepond/gateway/outcome.py
+++ b/chivepond/gateway/outcome.py
@@ -33,6 +33,8 @@
     """The request left, and no whole reply came: it may have run."""
 
     reason: str
+    #: How much of a reply had come, where that was followed.
+    received_bytes: int = 0
 
 
 Outcome = Reply | NotSent | Broken
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivepond.gateway import transfer
 from chivepond.platform import headers
 from chivepond.wire import forward_request, gather_request
 from chivepond.wire import sync_message as sync_messages
@@ -26,6 +27,7 @@
         'is_head',
         'is_held',
         'is_repeatable',
+        'progress',
         'request_id',
     )
 
@@ -37,6 +39,7 @@
         self.is_head = False
         self.is_held = False
         self.is_repeatable = True
+        self.progress: transfer.Transfer | None = None
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes; the receiver's name goes along as the host."""
@@ -108,4 +111,5 @@
     number = b'sync-%d' % next(_numbers)
     message = PeerMessage(SYNC_PATH, number, msgspec.msgpack.encode(asked))
     message.is_held = True
+    message.progress = transfer.Transfer()
     return message
--- a/chivepond/gateway/peer_updates.py
+++ b/chivepond/gateway/peer_updates.py
@@ -6,11 +6,21 @@
 import msgspec
 
 from chivepond.gateway import link as links
-from chivepond.gateway import outcome, peer_message, replica, telemetry
+from chivepond.gateway import (
+    outcome,
+    peer_message,
+    replica,
+    telemetry,
+    transfer,
+)
+from chivepond.observe import events
 from chivepond.wire import sync_message
 
 #: How much longer than its wait another gateway's reply may take, in seconds.
 _GRACE_S = 0.25
+#: Updates of this size and more are logged, in bytes.
+_LARGE_BYTES = 65536
+_MS_PER_S = 1000
 _OK = 200
 
 
@@ -26,21 +36,22 @@
     The reply may be held for ``wait_s`` seconds, unless it is fresher than the
     content here, which is ``age_s`` seconds old.
     """
-    asked = sync_message.SyncRequest(
-        {kind: one.as_of for kind, one in replica_by_kind.items()},
-        wait_s,
-        age_s,
-        takes_kept=True,
+    message = peer_message.sync_message(
+        sync_message.SyncRequest(
+            {kind: one.as_of for kind, one in replica_by_kind.items()},
+            wait_s,
+            age_s,
+            takes_kept=True,
+        ),
     )
     loop = asyncio.get_running_loop()
     deadline = loop.time() + wait_s + _GRACE_S
-    reply = _decoded(
-        await link.ask(peer_message.sync_message(asked), deadline),
-    )
+    reply = _decoded(await link.ask(message, deadline))
     if reply is None:
         events_log.count('news', 'failed')
         return None
     events_log.count('news', 'taken')
+    _log_large(link.end.name, message.progress, reply, events_log)
     for kind, copy in replica_by_kind.items():
         update = reply.update_by_kind.get(kind)
         if update is not None:
@@ -49,6 +60,22 @@
     return reply
 
 
+def _log_large(
+    source: str,
+    progress: transfer.Transfer,
+    reply: sync_message.SyncReply,
+    events_log: telemetry.Telemetry,
+) -> None:
+    if progress.received_bytes >= _LARGE_BYTES:
+        events_log.emit(
+            events.LARGE_UPDATE,
+            source=source,
+            kinds=sorted(reply.update_by_kind),
+            received_bytes=progress.received_bytes,
+            took_ms=round(progress.took_s * _MS_PER_S),
+        )
+
+
 def _decoded(ended: outcome.Outcome) -> sync_message.SyncReply | None:
     match ended:
         case outcome.Reply(status=status, body=body) if status == _OK:
--- a/chivepond/gateway/store_client.py
+++ b/chivepond/gateway/store_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from chivepond.gateway import closing, http_connection, outcome
+from chivepond.gateway import closing, http_connection, outcome, transfer
 from chivepond.platform import headers
 from chivepond.transport import address
 
@@ -66,11 +66,12 @@
             b'%s %s HTTP/1.1\r\nHost: %s\r\n'
             b'Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s'
         ) % (method, path.encode(), self._host, len(body), body)
+        progress = transfer.Transfer()
         try:
             async with asyncio.timeout(timeout_s):
-                ended = await self._exchange(message)
+                ended = await self._exchange(message, progress)
         except TimeoutError:
-            ended = outcome.Broken('no reply in time')
+            ended = outcome.Broken('no reply in time', progress.received_bytes)
         except asyncio.CancelledError:
             self._drop()
             raise
@@ -81,12 +82,20 @@
                 self._drop()
                 return ended
 
-    async def _exchange(self, message: bytes) -> outcome.Outcome:
+    async def _exchange(
+        self,
+        message: bytes,
+        progress: transfer.Transfer,
+    ) -> outcome.Outcome:
         if self._connection is None or not self._connection.is_open:
             self._drop()
             if not await self._connect():
                 return outcome.NotSent('no connection')
-        return await self._connection.begin(message, b'')
+        return await self._connection.begin(
+            message,
+            b'',
+            followed_by=progress,
+        )
 
     async def _connect(self) -> bool:
         connection = http_connection.HttpConnection(
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -207,6 +207,13 @@
     'sync source',
     'Where the content of the store is taken from: it, or another gateway.',
 )
+LARGE_UPDATE = event.Event(
+    6016,
+    'INFO',
+    'large update taken',
+    'What another gateway handed on, its size, and the time from first to last '
+    'byte.',
+)
 SEARCHER_LEARNED = event.Event(
     6020,
     'INFO',
