--- /dev/null
+++ b/chivepond/standins/narrow_link.py
@@ -0,0 +1,98 @@
+"""A host's link of a few Mbit/s, as relays on loopback that share its rate."""
+
+import asyncio
+import contextlib
+import functools
+import types
+from typing import Self
+
+from chivepond.standins import connection_reset
+from chivepond.transport import address
+
+_CHUNK = 8192
+
+
+class NarrowLink:
+    """Carries what comes back from some addresses at one rate together."""
+
+    __slots__ = ('_bytes_per_s', '_free_at', '_servers', '_writers')
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Carry ``bytes_per_s`` towards the host, any number from it."""
+        self._bytes_per_s = bytes_per_s
+        self._free_at: float = 0
+        self._servers: list[asyncio.Server] = []
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Self:
+        """Lead nowhere yet."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all connections."""
+        for server in self._servers:
+            server.close()
+        for writer in list(self._writers):
+            connection_reset.reset(writer)
+
+    async def to(self, behind: address.Address) -> address.Address:
+        """Return an address that leads to ``behind`` over this link."""
+        server = await asyncio.start_server(
+            functools.partial(self._lead, behind),
+            '127.0.0.1',
+            0,
+        )
+        self._servers.append(server)
+        ip, port = server.sockets[0].getsockname()[:2]
+        return address.Address(ip, port)
+
+    async def _lead(
+        self,
+        behind: address.Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        there = await asyncio.open_connection(
+            behind.ip,
+            behind.port,
+            limit=_CHUNK,
+        )
+        ends = {writer, there[1]}
+        self._writers |= ends
+        out = asyncio.create_task(_carry(reader, there[1]))
+        back = asyncio.create_task(self._carry_back(there[0], writer))
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait((out, back), return_when=asyncio.FIRST_COMPLETED)
+        self._writers -= ends
+        for task in (out, back):
+            task.cancel()
+        for end in ends:
+            connection_reset.reset(end)
+
+    async def _carry_back(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError):
+            while chunk := await reader.read(_CHUNK):
+                began = max(loop.time(), self._free_at)
+                self._free_at = began + len(chunk) / self._bytes_per_s
+                await asyncio.sleep(self._free_at - loop.time())
+                writer.write(chunk)
+                await writer.drain()
+
+
+async def _carry(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    with contextlib.suppress(ConnectionError):
+        while chunk := await reader.read(_CHUNK):
+            writer.write(chunk)
