Replies of the store and of gateways are waited for while they come

What callers saw: routes of version 16 and 20 more than 5 s after version 24 was acknowledged (CONFIG), on gateways whose link of 10 Mbit/s was full all the while.

Cause: a call on the store had 1 s, a watch 0.5 s beyond its wait, an update of another gateway 0.25 s, for a reply of any size. The class is a fixed time for something that grows: given up in its midst, a transfer begins anew at its first byte, beside another one of the same content, and the link carries nothing that is ever whole.

Ruled out: the processor (11% at the most), versions that wait for searchers (no 6015).

Change: the first byte still has the same time; after it a reply has a second for each next one, 10 s in all. A silent end is noticed as before.

--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -198,6 +198,7 @@
     def _settle(self, ended: outcome.Outcome) -> None:
         pending = self._pending
         self._pending = None
+        self._transfer = None
         self.idle_since = asyncio.get_running_loop().time()
         if pending is not None and not pending.done():
             pending.set_result(ended)
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -91,15 +91,18 @@
     ) -> outcome.Outcome:
         """Send a request and wait for its reply until ``deadline``.
 
-        The deadline is on the steady clock. Cancelling ends the connection,
-        by which the searcher learns that nobody waits.
+        The deadline is on the steady clock; a reply that is followed may come
+        to its end after it. Cancelling ends the connection, by which the
+        searcher learns that nobody waits.
         """
         loop = asyncio.get_running_loop()
         attempt = next(_attempts)
         if not request.is_held:
             self.health.sent(attempt, loop.time())
         try:
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(deadline) as limit:
+                if request.progress is not None:
+                    request.progress.extend(limit)
                 ended = await self._exchange(request, deadline)
         except TimeoutError:
             ended = outcome.Broken('no reply in time', _received(request))
--- a/chivepond/gateway/store_client.py
+++ b/chivepond/gateway/store_client.py
@@ -14,7 +14,8 @@
     """One connection; a failed or late call ends it, the next one is new.
 
     Guards against a connection that fell silent without a reset: it shows as
-    a call without a reply, and would swallow each call after it.
+    a call without a reply, and would swallow each call after it. A reply that
+    has begun may take longer than its call.
     """
 
     __slots__ = ('_connection', '_host', '_place')
@@ -68,7 +69,8 @@
         ) % (method, path.encode(), self._host, len(body), body)
         progress = transfer.Transfer()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                progress.extend(limit)
                 ended = await self._exchange(message, progress)
         except TimeoutError:
             ended = outcome.Broken('no reply in time', progress.received_bytes)
--- a/chivepond/tests/test_gateway_narrow_links.py
+++ b/chivepond/tests/test_gateway_narrow_links.py
@@ -3,11 +3,16 @@
 import asyncio
 import itertools
 
+import hypothesis
 import msgspec
+from hypothesis import strategies
 
+from chivepond.decisions import transfer_time
+from chivepond.gateway import outcome, store_client
 from chivepond.platform import store_calls
 from chivepond.standins import narrow_link, scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
 from chivepond.wire import gateway_entry
 
 #: About 0.9 MB, close to the largest object that the store takes.
@@ -111,3 +116,43 @@
             await _until_version(alone, 2)
 
     support.run(play())
+
+
+def test_a_reply_that_stands_still_is_given_up():
+    """Guards against a silent connection that is waited on for long."""
+
+    async def play() -> None:
+        async def begin(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{')
+            await asyncio.sleep(_BOUND_S)
+
+        server = await asyncio.start_server(begin, '127.0.0.1', 0)
+        ip, port = server.sockets[0].getsockname()[:2]
+        client = store_client.StoreClient(address.Address(ip, port))
+        began = asyncio.get_running_loop().time()
+        with client:
+            ended = await client.get('/', 0.1)
+        assert isinstance(ended, outcome.Broken)
+        assert ended.received_bytes
+        took_s = asyncio.get_running_loop().time() - began
+        assert took_s < transfer_time.STALL_S + 0.5
+        server.close()
+
+    support.run(play())
+
+
+@hypothesis.given(
+    strategies.floats(0, 10),
+    strategies.lists(strategies.floats(0.001, 0.9), max_size=60),
+)
+def test_a_reply_is_waited_for_while_it_comes_and_not_for_ever(deadline, gaps):
+    """Guards against a slow source that no other one is tried for."""
+    now = deadline
+    for gap_s in gaps:
+        until = transfer_time.wait_until(deadline, now)
+        now += gap_s
+        is_given_up = until < now
+        assert is_given_up == (now > deadline + transfer_time.LONGEST_S)
+        if is_given_up:
+            return
