Large updates between gateways are packed, once for all followers

Cause: an object of the store goes whole to each follower, six at a host, so that a configuration of 0.7 MB takes 3.3 s of the link of a host at 10 Mbit/s, and again as much at the next one of the tree.

A test that failed before: six followers of a host at 4 Mbit/s, 0.9 MB, not active within 3 s.

A gateway of the release before neither asks for it nor gets it.

--- a/chivepond/gateway/peer_updates.py
+++ b/chivepond/gateway/peer_updates.py
@@ -12,6 +12,7 @@
     replica,
     telemetry,
     transfer,
+    update_packing,
 )
 from chivepond.observe import events
 from chivepond.wire import sync_message
@@ -42,6 +43,7 @@
             wait_s,
             age_s,
             takes_kept=True,
+            takes_packed=True,
         ),
     )
     loop = asyncio.get_running_loop()
@@ -80,8 +82,21 @@
     match ended:
         case outcome.Reply(status=status, body=body) if status == _OK:
             try:
-                return msgspec.msgpack.decode(body, type=sync_message.SyncReply)
+                return _unpacked(
+                    msgspec.msgpack.decode(body, type=sync_message.SyncReply),
+                )
             except msgspec.DecodeError:
                 return None
         case _:
             return None
+
+
+def _unpacked(reply: sync_message.SyncReply) -> sync_message.SyncReply:
+    return sync_message.SyncReply(
+        {
+            kind: update_packing.unpack(update)
+            for kind, update in reply.update_by_kind.items()
+        },
+        reply.age_s,
+        reply.origin,
+    )
--- a/chivepond/gateway/sync_service.py
+++ b/chivepond/gateway/sync_service.py
@@ -5,14 +5,20 @@
 from collections.abc import Mapping
 
 from chivepond.decisions import sync_source
-from chivepond.gateway import replica
+from chivepond.gateway import replica, update_packing
 from chivepond.wire import sync_message
 
 
 class SyncService:
     """Replies with updates, at once or when there are some."""
 
-    __slots__ = ('_changed', '_oldest_s', 'origin', 'replica_by_kind')
+    __slots__ = (
+        '_changed',
+        '_oldest_s',
+        '_packer',
+        'origin',
+        'replica_by_kind',
+    )
 
     def __init__(
         self,
@@ -28,6 +34,7 @@
         self._oldest_s = sync_source.source_age_s(bound_s)
         self.replica_by_kind = replica_by_kind
         self._changed = changed
+        self._packer = update_packing.UpdatePacker()
         #: The gateway that read what the copies hold from the store.
         self.origin = own_id
 
@@ -62,6 +69,8 @@
         for kind, since in asked.revision_by_kind.items():
             known = self.replica_by_kind.get(kind)
             update = known and known.update(since, may_keep=asked.takes_kept)
+            if update is not None and asked.takes_packed:
+                update = self._packer.pack(kind, since, update)
             if update is not None:
                 found[kind] = update
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/chivepond/tests/test_update_packing.py
@@ -0,0 +1,86 @@
+"""Large updates between gateways, packed."""
+
+import zlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from chivepond.gateway import update_packing
+from chivepond.tests import test_gateway_narrow_links
+from chivepond.tests import gateway_bench
+from chivepond.wire import sync_message
+
+_NAMES = strategies.text('abc', min_size=1, max_size=4)
+_ENTRIES = strategies.lists(
+    strategies.builds(
+        sync_message.ObjectEntry,
+        _NAMES,
+        strategies.integers(1, 2**40),
+        strategies.binary(max_size=3000),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(_ENTRIES, strategies.lists(_NAMES), strategies.booleans())
+def test_an_update_is_the_same_after_packing(entries, names, is_whole):
+    """Guards against an object that is lost or spoilt between gateways."""
+    update = sync_message.KindUpdate(9, is_whole, entries, names, names)
+    packed = update_packing.UpdatePacker().pack('config', 3, update)
+    sent = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(packed),
+        type=sync_message.KindUpdate,
+    )
+    assert update_packing.unpack(sent) == update
+
+
+def test_a_large_configuration_takes_a_fifth_of_its_bytes():
+    """Guards against links that a change of the routes fills for seconds."""
+    routes = test_gateway_narrow_links.large_routes()
+    spec = msgspec.json.encode(gateway_bench.configuration(2, *routes))
+    entry = sync_message.ObjectEntry('main', 7, spec)
+    update = sync_message.KindUpdate(7, False, [entry], [])
+    packed = update_packing.UpdatePacker().pack('config', 3, update)
+    assert len(msgspec.msgpack.encode(packed)) < len(spec) / 5
+
+
+def test_an_update_is_packed_once_for_all_followers(monkeypatch):
+    """Guards against a host that packs for each follower what is the same."""
+    calls = []
+    compress = zlib.compress
+
+    def counted(plain, level):
+        calls.append(plain)
+        return compress(plain, level)
+
+    monkeypatch.setattr(update_packing.zlib, 'compress', counted)
+    packer = update_packing.UpdatePacker()
+    entry = sync_message.ObjectEntry('main', 7, bytes(20000))
+    for _ in range(6):
+        update = sync_message.KindUpdate(7, False, [entry], [])
+        packer.pack('config', 3, update)
+    assert len(calls) == 1
+
+
+def test_packed_updates_that_are_old_are_forgotten():
+    """Guards against memory that grows with each change of the routes."""
+    packer = update_packing.UpdatePacker()
+    for as_of in range(100):
+        entry = sync_message.ObjectEntry('main', as_of, bytes(20000))
+        update = sync_message.KindUpdate(as_of, False, [entry], [])
+        for since in range(20):
+            packer.pack('config', since, update)
+    assert len(packer._packed_by_key) <= 8
+
+
+@pytest.mark.parametrize('cut', [1, 10])
+def test_a_packed_update_that_is_cut_off_is_an_error(cut):
+    """Guards against a part of a configuration that is taken for the whole."""
+    entry = sync_message.ObjectEntry('main', 7, bytes(20000))
+    update = sync_message.KindUpdate(7, False, [entry], [])
+    packed = update_packing.UpdatePacker().pack('config', 3, update)
+    packed.packed = packed.packed[:-cut]
+    with pytest.raises(msgspec.DecodeError):
+        update_packing.unpack(packed)
--- a/chivepond/wire/sync_message.py
+++ b/chivepond/wire/sync_message.py
@@ -18,6 +18,8 @@
     age_s: float | None = None
     #: Whether the asker takes a whole list that names what it has already.
     takes_kept: bool = False
+    #: Whether the asker takes entries that are packed.
+    takes_packed: bool = False
 
 
 class ObjectEntry(msgspec.Struct, array_like=True):
@@ -40,6 +42,8 @@
     gone: list[str]
     #: Names of objects of a whole list that the asker has as they are.
     kept: list[str] = msgspec.field(default_factory=list)
+    #: All of ``entries``, encoded and compressed by zlib; they are empty then.
+    packed: bytes = b''
 
 
 class SyncReply(msgspec.Struct, array_like=True):
