Gateways with wide links are followed first

What callers saw: as before. Cause: followers were placed by name, so that edge-bkk-ratchada-10, at 10 Mbit/s, fed six others while edge-bkk-ratchada-2, at 100, fed none.

Change: the order in which gateways follow each other is by width of link, data centre and name; it is the same on all, as each registers its link. The test fails where the order leaves the link out (tried), and could not be written before, as a member had no link.

Ran: tests of sync source, fleet and news, passed; lint clean.

--- a/chivepond/decisions/sync_source.py
+++ b/chivepond/decisions/sync_source.py
@@ -5,11 +5,14 @@
 with the fleet, and one that answers all others sends more bytes the more
 there are. So one gateway reads, one of each other data centre follows it,
 and the rest of a data centre follow in a tree. Each gateway finds its place
-by the order of the names, without agreement: two whose lists differ both read
-for a while, and nobody follows one that comes later in the order.
+by the order of links and names, without agreement: two whose lists differ
+both read for a while, and nobody follows one that comes later in the order.
+Wide links come first: a large update takes long on a narrow link that feeds
+others.
 """
 
 import dataclasses
+import typing
 from collections.abc import Iterable
 
 #: How many gateways of its own data centre follow one gateway.
@@ -51,12 +54,21 @@
 _GATEWAYS_WATCH_S = 12.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
+@dataclasses.dataclass(slots=True, frozen=True)
 class Member:
-    """One gateway; members are in order of data centre and name."""
+    """One gateway; those with the widest links come first."""
 
     data_centre: str
     node_id: str
+    link_mbps: float = 0
+
+    def __lt__(self, other: typing.Self) -> bool:
+        """Tell whether this one may be followed by the other one."""
+        return self._place < other._place
+
+    @property
+    def _place(self) -> tuple[float, str, str]:
+        return (-self.link_mbps, self.data_centre, self.node_id)
 
 
 def source(own: Member, others: Iterable[Member]) -> Member | None:
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -161,14 +161,18 @@
     @property
     def own_member(self) -> sync_source.Member:
         """This gateway's place in the order of all."""
-        return sync_source.Member(self._here, self.own_id)
+        return sync_source.Member(self._here, self.own_id, self._link_mbps)
 
     def sound_members(self) -> Iterator[sync_source.Member]:
         """Yield the places of the other gateways that may be asked."""
         now = asyncio.get_running_loop().time()
         for node_id, record in self._known_by_id.items():
             if _is_sound(self._link_by_id[node_id], now):
-                yield sync_source.Member(record.data_centre, node_id)
+                yield sync_source.Member(
+                    record.data_centre,
+                    node_id,
+                    record.link_mbps,
+                )
 
     def any(self, preferred: str = '') -> links.Link | None:
         """Return some gateway that may be asked, seeds included.
--- a/chivepond/tests/test_sync_source.py
+++ b/chivepond/tests/test_sync_source.py
@@ -59,6 +59,14 @@
     assert all(at_one <= 6 + len(_PLACES) for at_one in followers.values())
 
 
+def test_hosts_with_narrow_links_feed_none_while_wide_ones_can():
+    """Guards against a change of the routes that fills the narrow links."""
+    wide = [sync_source.Member('hub', f'gate-{n}', 100) for n in range(1, 3)]
+    narrow = [sync_source.Member('hub', f'gate-{n}', 10) for n in range(10, 21)]
+    source_by_member = _source_by_member(wide + narrow, 0, 1)
+    assert set(source_by_member.values()) == {None, *wide}
+
+
 @hypothesis.given(_BOUNDS_S, strategies.integers(2, 600))
 def test_content_of_a_reader_that_works_is_never_old(bound_s, gateways):
     """Guards against followers that all read the store beside their reader."""
