The log says when searchers crashed under a request, and which requests are alike

Event 6026 has both: a fingerprint of method, path, query, host, credentials and body, and the searchers that take no connection any more 0.3 s after theirs ended. It is written only where no searcher replied to the request. Nothing is decided by it.

--- /dev/null
+++ b/chivepond/decisions/crash_evidence.py
@@ -0,0 +1,31 @@
+"""Whether searchers crashed under a request, as one gateway sees it.
+
+Load pattern: a request ends each searcher that begins to run it, and the other
+requests that the searcher had end with it. The others were replied to by some
+searcher before, or are so on their next attempt.
+"""
+
+
+class Evidence:
+    """What became of the searchers that one gateway sent a request to."""
+
+    __slots__ = ('_has_reply', 'cut_ids')
+
+    def __init__(self) -> None:
+        """Start before anything was sent."""
+        self._has_reply = False
+        #: Searchers whose connection ended while they had the request.
+        self.cut_ids: set[str] = set()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether no searcher is known to have run it and lived."""
+        return bool(self.cut_ids) and not self._has_reply
+
+    def replied(self) -> None:
+        """Take that a searcher ran the request and replied."""
+        self._has_reply = True
+
+    def cut(self, searcher_id: str) -> None:
+        """Take that a searcher's connection ended before its reply."""
+        self.cut_ids.add(searcher_id)
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -10,6 +10,7 @@
 from chivepond.gateway import (
     budgets,
     closing,
+    crash_watch,
     gateway_sweeper,
     late_responses,
     peer_registry,
@@ -57,6 +58,7 @@
             self.updates,
             self.searchers,
             self.tools.stragglers,
+            self.tools.crash_watch,
             self.others,
         ):
             self.opened.enter_context(part)
@@ -100,6 +102,7 @@
         telemetry=events_log,
         admission=search_admission.SearchAdmission(),
         switches=switched,
+        crash_watch=crash_watch.CrashWatch(known, events_log),
     )
     router = request_router.RequestRouter(tools, others)
     updates = store_updates.StoreUpdates(
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -98,6 +98,17 @@
                 return None
             await self._wait()
 
+    async def is_reachable(self) -> bool:
+        """Tell whether the other end takes connections, or has one open."""
+        if self.is_closed or any(one.is_connected for one in self._open):
+            return True
+        connection = await self._connect()
+        if connection is None:
+            return False
+        self._idle.append(connection)
+        self._wake()
+        return True
+
     def release(
         self,
         connection: http_connection.HttpConnection,
--- /dev/null
+++ b/chivepond/gateway/crash_watch.py
@@ -0,0 +1,80 @@
+"""Finds out whether searchers crashed under a request."""
+
+import asyncio
+
+from chivepond.gateway import (
+    closing,
+    forwarded_request,
+    searchers,
+    telemetry,
+)
+from chivepond.observe import events
+
+#: How long after a connection ended its searcher is looked at, in seconds:
+#: those that crash under the same request do so within that time.
+_SETTLE_S = 0.3
+#: Searchers that are looked at for one request.
+_LOOKED_AT = 4
+
+
+class CrashWatch(closing.Closing):
+    """Follows requests, and looks at searchers that were cut off.
+
+    A searcher that takes no connection any more has crashed; one that does
+    has only reset a connection.
+    """
+
+    __slots__ = ('_searchers', '_tasks', '_telemetry')
+
+    def __init__(
+        self,
+        known: searchers.Searchers,
+        events_log: telemetry.Telemetry,
+    ) -> None:
+        """Follow no request yet."""
+        self._searchers = known
+        self._telemetry = events_log
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def close(self) -> None:
+        """Look at nothing any more."""
+        for task in self._tasks:
+            task.cancel()
+
+    def follow(self, request: forwarded_request.ForwardedRequest) -> None:
+        """Look at the searchers that are cut off while they run a request."""
+        request.on_cut = self._look_later
+
+    def _look_later(self, request: forwarded_request.ForwardedRequest) -> None:
+        task = asyncio.create_task(self._look(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _look(self, request: forwarded_request.ForwardedRequest) -> None:
+        await asyncio.sleep(_SETTLE_S)
+        request.is_watched = False
+        evidence = request.evidence
+        if not evidence.is_suspect:
+            return
+        cut_ids = sorted(evidence.cut_ids)
+        crashed = await self._crashed(cut_ids[:_LOOKED_AT])
+        if not crashed or not evidence.is_suspect:
+            return
+        self._telemetry.emit(
+            events.SEARCHERS_CRASHED,
+            request=request.request_id.decode(errors='replace'),
+            fingerprint=request.fingerprint,
+            crashed=crashed,
+            cut=len(cut_ids),
+        )
+
+    async def _crashed(self, searcher_ids: list[str]) -> list[str]:
+        """Return those that take no connection."""
+        reachable = await asyncio.gather(
+            *map(self._searchers.is_reachable, searcher_ids),
+        )
+        return [
+            searcher_id
+            for searcher_id, is_up in zip(searcher_ids, reachable, strict=True)
+            if not is_up
+        ]
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -1,11 +1,14 @@
 """A caller's request in the form in which searchers get it."""
 
+from collections.abc import Callable
 from typing import Self
 
-from chivepond.gateway import client_request
+from chivepond.decisions import crash_evidence
+from chivepond.gateway import client_request, outcome, request_fingerprint
 from chivepond.platform import headers
 
 _MS_PER_S = 1000
+_MISDIRECTED = 421
 _OWN_FIELDS = (
     b'content-length',
     headers.TIME_LEFT_MS,
@@ -17,11 +20,15 @@
     """Method, path and body unchanged; fields of this one hop are new."""
 
     __slots__ = (
+        '_fingerprint',
         'body',
+        'evidence',
         'head',
         'is_head',
         'is_held',
         'is_repeatable',
+        'is_watched',
+        'on_cut',
         'progress',
         'request_id',
     )
@@ -43,6 +50,19 @@
         self.is_head = is_head
         self.is_held = False
         self.progress = None
+        #: What became of the searchers that it was sent to from here.
+        self.evidence = crash_evidence.Evidence()
+        #: Called when a searcher is cut off, unless that is being looked at.
+        self.on_cut: Callable[[Self], None] | None = None
+        self.is_watched = False
+        self._fingerprint = ''
+
+    @property
+    def fingerprint(self) -> str:
+        """What it has in common with requests that are the same."""
+        if not self._fingerprint:
+            self._fingerprint = request_fingerprint.of(self.head, self.body)
+        return self._fingerprint
 
     @classmethod
     def of(
@@ -67,6 +87,15 @@
             is_repeatable=is_repeatable,
         )
 
+    def observe(self, receiver: str, ended: outcome.Outcome) -> None:
+        """Take how the exchange with a searcher ended."""
+        match ended:
+            case outcome.Broken(is_cut=True):
+                self.evidence.cut(receiver)
+                self._tell_cut()
+            case outcome.Reply() if not _is_turned_away(ended):
+                self.evidence.replied()
+
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for one searcher, which has ``left_s`` seconds."""
         return b''.join(
@@ -77,3 +106,13 @@
                 self.body,
             ),
         )
+
+    def _tell_cut(self) -> None:
+        if self.on_cut is not None and not self.is_watched:
+            self.is_watched = True
+            self.on_cut(self)
+
+
+def _is_turned_away(reply: outcome.Reply) -> bool:
+    is_not_run = reply.headers.get(headers.NOT_RUN) is not None
+    return is_not_run or reply.status == _MISDIRECTED
--- a/chivepond/gateway/forwarding_service.py
+++ b/chivepond/gateway/forwarding_service.py
@@ -54,13 +54,7 @@
         trace = request_trace.RequestTrace(clock, clock())
         ask = upstream_request.UpstreamRequest(
             asked.service,
-            forwarded_request.ForwardedRequest(
-                asked.request_id,
-                asked.head,
-                asked.body,
-                is_head=asked.is_head,
-                is_repeatable=asked.is_idempotent,
-            ),
+            self._request(asked),
             _route(asked),
             self._tools,
             trace,
@@ -87,6 +81,20 @@
             msgspec.msgpack.encode(reply),
         )
 
+    def _request(
+        self,
+        asked: forward_request.ForwardRequest,
+    ) -> forwarded_request.ForwardedRequest:
+        request = forwarded_request.ForwardedRequest(
+            asked.request_id,
+            asked.head,
+            asked.body,
+            is_head=asked.is_head,
+            is_repeatable=asked.is_idempotent,
+        )
+        self._tools.crash_watch.follow(request)
+        return request
+
 
 def _reply(
     ended: outcome.Reply | upstream_request.GaveUp,
--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -64,10 +64,15 @@
     @property
     def is_open(self) -> bool:
         """Whether another exchange may begin on it."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        if not self.is_connected or self.closes_after:
             return False
-        return not self.closes_after and self._pending is None
+        return self._pending is None
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether neither side has ended it."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
 
     def begin(
         self,
@@ -129,7 +134,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail what is in flight: a reset completes nothing."""
         self.closes_after = True
-        self._settle(outcome.Broken('connection ended before the reply'))
+        self._settle(
+            outcome.Broken('connection ended before the reply', is_cut=True),
+        )
         self._on_closed(self)
 
     # What follows is called by the parser.
--- a/chivepond/gateway/link.py
+++ b/chivepond/gateway/link.py
@@ -42,6 +42,9 @@
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for ``receiver``, which has ``left_s`` seconds."""
 
+    def observe(self, receiver: str, ended: outcome.Outcome) -> None:
+        """Take how the exchange with ``receiver`` ended."""
+
 
 class Link(closing.Closing):
     """Sends requests within a cap of connections; a queue beyond it."""
@@ -84,6 +87,10 @@
         """Open at most ``cap`` connections from now on."""
         self._pool.limit(cap)
 
+    async def is_reachable(self) -> bool:
+        """Tell whether the other end takes connections, or has one open."""
+        return await self._pool.is_reachable()
+
     async def ask(
         self,
         request: Message,
@@ -112,6 +119,7 @@
                 self._pool.drop_idle()
                 self._log_health('no reply for long')
             raise
+        request.observe(self.end.name, ended)
         if request.is_held:
             self._judge_held(attempt, ended, loop.time())
         else:
--- a/chivepond/gateway/outcome.py
+++ b/chivepond/gateway/outcome.py
@@ -35,6 +35,8 @@
     reason: str
     #: How much of a reply had come, where that was followed.
     received_bytes: int = 0
+    #: Whether the other end ended the connection.
+    is_cut: bool = False
 
 
 Outcome = Reply | NotSent | Broken
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chivepond.gateway import transfer
+from chivepond.gateway import outcome, transfer
 from chivepond.platform import headers
 from chivepond.wire import forward_request, gather_request
 from chivepond.wire import sync_message as sync_messages
@@ -53,6 +53,9 @@
             self._body,
         )
 
+    def observe(self, receiver: str, ended: outcome.Outcome) -> None:
+        """Do nothing: who asks looks at the reply."""
+
 
 class GatherMessage(PeerMessage):
     """The request for a gather, under the caller's identifier.
--- a/chivepond/gateway/pending_search.py
+++ b/chivepond/gateway/pending_search.py
@@ -62,6 +62,7 @@
             asked.body,
             is_head=False,
         )
+        tools.crash_watch.follow(request)
         times = upstream_request.Times(
             self._began + asked.answer_in_s,
             self._began + asked.left_s,
--- a/chivepond/gateway/request_router.py
+++ b/chivepond/gateway/request_router.py
@@ -164,6 +164,7 @@
             request,
             is_repeatable=route.is_idempotent,
         )
+        self._tools.crash_watch.follow(forwarded)
         late = self._latencies.of(route.name)
         match route.target:
             case routing_table.AllShards() as target:
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -191,6 +191,11 @@
         known.link.limit(self.shares.connections(known.record.service))
         return known.link
 
+    async def is_reachable(self, searcher_id: str) -> bool:
+        """Tell whether a searcher takes connections, if it is known."""
+        known = self._known_by_id.get(searcher_id)
+        return known is None or await known.link.is_reachable()
+
     def _made_candidates(
         self,
         service: str,
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -13,6 +13,7 @@
 from chivepond.gateway import link as links
 from chivepond.gateway import (
     budgets,
+    crash_watch,
     forwarded_request,
     late_responses,
     outcome,
@@ -43,6 +44,7 @@
     telemetry: telemetry.Telemetry
     admission: search_admission.SearchAdmission
     switches: switches.Switches
+    crash_watch: crash_watch.CrashWatch
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -250,6 +250,13 @@
     'searcher trusted again',
     'A searcher that was distrusted replied well.',
 )
+SEARCHERS_CRASHED = event.Event(
+    6026,
+    'WARNING',
+    'searchers crashed',
+    'Searchers ended while they ran a request, and none replied to it; '
+    'requests with the same fingerprint differ in their identifier only.',
+)
 PEER_LEARNED = event.Event(
     6030,
     'INFO',
--- a/chivepond/standins/scripted_searcher.py
+++ b/chivepond/standins/scripted_searcher.py
@@ -32,7 +32,7 @@
     """Bytes to write, and what becomes of the connection."""
 
     written: bytes
-    #: ``keep``, ``close`` in good order, or ``reset``.
+    #: ``keep``, ``close`` in good order, ``reset``, or ``crash`` of it all.
     then: str = 'keep'
 
 
@@ -144,6 +144,8 @@
         if told.then == 'reset':
             await writer.drain()
             connection_reset.reset(writer)
+        if told.then == 'crash':
+            self.stop()
         if told.then == 'close':
             writer.close()
         return told.then == 'keep'
