--- /dev/null
+++ b/chivepond/standins/crashing_searcher.py
@@ -0,0 +1,97 @@
+"""A stand-in for a searcher that ends under certain requests."""
+
+import asyncio
+import itertools
+import types
+from collections.abc import Callable
+from typing import Self
+
+from chivepond.standins import scripted_searcher
+from chivepond.transport import address
+
+_numbers = itertools.count(1)
+
+Register = Callable[[str, address.Address | None], None]
+
+
+class CrashingSearcher:
+    """Replies by a script, but ends when it runs a request for ``fatal``.
+
+    It is back under a new name and address after ``down_s`` seconds.
+    """
+
+    __slots__ = (
+        '_down_s',
+        '_fatal',
+        '_register',
+        '_reply',
+        '_running',
+        '_searcher_id',
+        '_tasks',
+        'crashed_under',
+    )
+
+    def __init__(
+        self,
+        reply: scripted_searcher.Reply,
+        register: Register,
+        fatal: bytes,
+        down_s: float,
+    ) -> None:
+        """Call ``register`` with each name, its address, or none once gone."""
+        self._reply = reply
+        self._register = register
+        self._fatal = fatal
+        self._down_s = down_s
+        self._searcher_id = ''
+        self._running: scripted_searcher.ScriptedSearcher | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        #: Identifiers of the requests that it ended under.
+        self.crashed_under: list[bytes] = []
+
+    async def __aenter__(self) -> Self:
+        """Start and register."""
+        await self._start()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End for good."""
+        for task in self._tasks:
+            task.cancel()
+        if self._running is not None:
+            self._running.stop()
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it serves."""
+        return self._running is not None
+
+    async def _start(self) -> None:
+        self._searcher_id = f's-{next(_numbers)}'
+        made = scripted_searcher.ScriptedSearcher(self._serve)
+        self._running = await made.__aenter__()
+        self._register(self._searcher_id, made.address)
+
+    async def _serve(
+        self,
+        got: scripted_searcher.Got,
+    ) -> scripted_searcher.Told:
+        if self._fatal not in got.line:
+            return await self._reply(got)
+        self.crashed_under.append(got.request_id)
+        if self._running is not None:
+            self._running = None
+            task = asyncio.create_task(self._return())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return scripted_searcher.Told(b'', then='crash')
+
+    async def _return(self) -> None:
+        await asyncio.sleep(self._down_s)
+        self._register(self._searcher_id, None)
+        await self._start()
--- a/chivepond/tests/test_gateway_crashes.py
+++ b/chivepond/tests/test_gateway_crashes.py
@@ -1,22 +1,32 @@
 """Requests that crash the searchers that run them."""
 
 import asyncio
+import contextlib
+import functools
 import io
 import json
 
 from chivepond.gateway import request_fingerprint
 from chivepond.observe import events, journal
-from chivepond.standins import scripted_searcher
+from chivepond.platform import store_calls
+from chivepond.standins import crashing_searcher, scripted_searcher
 from chivepond.tests import gateway_bench, support
 
 Got = scripted_searcher.Got
 Told = scripted_searcher.Told
 
+_SHARDS = ('a', 'b', 'c', 'd')
+_PLACES = ('base', 'hub')
+
 
 async def _crash_searcher(got: Got) -> Told:
     return Told(b'', then='crash')
 
 
+async def _record(got: Got) -> Told:
+    return scripted_searcher.good(got, bytes(16), signature=got.line.hex()[:9])
+
+
 async def _reset_connection(got: Got) -> Told:
     return Told(b'', then='reset')
 
@@ -77,3 +87,124 @@
     assert (
         len(prints | {request_fingerprint.of(plain, b'body')}) == len(heads) + 1
     )
+
+
+class _Fleet:
+    """Gateways over shards whose searchers crash under ``/all/fatal``."""
+
+    def __init__(self, bench) -> None:
+        self._bench = bench
+        self._open = contextlib.AsyncExitStack()
+        self.gates = []
+        self._searchers = []
+
+    async def __aenter__(self):
+        for shard in _SHARDS:
+            for place in _PLACES:
+                self._searchers.append(
+                    await self._open.enter_async_context(
+                        crashing_searcher.CrashingSearcher(
+                            _record,
+                            functools.partial(self._register, shard, place),
+                            b'/all/fatal',
+                            down_s=0.5,
+                        ),
+                    ),
+                )
+        self._bench.configure(
+            1,
+            gateway_bench.route('all', '/all/', gather=list(_SHARDS), top_k=5),
+        )
+        await self.start()
+        return self
+
+    async def __aexit__(self, *trace) -> None:
+        await self._open.aclose()
+
+    async def start(self):
+        """Start gateways in both data centres, in place of any before."""
+        for gate in self.gates:
+            await gate.__aexit__(None, None, None)
+        self.gates = [
+            await self._bench.ready_gateway(
+                node_id=f'gate-{number}',
+                data_centre=place,
+            )
+            for number, place in enumerate((*_PLACES, *_PLACES))
+        ]
+
+    def crashed_under(self):
+        """Return the requests that searchers crashed under."""
+        return {
+            request_id
+            for searcher in self._searchers
+            for request_id in searcher.crashed_under
+        }
+
+    async def ask(self, number, path='/all/fatal'):
+        """Send a request through one gateway; return its reply."""
+        gate = self.gates[number % len(self.gates)]
+        caller = await self._bench.caller(gate.callers)
+        return gateway_bench.reply_of(await caller.get(path))
+
+    async def wave(self, number):
+        """Send the fatal request, again at another gateway, and recover."""
+        statuses = [(await self.ask(number + turn)).status for turn in range(2)]
+        await asyncio.sleep(1.2)
+        await gateway_bench.until(
+            lambda: all(one.is_up for one in self._searchers),
+        )
+        await asyncio.sleep(0.3)
+        return statuses
+
+    def _register(self, shard, place, searcher_id, its_address) -> None:
+        if its_address is None:
+            self._bench.store.remove(store_calls.SEARCHERS, searcher_id)
+            return
+        self._bench.register(searcher_id, shard, its_address, zone=place)
+
+
+def test_a_request_that_crashes_searchers_is_soon_sent_to_none():
+    """Guards against a request that ends all searchers each time it comes."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            await fleet.wave(0)
+            known = fleet.crashed_under()
+            for number in range(1, 5):
+                await fleet.wave(number)
+            assert len(fleet.crashed_under() - known) <= 3
+
+    support.run(play())
+
+
+def test_a_request_that_crashes_searchers_is_known_after_a_restart_of_all():
+    """Guards against gateways that forget it when all of them are killed."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            await fleet.wave(0)
+            await fleet.wave(1)
+            known = fleet.crashed_under()
+            await fleet.start()
+            reply = await fleet.ask(1)
+            assert reply.status == 503
+            assert float(reply.headers.get(b'retry-after')) > 1
+            assert fleet.crashed_under() == known
+
+    support.run(play())
+
+
+def test_other_requests_are_served_while_one_that_crashes_comes_again():
+    """Guards against searches that fail for what another caller sends."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            await fleet.wave(0)
+            await fleet.wave(1)
+            for number in range(4):
+                await fleet.ask(number)
+                reply = await fleet.ask(number, '/all/other')
+                assert reply.status == 200
+
+    support.run(play())
