Requests that crash the searchers that run them are rejected

Cause: nothing remembered, from one request to the next and from one gateway to another, that searchers had ended under the same request. Ruled out: crashes of another cause (20 shards at once in all data centres, one service only).

Change: a searcher that cut off a request and takes no connection has crashed under it, if no searcher replied to it. Two requests alike under which three searchers crashed are proof enough; the next ones get 503 at once, for ten minutes after the last crash, with that time as Retry-After. What a gateway saw goes to the store, one small object a fingerprint, and so to all others and to those that start. Writes are five a second at the most and 256 objects; the gateway that reads the store removes what is over. While no write succeeds, a gateway goes by what it saw itself. The switch is crash_quarantine.

--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -10,6 +10,8 @@
 from chivepond.gateway import (
     budgets,
     closing,
+    crash_registry,
+    crash_table,
     crash_watch,
     gateway_sweeper,
     late_responses,
@@ -102,7 +104,11 @@
         telemetry=events_log,
         admission=search_admission.SearchAdmission(),
         switches=switched,
-        crash_watch=crash_watch.CrashWatch(known, events_log),
+        crash_watch=crash_watch.CrashWatch(
+            known,
+            crash_table.CrashTable(events_log, switched),
+            events_log,
+        ),
     )
     router = request_router.RequestRouter(tools, others)
     updates = store_updates.StoreUpdates(
@@ -122,7 +128,12 @@
         router=router,
         updates=updates,
         sync=sync_service.SyncService(
-            store_copies.by_kind(updates, others, changed),
+            store_copies.by_kind(
+                updates,
+                others,
+                tools.crash_watch.table,
+                changed,
+            ),
             changed,
             settings.node_id,
             settings.news_bound_s,
@@ -158,6 +169,13 @@
         registry,
         sync,
         _sweeper(parts, store, sync),
+        crash_registry.CrashRegistry(
+            parts.tools.crash_watch.table,
+            parts.sync.replica_by_kind[store_calls.CRASHES],
+            store,
+            sync,
+            parts.telemetry,
+        ),
         peer_warmer.PeerWarmer(parts.others),
     ]
 
--- /dev/null
+++ b/chivepond/gateway/crash_registry.py
@@ -0,0 +1,143 @@
+"""Keeps in the store which requests crash searchers."""
+
+import asyncio
+
+import msgspec
+
+from chivepond.decisions import crash_quarantine
+from chivepond.gateway import (
+    closing,
+    crash_table,
+    outcome,
+    replica,
+    store_client,
+    store_sync,
+    telemetry,
+)
+from chivepond.platform import store_calls
+from chivepond.transport import address
+from chivepond.wire import crash_entry
+
+_CALL_S = 1.0
+#: Between two looks at what is to be written, in seconds.
+_LOOK_S = 0.1
+#: Between two writes, in seconds, so that a fault that ends many searchers
+#: does not fill the store's rate; and after one that failed.
+_PAUSE_S = 0.2
+_RETRY_S = 0.8
+_WRITTEN = frozenset((200, 201))
+_CONFLICT = 409
+
+
+class CrashRegistry(closing.Closing):
+    """Writes what this gateway saw, merged with what others saw.
+
+    Guards against gateways that are all killed and forget what they knew.
+    """
+
+    __slots__ = ('_client', '_copy', '_sync', '_table', '_telemetry')
+
+    def __init__(
+        self,
+        table: crash_table.CrashTable,
+        copy: replica.Replica,
+        store: address.Address,
+        sync: store_sync.StoreSync,
+        events_log: telemetry.Telemetry,
+    ) -> None:
+        """Write what ``table`` has and ``copy`` lacks."""
+        self._table = table
+        self._copy = copy
+        self._client = store_client.StoreClient(store)
+        self._sync = sync
+        self._telemetry = events_log
+
+    def close(self) -> None:
+        """End the connection to the store."""
+        self._client.close()
+
+    async def run(self) -> None:
+        """Keep the store up to date until cancelled."""
+        with self:
+            while True:
+                await asyncio.sleep(_LOOK_S)
+                if self._table.unwritten:
+                    await self._write_next()
+                elif self._sync.source() is None:
+                    await self._remove_one()
+
+    async def _write_next(self) -> None:
+        fingerprint = next(iter(self._table.unwritten))
+        record = self._table.record(fingerprint)
+        if record is None or self._table.is_full():
+            self._telemetry.count('crash_entries', 'not written')
+            self._table.unwritten.discard(fingerprint)
+        elif await self._write(fingerprint, record):
+            self._table.unwritten.discard(fingerprint)
+            await asyncio.sleep(_PAUSE_S)
+        else:
+            self._telemetry.count('crash_entries', 'failed')
+            await asyncio.sleep(_RETRY_S)
+
+    async def _write(
+        self,
+        fingerprint: str,
+        record: crash_quarantine.CrashRecord,
+    ) -> bool:
+        """Create an object, or replace the one that another gateway wrote."""
+        path = store_calls.kind_path(store_calls.CRASHES)
+        body = store_calls.object_body(fingerprint, _entry(record))
+        match await self._client.post(path, body, _CALL_S):
+            case outcome.Reply(status=status) if status in _WRITTEN:
+                return True
+            case outcome.Reply(status=status, body=known):
+                is_there = status == _CONFLICT
+                return is_there and await self._replace(known, record)
+            case _:
+                return False
+
+    async def _replace(
+        self,
+        body: bytes,
+        record: crash_quarantine.CrashRecord,
+    ) -> bool:
+        try:
+            stored = msgspec.json.decode(body, type=store_calls.StoredObject)
+        except msgspec.DecodeError:
+            return False
+        known = crash_table.decoded(stored) or record
+        both = crash_quarantine.merged(known, record)
+        if both == known:
+            return True
+        name = stored.meta.name
+        ended = await self._client.put(
+            store_calls.object_path(store_calls.CRASHES, name),
+            store_calls.object_body(name, _entry(both), stored.meta.revision),
+            _CALL_S,
+        )
+        match ended:
+            case outcome.Reply(status=status):
+                return status in _WRITTEN
+            case _:
+                return False
+
+    async def _remove_one(self) -> None:
+        """Remove an object that is over, unless it changes meanwhile."""
+        for fingerprint in self._table.over()[:1]:
+            stored = self._copy.find(fingerprint)
+            if stored is None:
+                return
+            path = store_calls.object_path(
+                store_calls.CRASHES,
+                fingerprint,
+                stored.meta.revision,
+            )
+            await self._client.delete(path, _CALL_S)
+            await asyncio.sleep(_RETRY_S)
+
+
+def _entry(record: crash_quarantine.CrashRecord) -> crash_entry.CrashEntry:
+    return crash_entry.CrashEntry(
+        record.crashes_by_request,
+        record.seen_at,
+    )
--- /dev/null
+++ b/chivepond/gateway/crash_table.py
@@ -0,0 +1,161 @@
+"""The requests that crash searchers, as this gateway knows them."""
+
+import time
+
+import msgspec
+
+from chivepond.decisions import crash_quarantine, switches
+from chivepond.gateway import forwarded_request, telemetry
+from chivepond.observe import events
+from chivepond.platform import store_calls
+from chivepond.settings import mechanism
+from chivepond.wire import crash_entry
+
+#: Fingerprints that one gateway keeps of its own, and that all write to the
+#: store: a fault that ends many searchers would fill it else.
+MOST = 256
+
+
+class CrashTable:
+    """What the store has of them, and what this gateway saw itself."""
+
+    __slots__ = (
+        '_own_by_fingerprint',
+        '_rejected',
+        '_stored_by_fingerprint',
+        '_switches',
+        '_telemetry',
+        'unwritten',
+    )
+
+    def __init__(
+        self,
+        events_log: telemetry.Telemetry,
+        switched: switches.Switches,
+    ) -> None:
+        """Know of none."""
+        self._telemetry = events_log
+        self._switches = switched
+        self._stored_by_fingerprint: dict[
+            str, crash_quarantine.CrashRecord
+        ] = {}
+        self._own_by_fingerprint: dict[str, crash_quarantine.CrashRecord] = {}
+        #: Fingerprints that are known to be rejected, for the log.
+        self._rejected: set[str] = set()
+        #: Fingerprints of which the store lacks what was seen here.
+        self.unwritten: set[str] = set()
+
+    def retry_after_s(
+        self,
+        request: forwarded_request.ForwardedRequest,
+    ) -> float | None:
+        """Return when a rejected request may come back, in seconds.
+
+        Return none where it is not rejected.
+        """
+        is_on = self._switches.is_on(mechanism.Mechanism.CRASH_QUARANTINE)
+        if not (self._rejected and is_on):
+            return None
+        if request.fingerprint not in self._rejected:
+            return None
+        record = self.record(request.fingerprint)
+        now = time.time()
+        if record is None or not record.rejects(now):
+            self._rejected.discard(request.fingerprint)
+            return None
+        return record.retry_after_s(now)
+
+    def record(
+        self,
+        fingerprint: str,
+    ) -> crash_quarantine.CrashRecord | None:
+        """Return what is known of requests with a fingerprint."""
+        known = [
+            record_by_fingerprint[fingerprint]
+            for record_by_fingerprint in (
+                self._stored_by_fingerprint,
+                self._own_by_fingerprint,
+            )
+            if fingerprint in record_by_fingerprint
+        ]
+        return crash_quarantine.merged(*known) if known else None
+
+    def note(
+        self,
+        request: forwarded_request.ForwardedRequest,
+        crashes: int,
+    ) -> None:
+        """Take that searchers crashed under a request that was sent here."""
+        fingerprint = request.fingerprint
+        request_id = request.request_id.decode(errors='replace')
+        seen = crash_quarantine.CrashRecord({request_id: crashes}, time.time())
+        before = self._own_by_fingerprint.pop(fingerprint, seen)
+        if len(self._own_by_fingerprint) >= MOST:
+            oldest = next(iter(self._own_by_fingerprint))
+            self._own_by_fingerprint.pop(oldest)
+            self.unwritten.discard(oldest)
+        self._own_by_fingerprint[fingerprint] = crash_quarantine.merged(
+            before,
+            seen,
+        )
+        self.unwritten.add(fingerprint)
+        self._look(fingerprint)
+
+    def is_full(self) -> bool:
+        """Tell whether the store has as many fingerprints as it is to have."""
+        return len(self._stored_by_fingerprint) >= MOST
+
+    def over(self) -> list[str]:
+        """Return the fingerprints in the store that are to be forgotten."""
+        now = time.time()
+        return [
+            fingerprint
+            for fingerprint, record in self._stored_by_fingerprint.items()
+            if record.is_over(now)
+        ]
+
+    def take_list(self, found: list[store_calls.StoredObject]) -> None:
+        """Take all that the store has."""
+        self._stored_by_fingerprint.clear()
+        for stored in found:
+            self._put(stored)
+
+    def take_change(self, change: store_calls.Change) -> None:
+        """Take one change of what the store has."""
+        if change.deleted:
+            self._stored_by_fingerprint.pop(change.object.meta.name, None)
+            return
+        self._put(change.object)
+
+    def _put(self, stored: store_calls.StoredObject) -> None:
+        record = decoded(stored)
+        if record is None:
+            self._telemetry.count('crash_entries', 'unreadable')
+            return
+        self._stored_by_fingerprint[stored.meta.name] = record
+        self._look(stored.meta.name)
+
+    def _look(self, fingerprint: str) -> None:
+        record = self.record(fingerprint)
+        if fingerprint in self._rejected or record is None:
+            return
+        if not record.rejects(time.time()):
+            return
+        self._rejected.add(fingerprint)
+        self._telemetry.emit(
+            events.REQUESTS_QUARANTINED,
+            fingerprint=fingerprint,
+            crashes_by_request=record.crashes_by_request,
+            retry_after_s=round(record.retry_after_s(time.time())),
+        )
+
+
+def decoded(
+    stored: store_calls.StoredObject,
+) -> crash_quarantine.CrashRecord | None:
+    """Return what an object of the store says, or nothing if it is wrong."""
+    try:
+        told = msgspec.json.decode(stored.spec, type=crash_entry.CrashEntry)
+    except msgspec.DecodeError:
+        return None
+    return crash_quarantine.CrashRecord(told.crashes_by_request, told.seen_at)
--- a/chivepond/gateway/crash_watch.py
+++ b/chivepond/gateway/crash_watch.py
@@ -4,6 +4,7 @@
 
 from chivepond.gateway import (
     closing,
+    crash_table,
     forwarded_request,
     searchers,
     telemetry,
@@ -24,14 +25,16 @@
     has only reset a connection.
     """
 
-    __slots__ = ('_searchers', '_tasks', '_telemetry')
+    __slots__ = ('_searchers', '_tasks', '_telemetry', 'table')
 
     def __init__(
         self,
         known: searchers.Searchers,
+        table: crash_table.CrashTable,
         events_log: telemetry.Telemetry,
     ) -> None:
-        """Follow no request yet."""
+        """Follow no request yet; note crashes in ``table``."""
+        self.table = table
         self._searchers = known
         self._telemetry = events_log
         self._tasks: set[asyncio.Task[None]] = set()
@@ -67,6 +70,7 @@
             crashed=crashed,
             cut=len(cut_ids),
         )
+        self.table.note(request, len(crashed))
 
     async def _crashed(self, searcher_ids: list[str]) -> list[str]:
         """Return those that take no connection."""
--- a/chivepond/gateway/request_router.py
+++ b/chivepond/gateway/request_router.py
@@ -164,6 +164,12 @@
             request,
             is_repeatable=route.is_idempotent,
         )
+        retry_after_s = self._tools.crash_watch.table.retry_after_s(
+            forwarded,
+        )
+        if retry_after_s is not None:
+            text = 'searchers crashed under requests like it'
+            return client_response.refusal(_UNAVAILABLE, text, retry_after_s)
         self._tools.crash_watch.follow(forwarded)
         late = self._latencies.of(route.name)
         match route.target:
--- a/chivepond/gateway/store_copies.py
+++ b/chivepond/gateway/store_copies.py
@@ -2,16 +2,23 @@
 
 import asyncio
 
-from chivepond.gateway import peer_list, peers, replica, store_updates
+from chivepond.gateway import (
+    crash_table,
+    peer_list,
+    peers,
+    replica,
+    store_updates,
+)
 from chivepond.platform import store_calls
 
 
 def by_kind(
     updates: store_updates.StoreUpdates,
     others: peers.Peers,
+    crashes: crash_table.CrashTable,
     changed: asyncio.Event,
 ) -> dict[str, replica.Replica]:
-    """Return empty copies that feed ``updates`` and ``others``."""
+    """Return empty copies that feed ``updates``, ``others``, ``crashes``."""
     gateways = peer_list.PeerList(others)
     return {
         store_calls.SEARCHERS: replica.Replica(
@@ -30,4 +37,9 @@
             changed,
             is_bound=False,
         ),
+        store_calls.CRASHES: replica.Replica(
+            replica.Sink(crashes.take_list, crashes.take_change),
+            changed,
+            is_bound=False,
+        ),
     }
--- a/chivepond/gateway/store_sync.py
+++ b/chivepond/gateway/store_sync.py
@@ -183,7 +183,7 @@
         await asyncio.sleep(look_s)
 
     def _watch_s(self, kind: str) -> float:
-        if kind == store_calls.GATEWAYS:
+        if not self._replica_by_kind[kind].is_bound:
             return sync_source.gateways_watch_s(self._peers.gateways)
         return sync_source.watch_s(self._bound_s, self._peers.gateways)
 
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -257,6 +257,12 @@
     'Searchers ended while they ran a request, and none replied to it; '
     'requests with the same fingerprint differ in their identifier only.',
 )
+REQUESTS_QUARANTINED = event.Event(
+    6027,
+    'WARNING',
+    'requests quarantined',
+    'Requests with this fingerprint crash searchers; they are rejected.',
+)
 PEER_LEARNED = event.Event(
     6030,
     'INFO',
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -10,6 +10,8 @@
 MAY_BE_OLD = 'stale_ok'
 #: The kind under which gateways register themselves, one of our own.
 GATEWAYS = 'chivepond-gateways'
+#: The kind under which gateways keep which requests crash searchers, likewise.
+CRASHES = 'chivepond-crashes'
 #: The kind under which searchers register themselves.
 SEARCHERS = 'servers'
 #: The kind that holds the routing configuration, and its one name.
--- a/chivepond/settings/mechanism.py
+++ b/chivepond/settings/mechanism.py
@@ -46,5 +46,7 @@
     KEPT_GROUPS = 'kept_groups'
     #: A reply of another gateway that is late is asked for once more.
     REPEATED_GROUPS = 'repeated_groups'
+    #: Requests that crash the searchers that run them are rejected.
+    CRASH_QUARANTINE = 'crash_quarantine'
     #: Exchanges that lost a race end by themselves for a little while.
     STRAGGLERS = 'stragglers'
--- a/chivepond/tests/test_gateway_crashes.py
+++ b/chivepond/tests/test_gateway_crashes.py
@@ -6,9 +6,14 @@
 import io
 import json
 
+import hypothesis
+from hypothesis import strategies
+
+from chivepond.decisions import crash_quarantine
 from chivepond.gateway import request_fingerprint
 from chivepond.observe import events, journal
 from chivepond.platform import store_calls
+from chivepond.settings import mechanism
 from chivepond.standins import crashing_searcher, scripted_searcher
 from chivepond.tests import gateway_bench, support
 
@@ -208,3 +213,88 @@
                 assert reply.status == 200
 
     support.run(play())
+
+
+def test_a_request_beside_one_that_crashes_searchers_is_not_rejected():
+    """Guards against a caller who is rejected for what another one sent."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            for number in range(3):
+                beside = asyncio.create_task(fleet.ask(number, '/all/other'))
+                await fleet.wave(number)
+                await beside
+            reply = await fleet.ask(1, '/all/other')
+            assert reply.status == 200
+
+    support.run(play())
+
+
+def test_a_request_that_crashes_searchers_is_rejected_without_writes():
+    """Guards against a gateway that sends it on while no write succeeds."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            bench.store.refuse = _refuse_crashes
+            await fleet.wave(0)
+            await fleet.wave(0)
+            known = fleet.crashed_under()
+            reply = await fleet.ask(0)
+            assert (reply.status, reply.body[:18]) == (
+                503,
+                b'searchers crashed ',
+            )
+            assert fleet.crashed_under() == known
+
+    support.run(play())
+
+
+def _refuse_crashes(path):
+    return 503 if store_calls.CRASHES in path else None
+
+
+def test_the_quarantine_may_be_switched_off():
+    """Guards against rejections that an operator can't end."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            await fleet.wave(0)
+            await fleet.wave(1)
+            assert (await fleet.ask(0)).status == 503
+            fleet.gates[0].reload(
+                gateway_bench.settings(
+                    store='127.0.0.1:1',
+                    switched_off=[mechanism.Mechanism.CRASH_QUARANTINE],
+                ),
+                ['switched_off'],
+            )
+            assert (await fleet.ask(0)).status == 502
+
+    support.run(play())
+
+
+_RECORDS = strategies.builds(
+    crash_quarantine.CrashRecord,
+    strategies.dictionaries(
+        strategies.sampled_from('abc'),
+        strategies.integers(1, 4),
+    ),
+    strategies.floats(0, 1000),
+)
+
+
+@hypothesis.given(_RECORDS, _RECORDS)
+def test_gateways_that_merge_records_agree(first, second):
+    """Guards against writes that undo each other for ever."""
+    both = crash_quarantine.merged(first, second)
+    assert both == crash_quarantine.merged(second, first)
+    assert both == crash_quarantine.merged(both, first)
+
+
+@hypothesis.given(_RECORDS)
+def test_one_request_alone_is_never_rejected(record):
+    """Guards against a request that only ran as searchers crashed."""
+    rejects = record.rejects(record.seen_at)
+    if len(record.crashes_by_request) < 2:
+        assert not rejects
+    assert not record.rejects(record.seen_at + 600)
