Kinds whose content may be old leave a store that is away to the others

Cause: each reader that leaves the tries to another one calls after 2.4 s all the same, also for kinds that are watched for 12 s at a time and may be that old. Those wait as long now, once their content is known.

--- a/chivepond/decisions/sync_source.py
+++ b/chivepond/decisions/sync_source.py
@@ -47,7 +47,7 @@
 _LONGEST_RETRY_S = 0.8
 _LONGEST_FRESH_S = 1.6
 #: How long a reader leaves it to another one to try the store, in seconds.
-OTHERS_RETRY_S = 2.4
+_OTHERS_RETRY_S = 2.4
 #: Spreads the calls of gateways that failed at the same moment.
 JITTER = (0.7, 1.3)
 #: A watch for other gateways, in seconds, at most as long as the store waits.
@@ -92,6 +92,16 @@
     return min(_ALONE_WATCH_S, part * bound_s)
 
 
+def others_retry_s(*, is_bound: bool, is_known: bool) -> float:
+    """Return how long a reader leaves it to another one to try the store.
+
+    ``is_bound`` says that its content must not be old, ``is_known`` that it
+    has some.
+    """
+    is_urgent = is_bound or not is_known
+    return _OTHERS_RETRY_S if is_urgent else _GATEWAYS_WATCH_S
+
+
 def gateways_watch_s(members: int) -> float:
     """Return how long a watch for other gateways waits, in seconds.
 
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -183,6 +183,7 @@
             )
         await self._outage.pause(
             self._kind,
+            is_bound=self._replica.is_bound,
             is_known=bool(self._replica.as_of),
             is_fresh=self._is_fresh(),
         )
--- a/chivepond/gateway/store_outage.py
+++ b/chivepond/gateway/store_outage.py
@@ -29,7 +29,14 @@
         self._pause_s = sync_source.FIRST_RETRY_S
         self._ended.set()
 
-    async def pause(self, kind: str, *, is_known: bool, is_fresh: bool) -> None:
+    async def pause(
+        self,
+        kind: str,
+        *,
+        is_bound: bool,
+        is_known: bool,
+        is_fresh: bool,
+    ) -> None:
         """Return when the reader of ``kind`` shall call the store again."""
         if not self._trying:
             self._ended.clear()
@@ -43,8 +50,12 @@
                 is_fresh=is_fresh,
             )
             return
+        others_retry_s = sync_source.others_retry_s(
+            is_bound=is_bound,
+            is_known=is_known,
+        )
         try:
-            async with asyncio.timeout(sync_source.OTHERS_RETRY_S):
+            async with asyncio.timeout(others_retry_s):
                 await self._ended.wait()
         except TimeoutError:
             # What fails may be the one kind that is tried, and not the store.
