A request under which three searchers crash is sent again to none

What callers saw: a request that crashes searchers ended both copies of each shard by its own second sends, and was proved to crash them only when it came the next time, by a second outage of the whole service.

Change: once three searchers were cut off by a request, and none replied to it, its gateway sends it again to none. The other copies serve on; the client's own retry, at another gateway, is the second request alike, and proves it. The test failed before: one request reached searchers in the first turn, and again in the second; now two in the first and none after it.

--- a/chivepond/decisions/crash_evidence.py
+++ b/chivepond/decisions/crash_evidence.py
@@ -5,6 +5,10 @@
 searcher before, or are so on their next attempt.
 """
 
+#: Searchers that were cut off by one request after which it is sent again to
+#: none: their replicas would end as well, and serve nobody meanwhile.
+_SPREAD = 3
+
 
 class Evidence:
     """What became of the searchers that one gateway sent a request to."""
@@ -22,6 +26,11 @@
         """Whether no searcher is known to have run it and lived."""
         return bool(self.cut_ids) and not self._has_reply
 
+    @property
+    def is_spreading(self) -> bool:
+        """Whether another searcher would likely crash as well."""
+        return self.is_suspect and len(self.cut_ids) >= _SPREAD
+
     def replied(self) -> None:
         """Take that a searcher ran the request and replied."""
         self._has_reply = True
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -257,6 +257,9 @@
     def _send_again(self) -> None:
         if self._sends >= self._route.max_attempts:
             return
+        if self._request.evidence.is_spreading:
+            self._trace.note(f'{self.service}: searchers crash, not sent again')
+            return
         if not self._tools.selection.has_other(self.service, self._tried):
             return
         if self._tools.budgets.spend(self.service):
--- a/chivepond/tests/test_gateway_crashes.py
+++ b/chivepond/tests/test_gateway_crashes.py
@@ -183,6 +183,20 @@
     support.run(play())
 
 
+def test_a_request_that_crashes_searchers_ends_all_copies_only_once():
+    """Guards against a second send to each shard under which one ended."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            await fleet.wave(0)
+            assert len(fleet.crashed_under()) == 2
+            known = fleet.crashed_under()
+            await fleet.wave(1)
+            assert fleet.crashed_under() == known
+
+    support.run(play())
+
+
 def test_a_request_that_crashes_searchers_is_known_after_a_restart_of_all():
     """Guards against gateways that forget it when all of them are killed."""
 
