Requests that were answered are not blamed for crashes

What callers would see: a sound request that many send is in work at several gateways when all searchers of a service crash for another reason; two of them and three crashes were proof enough, and it was rejected for ten minutes.

Change: a request like one that a searcher replied to in the last two minutes is no suspect, and the first reply to a suspected one clears it, here and in the store.

--- a/chivepond/decisions/crash_evidence.py
+++ b/chivepond/decisions/crash_evidence.py
@@ -13,28 +13,25 @@
 class Evidence:
     """What became of the searchers that one gateway sent a request to."""
 
-    __slots__ = ('_has_reply', 'cut_ids')
+    __slots__ = ('cut_ids', 'has_reply')
 
     def __init__(self) -> None:
         """Start before anything was sent."""
-        self._has_reply = False
+        #: Whether a searcher ran it and replied.
+        self.has_reply = False
         #: Searchers whose connection ended while they had the request.
         self.cut_ids: set[str] = set()
 
     @property
     def is_suspect(self) -> bool:
         """Whether no searcher is known to have run it and lived."""
-        return bool(self.cut_ids) and not self._has_reply
+        return bool(self.cut_ids) and not self.has_reply
 
     @property
     def is_spreading(self) -> bool:
         """Whether another searcher would likely crash as well."""
         return self.is_suspect and len(self.cut_ids) >= _SPREAD
 
-    def replied(self) -> None:
-        """Take that a searcher ran the request and replied."""
-        self._has_reply = True
-
     def cut(self, searcher_id: str) -> None:
         """Take that a searcher's connection ended before its reply."""
         self.cut_ids.add(searcher_id)
--- a/chivepond/gateway/crash_registry.py
+++ b/chivepond/gateway/crash_registry.py
@@ -63,8 +63,10 @@
                 await asyncio.sleep(_LOOK_S)
                 if self._table.unwritten:
                     await self._write_next()
+                elif self._table.cleared:
+                    await self._remove(self._table.cleared.pop())
                 elif self._sync.source() is None:
-                    await self._remove_one()
+                    await self._remove_old()
 
     async def _write_next(self) -> None:
         fingerprint = next(iter(self._table.unwritten))
@@ -121,20 +123,23 @@
             case _:
                 return False
 
-    async def _remove_one(self) -> None:
-        """Remove an object that is over, unless it changes meanwhile."""
+    async def _remove_old(self) -> None:
         for fingerprint in self._table.over()[:1]:
-            stored = self._copy.find(fingerprint)
-            if stored is None:
-                return
-            path = store_calls.object_path(
-                store_calls.CRASHES,
-                fingerprint,
-                stored.meta.revision,
-            )
-            await self._client.delete(path, _CALL_S)
+            await self._remove(fingerprint)
             await asyncio.sleep(_RETRY_S)
 
+    async def _remove(self, fingerprint: str) -> None:
+        """Remove an object, unless it has changed since."""
+        stored = self._copy.find(fingerprint)
+        if stored is None:
+            return
+        path = store_calls.object_path(
+            store_calls.CRASHES,
+            fingerprint,
+            stored.meta.revision,
+        )
+        await self._client.delete(path, _CALL_S)
+
 
 def _entry(record: crash_quarantine.CrashRecord) -> crash_entry.CrashEntry:
     return crash_entry.CrashEntry(
--- a/chivepond/gateway/crash_table.py
+++ b/chivepond/gateway/crash_table.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from chivepond.decisions import crash_quarantine, switches
-from chivepond.gateway import forwarded_request, telemetry
+from chivepond.gateway import forwarded_request, recent_answers, telemetry
 from chivepond.observe import events
 from chivepond.platform import store_calls
 from chivepond.settings import mechanism
@@ -20,11 +20,13 @@
     """What the store has of them, and what this gateway saw itself."""
 
     __slots__ = (
+        '_answers',
         '_own_by_fingerprint',
         '_rejected',
         '_stored_by_fingerprint',
         '_switches',
         '_telemetry',
+        'cleared',
         'unwritten',
     )
 
@@ -42,8 +44,11 @@
         self._own_by_fingerprint: dict[str, crash_quarantine.CrashRecord] = {}
         #: Fingerprints that are known to be rejected, for the log.
         self._rejected: set[str] = set()
+        self._answers = recent_answers.RecentAnswers()
         #: Fingerprints of which the store lacks what was seen here.
         self.unwritten: set[str] = set()
+        #: Fingerprints that the store is to forget, as they were answered.
+        self.cleared: set[str] = set()
 
     def retry_after_s(
         self,
@@ -87,6 +92,8 @@
     ) -> None:
         """Take that searchers crashed under a request that was sent here."""
         fingerprint = request.fingerprint
+        if self._answers.has(fingerprint, time.monotonic()):
+            return
         request_id = request.request_id.decode(errors='replace')
         seen = crash_quarantine.CrashRecord({request_id: crashes}, time.time())
         before = self._own_by_fingerprint.pop(fingerprint, seen)
@@ -101,12 +108,23 @@
         self.unwritten.add(fingerprint)
         self._look(fingerprint)
 
+    def answered(self, request: forwarded_request.ForwardedRequest) -> None:
+        """Take that a searcher ran a request and replied.
+
+        Guards against a sound request that is blamed for crashes beside it.
+        """
+        fingerprint = request.fingerprint
+        self._answers.add(fingerprint, time.monotonic())
+        if fingerprint in self._stored_by_fingerprint:
+            self.cleared.add(fingerprint)
+        self._forget(fingerprint)
+
     def is_full(self) -> bool:
         """Tell whether the store has as many fingerprints as it is to have."""
         return len(self._stored_by_fingerprint) >= MOST
 
     def over(self) -> list[str]:
-        """Return the fingerprints in the store that are to be forgotten."""
+        """Return the fingerprints in the store that are too old."""
         now = time.time()
         return [
             fingerprint
@@ -124,9 +142,15 @@
         """Take one change of what the store has."""
         if change.deleted:
             self._stored_by_fingerprint.pop(change.object.meta.name, None)
+            self._forget(change.object.meta.name)
             return
         self._put(change.object)
 
+    def _forget(self, fingerprint: str) -> None:
+        self._own_by_fingerprint.pop(fingerprint, None)
+        self._rejected.discard(fingerprint)
+        self.unwritten.discard(fingerprint)
+
     def _put(self, stored: store_calls.StoredObject) -> None:
         record = decoded(stored)
         if record is None:
--- a/chivepond/gateway/crash_watch.py
+++ b/chivepond/gateway/crash_watch.py
@@ -47,6 +47,7 @@
     def follow(self, request: forwarded_request.ForwardedRequest) -> None:
         """Look at the searchers that are cut off while they run a request."""
         request.on_cut = self._look_later
+        request.on_reply = self.table.answered
 
     def _look_later(self, request: forwarded_request.ForwardedRequest) -> None:
         task = asyncio.create_task(self._look(request))
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -29,6 +29,7 @@
         'is_repeatable',
         'is_watched',
         'on_cut',
+        'on_reply',
         'progress',
         'request_id',
     )
@@ -55,6 +56,8 @@
         #: Called when a searcher is cut off, unless that is being looked at.
         self.on_cut: Callable[[Self], None] | None = None
         self.is_watched = False
+        #: Called at the first reply of a searcher that ran it.
+        self.on_reply: Callable[[Self], None] | None = None
         self._fingerprint = ''
 
     @property
@@ -94,7 +97,7 @@
                 self.evidence.cut(receiver)
                 self._tell_cut()
             case outcome.Reply() if not _is_turned_away(ended):
-                self.evidence.replied()
+                self._take_reply()
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for one searcher, which has ``left_s`` seconds."""
@@ -107,6 +110,11 @@
             ),
         )
 
+    def _take_reply(self) -> None:
+        if self.on_reply is not None and not self.evidence.has_reply:
+            self.on_reply(self)
+        self.evidence.has_reply = True
+
     def _tell_cut(self) -> None:
         if self.on_cut is not None and not self.is_watched:
             self.is_watched = True
--- a/chivepond/standins/crashing_searcher.py
+++ b/chivepond/standins/crashing_searcher.py
@@ -71,6 +71,16 @@
         """Whether it serves."""
         return self._running is not None
 
+    def crash(self) -> None:
+        """End now, and come back later."""
+        if self._running is None:
+            return
+        self._running.stop()
+        self._running = None
+        task = asyncio.create_task(self._return())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _start(self) -> None:
         self._searcher_id = f's-{next(_numbers)}'
         made = scripted_searcher.ScriptedSearcher(self._serve)
@@ -84,12 +94,8 @@
         if self._fatal not in got.line:
             return await self._reply(got)
         self.crashed_under.append(got.request_id)
-        if self._running is not None:
-            self._running = None
-            task = asyncio.create_task(self._return())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        return scripted_searcher.Told(b'', then='crash')
+        self.crash()
+        return scripted_searcher.Told(b'', then='reset')
 
     async def _return(self) -> None:
         await asyncio.sleep(self._down_s)
--- a/chivepond/tests/test_gateway_crashes.py
+++ b/chivepond/tests/test_gateway_crashes.py
@@ -29,6 +29,7 @@
 
 
 async def _record(got: Got) -> Told:
+    await asyncio.sleep(0.3 if b'popular' in got.line else 0)
     return scripted_searcher.good(got, bytes(16), signature=got.line.hex()[:9])
 
 
@@ -138,6 +139,15 @@
             for number, place in enumerate((*_PLACES, *_PLACES))
         ]
 
+    async def crash_all(self):
+        """Let all searchers crash by themselves, and come back."""
+        for searcher in self._searchers:
+            searcher.crash()
+        await gateway_bench.until(
+            lambda: all(one.is_up for one in self._searchers),
+        )
+        await asyncio.sleep(0.5)
+
     def crashed_under(self):
         """Return the requests that searchers crashed under."""
         return {
@@ -244,6 +254,48 @@
     support.run(play())
 
 
+def test_a_popular_request_is_served_after_a_crash_of_all_searchers():
+    """Guards against a sound request that is blamed for a common crash."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            path = '/all/popular'
+            asks = [fleet.ask(number, path) for number in range(4)]
+            replies = await asyncio.gather(*asks)
+            assert {reply.status for reply in replies} == {200}
+            asked = [
+                asyncio.create_task(fleet.ask(number, path))
+                for number in range(4)
+            ]
+            await asyncio.sleep(0.1)
+            await fleet.crash_all()
+            await asyncio.gather(*asked)
+            for number in range(4):
+                assert (await fleet.ask(number, path)).status == 200
+
+    support.run(play())
+
+
+def test_a_request_that_is_answered_is_suspected_no_more():
+    """Guards against crashes minutes apart that count together."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            path = '/all/popular'
+            asked = asyncio.create_task(fleet.ask(0, path))
+            await asyncio.sleep(0.1)
+            await fleet.crash_all()
+            await asked
+            await asyncio.sleep(0.5)
+            assert bench.store.names(store_calls.CRASHES)
+            assert (await fleet.ask(1, path)).status == 200
+            await gateway_bench.until(
+                lambda: not bench.store.names(store_calls.CRASHES),
+            )
+
+    support.run(play())
+
+
 def test_a_request_that_crashes_searchers_is_rejected_without_writes():
     """Guards against a gateway that sends it on while no write succeeds."""
 
