--- a/chivepond/gateway/routing_table.py
+++ b/chivepond/gateway/routing_table.py
@@ -1,7 +1,7 @@
 """One version of the routing configuration, as the gateway uses it."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -73,34 +73,54 @@
 )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HostRoutes:
+    """The routes of one host."""
+
+    route_by_prefix: Mapping[bytes, Route]
+    #: The lengths that prefixes have, the longest first: a few, however many
+    #: routes there are.
+    prefix_lengths: tuple[int, ...]
+
+    def find(self, path: bytes) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for length in self.prefix_lengths:
+            route = self.route_by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RoutingTable:
     """One whole version; never changed once made."""
 
     version: int
-    routes_by_host: Mapping[bytes, tuple[Route, ...]]
+    routes_by_host: Mapping[bytes, HostRoutes]
     connection_cap_by_service: Mapping[str, int]
     limits: ClientLimits
     target_by_name: Mapping[str, Target]
 
     def find(self, host: bytes, path: bytes) -> Route | None:
         """Return the route with the longest prefix that begins ``path``."""
-        for route in self.routes_by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = self.routes_by_host.get(host)
+        return routes and routes.find(path)
+
+    def routes(self) -> Iterator[Route]:
+        """Yield the routes of all hosts."""
+        for of_host in self.routes_by_host.values():
+            yield from of_host.route_by_prefix.values()
 
 
-def by_host(routes: list[Route]) -> dict[bytes, tuple[Route, ...]]:
-    """Return routes by host, the longest prefix first."""
-    grouped: dict[bytes, list[Route]] = {}
+def by_host(routes: Iterable[Route]) -> dict[bytes, HostRoutes]:
+    """Return routes by host; of two with one prefix the first one holds."""
+    grouped: dict[bytes, dict[bytes, Route]] = {}
     for route in routes:
-        grouped.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(sorted(same, key=_prefix_length, reverse=True))
-        for host, same in grouped.items()
-    }
+        same = grouped.setdefault(route.host, {})
+        same.setdefault(route.prefix, route)
+    return {host: _host_routes(same) for host, same in grouped.items()}
 
 
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
+def _host_routes(route_by_prefix: Mapping[bytes, Route]) -> HostRoutes:
+    lengths = set(map(len, route_by_prefix))
+    return HostRoutes(route_by_prefix, tuple(sorted(lengths, reverse=True)))
--- a/chivepond/gateway/version_queue.py
+++ b/chivepond/gateway/version_queue.py
@@ -89,9 +89,7 @@
 
     def _unserved(self, table: routing_table.RoutingTable) -> int:
         return sum(
-            not self._is_served(route.target)
-            for routes in table.routes_by_host.values()
-            for route in routes
+            not self._is_served(route.target) for route in table.routes()
         )
 
     def _is_served(self, target: routing_table.Target) -> bool:
--- a/chivepond/tests/test_platform_adapter.py
+++ b/chivepond/tests/test_platform_adapter.py
@@ -64,11 +64,7 @@
             min_shard_ratio=0.5,
         ),
     )
-    by_name = {
-        route.name: route.target
-        for routes in table.routes_by_host.values()
-        for route in routes
-    }
+    by_name = {route.name: route.target for route in table.routes()}
     assert by_name == {
         'one': routing_table.OneService('desk'),
         'split': routing_table.WeightedServices({'x': 3, 'y': 1}),
