Crashes that are to be written wake their writer

Found by reading: each gateway looked ten times a second for something to write, and worked out from the list of all gateways whether it reads the store. It waits for an event now, and looks for what is too old each ten seconds.

--- a/chivepond/gateway/crash_registry.py
+++ b/chivepond/gateway/crash_registry.py
@@ -19,8 +19,8 @@
 from chivepond.wire import crash_entry
 
 _CALL_S = 1.0
-#: Between two looks at what is to be written, in seconds.
-_LOOK_S = 0.1
+#: Between two looks at what is too old, in seconds.
+_SWEEP_S = 10.0
 #: Between two writes, in seconds, so that a fault that ends many searchers
 #: does not fill the store's rate; and after one that failed.
 _PAUSE_S = 0.2
@@ -60,14 +60,26 @@
         """Keep the store up to date until cancelled."""
         with self:
             while True:
-                await asyncio.sleep(_LOOK_S)
-                if self._table.unwritten:
-                    await self._write_next()
-                elif self._table.cleared:
-                    await self._remove(self._table.cleared.pop())
+                if await self._is_changed():
+                    await self._write_changes()
                 elif self._sync.source() is None:
                     await self._remove_old()
 
+    async def _is_changed(self) -> bool:
+        """Wait for something to write, or for the next look at what is old."""
+        try:
+            async with asyncio.timeout(_SWEEP_S):
+                return await self._table.changed.wait()
+        except TimeoutError:
+            return False
+
+    async def _write_changes(self) -> None:
+        self._table.changed.clear()
+        while self._table.unwritten:
+            await self._write_next()
+        while self._table.cleared:
+            await self._remove(self._table.cleared.pop())
+
     async def _write_next(self) -> None:
         fingerprint = next(iter(self._table.unwritten))
         record = self._table.record(fingerprint)
--- a/chivepond/gateway/crash_table.py
+++ b/chivepond/gateway/crash_table.py
@@ -1,5 +1,6 @@
 """The requests that crash searchers, as this gateway knows them."""
 
+import asyncio
 import time
 
 import msgspec
@@ -26,6 +27,7 @@
         '_stored_by_fingerprint',
         '_switches',
         '_telemetry',
+        'changed',
         'cleared',
         'unwritten',
     )
@@ -49,6 +51,8 @@
         self.unwritten: set[str] = set()
         #: Fingerprints that the store is to forget, as they were answered.
         self.cleared: set[str] = set()
+        #: Set when there is more of either.
+        self.changed = asyncio.Event()
 
     def retry_after_s(
         self,
@@ -106,6 +110,7 @@
             seen,
         )
         self.unwritten.add(fingerprint)
+        self.changed.set()
         self._look(fingerprint)
 
     def answered(self, request: forwarded_request.ForwardedRequest) -> None:
@@ -117,6 +122,7 @@
         self._answers.add(fingerprint, time.monotonic())
         if fingerprint in self._stored_by_fingerprint:
             self.cleared.add(fingerprint)
+            self.changed.set()
         self._forget(fingerprint)
 
     def is_full(self) -> bool:
