A cleared request is removed from the store once that can be written

What callers would see: a suspicion that one gateway cleared while the store was away stays in the store, and others reject the request for ten minutes. Found by reading; the test failed before, as the entry stayed. The removal is tried again until the store has said what became of it.

--- a/chivepond/gateway/crash_registry.py
+++ b/chivepond/gateway/crash_registry.py
@@ -27,6 +27,8 @@
 _RETRY_S = 0.8
 _WRITTEN = frozenset((200, 201))
 _CONFLICT = 409
+#: Removed, not there, or changed since.
+_SETTLED = frozenset((200, 202, 204, 404, _CONFLICT))
 
 
 class CrashRegistry(closing.Closing):
@@ -78,7 +80,11 @@
         while self._table.unwritten:
             await self._write_next()
         while self._table.cleared:
-            await self._remove(self._table.cleared.pop())
+            fingerprint = next(iter(self._table.cleared))
+            if await self._remove(fingerprint):
+                self._table.cleared.discard(fingerprint)
+            else:
+                await asyncio.sleep(_RETRY_S)
 
     async def _write_next(self) -> None:
         fingerprint = next(iter(self._table.unwritten))
@@ -140,17 +146,24 @@
             await self._remove(fingerprint)
             await asyncio.sleep(_RETRY_S)
 
-    async def _remove(self, fingerprint: str) -> None:
-        """Remove an object, unless it has changed since."""
+    async def _remove(self, fingerprint: str) -> bool:
+        """Remove an object, unless it has changed since.
+
+        Return whether the store has said what became of it.
+        """
         stored = self._copy.find(fingerprint)
         if stored is None:
-            return
+            return True
         path = store_calls.object_path(
             store_calls.CRASHES,
             fingerprint,
             stored.meta.revision,
         )
-        await self._client.delete(path, _CALL_S)
+        match await self._client.delete(path, _CALL_S):
+            case outcome.Reply(status=status):
+                return status in _SETTLED
+            case _:
+                return False
 
 
 def _entry(record: crash_quarantine.CrashRecord) -> crash_entry.CrashEntry:
--- a/chivepond/tests/test_gateway_crashes.py
+++ b/chivepond/tests/test_gateway_crashes.py
@@ -5,17 +5,20 @@
 import functools
 import io
 import json
+import time
 
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
 from chivepond.decisions import crash_quarantine
-from chivepond.gateway import request_fingerprint
+from chivepond.gateway import forwarded_request, request_fingerprint
 from chivepond.observe import events, journal
 from chivepond.platform import store_calls
 from chivepond.settings import mechanism
 from chivepond.standins import crashing_searcher, scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.wire import crash_entry
 
 Got = scripted_searcher.Got
 Told = scripted_searcher.Told
@@ -296,6 +299,37 @@
     support.run(play())
 
 
+def test_a_cleared_request_is_forgotten_once_the_store_is_back():
+    """Guards against a sound request that others go on rejecting."""
+
+    async def play() -> None:
+        async with gateway_bench.Bench() as bench, _Fleet(bench) as fleet:
+            entry = crash_entry.CrashEntry({'1': 2, '2': 2}, time.time())
+            request = _request(b'/all/sound')
+            bench.store.put(
+                store_calls.CRASHES,
+                request.fingerprint,
+                msgspec.to_builtins(entry),
+            )
+            parts = fleet.gates[0]._parts
+            table = parts.tools.crash_watch.table
+            await gateway_bench.until(lambda: table.retry_after_s(request))
+            bench.store.refuse = _refuse_crashes
+            table.answered(request)
+            await asyncio.sleep(0.5)
+            bench.store.refuse = lambda path: None
+            await gateway_bench.until(
+                lambda: not bench.store.names(store_calls.CRASHES),
+            )
+
+    support.run(play())
+
+
+def _request(path):
+    head = b'GET %s HTTP/1.1\r\nHost: desk.example\r\n' % path
+    return forwarded_request.ForwardedRequest(b'1', head, b'', is_head=False)
+
+
 def test_a_request_that_crashes_searchers_is_rejected_without_writes():
     """Guards against a gateway that sends it on while no write succeeds."""
 
