--- a/chivepond/decisions/crash_evidence.py
+++ b/chivepond/decisions/crash_evidence.py
@@ -13,25 +13,25 @@
 class Evidence:
     """What became of the searchers that one gateway sent a request to."""
 
-    __slots__ = ('cut_ids', 'has_reply')
+    __slots__ = ('disconnected_ids', 'has_reply')
 
     def __init__(self) -> None:
         """Start before anything was sent."""
         #: Whether a searcher ran it and replied.
         self.has_reply = False
         #: Searchers whose connection ended while they had the request.
-        self.cut_ids: set[str] = set()
+        self.disconnected_ids: set[str] = set()
 
     @property
     def is_suspect(self) -> bool:
         """Whether no searcher is known to have run it and lived."""
-        return bool(self.cut_ids) and not self.has_reply
+        return bool(self.disconnected_ids) and not self.has_reply
 
     @property
     def is_spreading(self) -> bool:
         """Whether another searcher would likely crash as well."""
-        return self.is_suspect and len(self.cut_ids) >= _SPREAD
+        return self.is_suspect and len(self.disconnected_ids) >= _SPREAD
 
-    def cut(self, searcher_id: str) -> None:
+    def disconnected(self, searcher_id: str) -> None:
         """Take that a searcher's connection ended before its reply."""
-        self.cut_ids.add(searcher_id)
+        self.disconnected_ids.add(searcher_id)
--- a/chivepond/decisions/crash_quarantine.py
+++ b/chivepond/decisions/crash_quarantine.py
@@ -12,7 +12,7 @@
 _REQUESTS = 2
 _CRASHES = 3
 #: How long requests are rejected, and crashes remembered, in seconds.
-_HELD_S = 600.0
+_QUARANTINE_S = 600.0
 #: Requests that are remembered of those that are alike.
 _REMEMBERED = 4
 
@@ -26,19 +26,19 @@
     #: When the newest of them was seen, in Unix seconds.
     seen_at: float
 
-    def is_over(self, now: float) -> bool:
+    def is_expired(self, now: float) -> bool:
         """Tell whether it is to be forgotten at ``now``."""
-        return now >= self.seen_at + _HELD_S
+        return now >= self.seen_at + _QUARANTINE_S
 
     def rejects(self, now: float) -> bool:
         """Tell whether requests like these are rejected at ``now``."""
-        if self.is_over(now) or len(self.crashes_by_request) < _REQUESTS:
+        if self.is_expired(now) or len(self.crashes_by_request) < _REQUESTS:
             return False
         return sum(self.crashes_by_request.values()) >= _CRASHES
 
     def retry_after_s(self, now: float) -> float:
         """Return when such a request may come back, in seconds."""
-        return min(_HELD_S, max(0, self.seen_at + _HELD_S - now))
+        return min(_QUARANTINE_S, max(0, self.seen_at + _QUARANTINE_S - now))
 
 
 def merged(*records: CrashRecord) -> CrashRecord:
--- a/chivepond/gateway/crash_registry.py
+++ b/chivepond/gateway/crash_registry.py
@@ -65,7 +65,7 @@
                 if await self._is_changed():
                     await self._write_changes()
                 elif self._sync.source() is None:
-                    await self._remove_old()
+                    await self._remove_expired()
 
     async def _is_changed(self) -> bool:
         """Wait for something to write, or for the next look at what is old."""
@@ -141,8 +141,8 @@
             case _:
                 return False
 
-    async def _remove_old(self) -> None:
-        for fingerprint in self._table.over()[:1]:
+    async def _remove_expired(self) -> None:
+        for fingerprint in self._table.expired()[:1]:
             await self._remove(fingerprint)
             await asyncio.sleep(_RETRY_S)
 
--- a/chivepond/gateway/crash_table.py
+++ b/chivepond/gateway/crash_table.py
@@ -44,7 +44,7 @@
             str, crash_quarantine.CrashRecord
         ] = {}
         self._own_by_fingerprint: dict[str, crash_quarantine.CrashRecord] = {}
-        #: Fingerprints that are known to be rejected, for the log.
+        #: Fingerprints of requests that are rejected.
         self._rejected: set[str] = set()
         self._answers = recent_answers.RecentAnswers()
         #: Fingerprints of which the store lacks what was seen here.
@@ -89,7 +89,7 @@
         ]
         return crash_quarantine.merged(*known) if known else None
 
-    def note(
+    def record_crashes(
         self,
         request: forwarded_request.ForwardedRequest,
         crashes: int,
@@ -111,9 +111,9 @@
         )
         self.unwritten.add(fingerprint)
         self.changed.set()
-        self._look(fingerprint)
+        self._quarantine_if_proved(fingerprint)
 
-    def answered(self, request: forwarded_request.ForwardedRequest) -> None:
+    def record_reply(self, request: forwarded_request.ForwardedRequest) -> None:
         """Take that a searcher ran a request and replied.
 
         Guards against a sound request that is blamed for crashes beside it.
@@ -130,13 +130,13 @@
         is_there = fingerprint in self._stored_by_fingerprint
         return is_there or len(self._stored_by_fingerprint) < MOST
 
-    def over(self) -> list[str]:
+    def expired(self) -> list[str]:
         """Return the fingerprints in the store that are too old."""
         now = time.time()
         return [
             fingerprint
             for fingerprint, record in self._stored_by_fingerprint.items()
-            if record.is_over(now)
+            if record.is_expired(now)
         ]
 
     def take_list(self, found: list[store_calls.StoredObject]) -> None:
@@ -164,9 +164,9 @@
             self._telemetry.count('crash_entries', 'unreadable')
             return
         self._stored_by_fingerprint[stored.meta.name] = record
-        self._look(stored.meta.name)
+        self._quarantine_if_proved(stored.meta.name)
 
-    def _look(self, fingerprint: str) -> None:
+    def _quarantine_if_proved(self, fingerprint: str) -> None:
         record = self.record(fingerprint)
         if fingerprint in self._rejected or record is None:
             return
@@ -186,7 +186,7 @@
 ) -> crash_quarantine.CrashRecord | None:
     """Return what an object of the store says, or nothing if it is wrong."""
     try:
-        told = msgspec.json.decode(stored.spec, type=crash_entry.CrashEntry)
+        entry = msgspec.json.decode(stored.spec, type=crash_entry.CrashEntry)
     except msgspec.DecodeError:
         return None
-    return crash_quarantine.CrashRecord(told.crashes_by_request, told.seen_at)
+    return crash_quarantine.CrashRecord(entry.crashes_by_request, entry.seen_at)
--- a/chivepond/gateway/crash_watch.py
+++ b/chivepond/gateway/crash_watch.py
@@ -46,22 +46,26 @@
 
     def follow(self, request: forwarded_request.ForwardedRequest) -> None:
         """Look at the searchers that are cut off while they run a request."""
-        request.on_cut = self._look_later
-        request.on_reply = self.table.answered
+        request.on_cut = self._inspect_later
+        request.on_reply = self.table.record_reply
 
-    def _look_later(self, request: forwarded_request.ForwardedRequest) -> None:
-        task = asyncio.create_task(self._look(request))
+    def _inspect_later(
+        self, request: forwarded_request.ForwardedRequest
+    ) -> None:
+        task = asyncio.create_task(self._inspect(request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _look(self, request: forwarded_request.ForwardedRequest) -> None:
+    async def _inspect(
+        self, request: forwarded_request.ForwardedRequest
+    ) -> None:
         await asyncio.sleep(_SETTLE_S)
         request.is_watched = False
         evidence = request.evidence
         if not evidence.is_suspect:
             return
-        cut_ids = sorted(evidence.cut_ids)
-        crashed = await self._crashed(cut_ids[:_LOOKED_AT])
+        disconnected_ids = sorted(evidence.disconnected_ids)
+        crashed = await self._crashed(disconnected_ids[:_LOOKED_AT])
         if not crashed or not evidence.is_suspect:
             return
         self._telemetry.emit(
@@ -69,9 +73,9 @@
             request=request.request_id.decode(errors='replace'),
             fingerprint=request.fingerprint,
             crashed=crashed,
-            cut=len(cut_ids),
+            cut=len(disconnected_ids),
         )
-        self.table.note(request, len(crashed))
+        self.table.record_crashes(request, len(crashed))
 
     async def _crashed(self, searcher_ids: list[str]) -> list[str]:
         """Return those that take no connection."""
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -94,7 +94,7 @@
         """Take how the exchange with a searcher ended."""
         match ended:
             case outcome.Broken(is_cut=True):
-                self.evidence.cut(receiver)
+                self.evidence.disconnected(receiver)
                 self._tell_cut()
             case outcome.Reply() if not _is_turned_away(ended):
                 self._take_reply()
--- a/chivepond/gateway/request_fingerprint.py
+++ b/chivepond/gateway/request_fingerprint.py
@@ -16,9 +16,9 @@
     first_line, *fields = head.split(b'\r\n')
     digest = hashlib.blake2b(first_line, digest_size=_DIGEST_BYTES)
     for field in fields:
-        name, _, told = field.partition(b':')
+        name, _, written = field.partition(b':')
         if name.lower() in _FIELDS:
-            digest.update(b'\n%s:%s' % (name.lower(), told.strip()))
+            digest.update(b'\n%s:%s' % (name.lower(), written.strip()))
     digest.update(b'\n\n')
     digest.update(body)
     return digest.hexdigest()
