An owner's own stall no longer sheds its queued work

Seen by callers: a search over 20 shards of a healthy searcher covered 4; 16 were missing with the reason 'shed', with most of the deadline left (entry of test_slots_resized_under_load_are_never_exceeded).

After a stall of the node itself (paused host, busy processors) it runs before the replies are read, and sheds all that waits. A first batch that spanned the stall also taught a work rate at which nothing would finish in time.

Ruled out: a slow searcher (its work took 4 ms), work lost by the resize (20 attempts counted).

Change: the queue measures how late its callbacks run. Stalls are excluded from the silence, and a batch that spent most of its time in one teaches neither rate nor limit. The time that a queue is non-empty still counts in full, so that overload sheds as before.

--- a/chivepond/decisions/standing_queue.py
+++ b/chivepond/decisions/standing_queue.py
@@ -17,7 +17,8 @@
   percentile of refusals at three times the capacity was 53 ms instead of 18.
 - The queue has been non-empty for that share of the budget, and the work
   cannot finish in time even if the searcher were a quarter faster.
-- No reply arrived for that share of the budget: the searcher hangs.
+- No reply arrived for that share of the budget: the searcher hangs. Time in
+  which this process stalled does not count: replies may wait to be read.
 
 So a search on one slow searcher that is not busy otherwise gets its whole time
 budget. The share is 0.2 where responses keep a deadline, which leaves time for
@@ -44,12 +45,13 @@
 class StandingQueue:
     """Tracks one queue; times are seconds of one clock."""
 
-    __slots__ = ('_last_empty_at', '_last_reply_at')
+    __slots__ = ('_last_empty_at', '_last_reply_at', '_stalled_s')
 
     def __init__(self, now: float) -> None:
         """Start with an empty queue."""
         self._last_empty_at = now
         self._last_reply_at = now
+        self._stalled_s: float = 0
 
     def emptied(self, now: float) -> None:
         """Record that the queue is empty at ``now``."""
@@ -60,6 +62,16 @@
         """Record the time of the last reply of the searcher."""
         self._last_reply_at = max(self._last_reply_at, replied_at)
 
+    def stalled(self, now: float, total_s: float) -> None:
+        """Exclude new stalls of this process from the searcher's silence.
+
+        ``total_s`` is how long the process has stalled up to ``now``, in which
+        it read no replies.
+        """
+        stall_s = total_s - self._stalled_s
+        self._stalled_s = total_s
+        self._last_reply_at = min(now, self._last_reply_at + stall_s)
+
     def is_over(
         self,
         now: float,
--- a/chivepond/owner/batch_sender.py
+++ b/chivepond/owner/batch_sender.py
@@ -7,7 +7,7 @@
 import result
 
 from chivepond.decisions import concurrency_limit, replica_trust, work_rate
-from chivepond.owner import attempt, failed_reply
+from chivepond.owner import attempt, failed_reply, stall_meter
 from chivepond.settings import capacity_service
 from chivepond.transport import address, client
 from chivepond.wire import (
@@ -29,6 +29,9 @@
 _CANCEL_TIMEOUT_S = 0.5
 _LATENCY_WEIGHT = 0.1
 _INITIAL_LATENCY_S = 0.005
+#: The largest share of a batch's duration that this process may have stalled
+#: for the duration to be learned.
+_MAX_STALLED_SHARE = 0.5
 
 OnReply = Callable[[attempt.Attempt, sub_reply.SubReply, float], None]
 
@@ -48,6 +51,7 @@
     __slots__ = (
         '_cancelled_attempts',
         '_on_reply',
+        '_stalls',
         '_tasks',
         'client',
         'in_flight',
@@ -63,13 +67,16 @@
         target: address.Address,
         capacity: capacity_service.CapacityService,
         on_reply: OnReply,
+        stalls: stall_meter.StallMeter,
         now: float,
     ) -> None:
         """Send to ``target``, within the limits of ``capacity``.
 
-        Each attempt results in exactly one call of ``on_reply``. ``now`` is
-        in seconds of the loop's clock.
+        Each attempt results in exactly one call of ``on_reply``. ``stalls``
+        tells which batches were delayed by this process. ``now`` is in
+        seconds of the loop's clock.
         """
+        self._stalls = stalls
         self.client = _client(target, capacity)
         self.in_flight = 0
         self.latency_s = _INITIAL_LATENCY_S
@@ -115,10 +122,13 @@
         for shard_attempt in batch:
             shard_attempt.is_in_flight = True
         self.in_flight += len(batch)
+        stalled_s_before = self._stalls.total_s
         outcomes: set[str] = set()
         async for lines in self._stream_replies(batch, now):
             outcomes |= self._process_replies(lines, by_key, now)
-        self._record_batch(outcomes, len(batch), now)
+        self._stalls.update(_now())
+        stalled_s = self._stalls.total_s - stalled_s_before
+        self._record_batch(outcomes, len(batch), _now() - now, stalled_s)
         self._fail_unanswered(list(by_key.values()))
 
     def cancel(self, shard_attempt: attempt.Attempt) -> None:
@@ -192,18 +202,26 @@
         self.in_flight -= 1
 
     def _record_batch(
-        self, outcomes: set[str], batch_size: int, sent_at: float
+        self,
+        outcomes: set[str],
+        batch_size: int,
+        elapsed_s: float,
+        stalled_s: float,
     ) -> None:
-        """Update limit, rate and trust once per batch, not once per reply."""
+        """Update limit, rate and trust once per batch, not once per reply.
+
+        If this process stalled for most of the time, the duration says
+        nothing about the searcher.
+        """
         now = _now()
-        elapsed_s = now - sent_at
         if shard_outcome.SHED in outcomes:
             self.trust.failed(now)
             self.limit.refused()
         elif shard_outcome.OK in outcomes:
             self.trust.succeeded(now)
-            self.rate.observe(batch_size, elapsed_s)
-            self.limit.succeeded(batch_size, elapsed_s)
+            if stalled_s < elapsed_s * _MAX_STALLED_SHARE:
+                self.rate.observe(batch_size, elapsed_s)
+                self.limit.succeeded(batch_size, elapsed_s)
 
     def _send_cancellations(self) -> None:
         references = [
--- a/chivepond/owner/searcher_queue.py
+++ b/chivepond/owner/searcher_queue.py
@@ -15,6 +15,7 @@
     given_up,
     searcher_state,
     slot_waiters,
+    stall_meter,
     waiting_work,
 )
 from chivepond.settings import capacity_service
@@ -40,6 +41,7 @@
         '_on_reply',
         '_sender',
         '_slots',
+        '_stalls',
         '_sweep_timer',
         '_waiting',
         'host',
@@ -67,10 +69,12 @@
         self._slots = slot_waiters.SlotWaiters()
         self._is_scheduled = False
         self._last_used_at = _loop().time()
+        self._stalls = stall_meter.StallMeter(self._last_used_at)
         self._sender = batch_sender.BatchSender(
             target,
             capacity,
             on_reply,
+            self._stalls,
             self._last_used_at,
         )
         self.trust = self._sender.trust
@@ -138,6 +142,7 @@
             self._capacity.batch_window_ms / _MS_PER_S,
             shard_attempt.deadline - now,
         )
+        self._stalls.due_at = min(self._stalls.due_at, now + window_s)
         if window_s:
             _loop().call_later(window_s, self._dispatch_scheduled)
         else:
@@ -222,16 +227,26 @@
 
     def _dispatch_scheduled(self) -> None:
         self._is_scheduled = False
+        self._record_stalls()
         self._dispatch()
 
     def _sweep(self) -> None:
         self._sweep_timer = None
+        self._record_stalls()
         now = _loop().time()
         self._waiting.record_reply(self._sender.replied_at)
         interval_s = self._sender.rate.each_s(self._sender.limit.current)
         self._reply_rejected(self._waiting.reject_overdue(now, interval_s))
         self._dispatch()
 
+    def _record_stalls(self) -> None:
+        now = _loop().time()
+        self._stalls.update(now)
+        self._waiting.record_stalls(now, self._stalls.total_s)
+        self._stalls.due_at = (
+            self._sweep_timer.when() if self._sweep_timer else math.inf
+        )
+
     def _reject_all(self) -> None:
         self._reply_rejected(self._waiting.reject_all())
         self._slots.reject_all()
@@ -258,6 +273,9 @@
             self._sweep_timer = _loop().call_later(
                 _SWEEP_INTERVAL_S, self._sweep
             )
+            self._stalls.due_at = min(
+                self._stalls.due_at, self._sweep_timer.when()
+            )
 
     def _on_batch_end(self, task: asyncio.Task[None]) -> None:
         self._batches.discard(task)
--- a/chivepond/owner/waiting_work.py
+++ b/chivepond/owner/waiting_work.py
@@ -41,6 +41,10 @@
         """Record the time of the searcher's last reply."""
         self._standing_queue.moved(replied_at)
 
+    def record_stalls(self, now: float, total_s: float) -> None:
+        """Record the seconds that this process has stalled up to ``now``."""
+        self._standing_queue.stalled(now, total_s)
+
     def pop_batch(self, size: int) -> list[attempt.Attempt]:
         """Remove and return up to ``size`` attempts that are still wanted."""
         batch: list[attempt.Attempt] = []
--- a/chivepond/tests/test_owner_decisions.py
+++ b/chivepond/tests/test_owner_decisions.py
@@ -5,6 +5,7 @@
 import contextlib
 import gc
 import random
+import time
 
 import pytest
 
@@ -200,6 +201,24 @@
         assert standin.counts.peak_busy_slots == 2
 
 
+@pytest.mark.parametrize('yields', range(4))
+async def test_stalled_event_loop_sheds_no_queued_work(yields):
+    """Guards against shedding queued work because this node itself stalled.
+
+    The loop stalls after a number of iterations: before the first batch is
+    sent, or while its replies arrive.
+    """
+    async with OwnerBench() as bench:
+        await bench.start('a', slots=4, work_ms=4)
+        owner_role = await bench.start_owner()
+        bench.resize(4)
+        search = asyncio.create_task(owner_role.answer(_query(['a'], 20)))
+        for _ in range(yields):
+            await asyncio.sleep(0)
+        time.sleep(0.3)
+        assert len((await search).covered) == 20
+
+
 async def test_overdue_work_is_shed_before_its_deadline():
     """A searcher hangs, and its queue doesn't move.
 
