Keep the output of each process of a failed deployment test

Cause: the output of nodes, searchers and the platform stayed in the memory of the test, so that a failed run of test_paused_owner did not say which stage was slow or which shards were missing.

--- a/chivepond/tests/support.py
+++ b/chivepond/tests/support.py
@@ -60,11 +60,25 @@
 class Program:
     """A running program, killed when the ``async with`` block ends."""
 
-    __slots__ = ('_arguments', '_output_reader', 'lines', 'process')
+    __slots__ = (
+        '_arguments',
+        '_output_path',
+        '_output_reader',
+        'lines',
+        'process',
+    )
+
+    def __init__(
+        self,
+        *arguments: str,
+        output_path: pathlib.Path | None = None,
+    ) -> None:
+        """Take the name of an installed program and its arguments.
 
-    def __init__(self, *arguments: str) -> None:
-        """Take the name of an installed program and its arguments."""
+        The output is also appended to the file at ``output_path``, if given.
+        """
         self._arguments = arguments
+        self._output_path = output_path
         self.lines: list[str] = []
         self._output_reader: asyncio.Task[None] | None = None
         self.process: asyncio.subprocess.Process
@@ -115,6 +129,9 @@
             return
         async for line in stream:
             self.lines.append(line.decode().rstrip())
+            if self._output_path is not None:
+                with self._output_path.open('ab') as output:
+                    output.write(line)
 
 
 class Processes:
@@ -233,7 +250,9 @@
                 default_settings | self.plan.node | (settings or {}),
             )
         )
-        program = await self._start('chivepondd', '--settings', str(path))
+        program = await self._start(
+            node_id, 'chivepondd', '--settings', str(path)
+        )
         self.node_by_id[node_id] = program
         line = await program.line_with('node started')
         listen_by_side = msgspec.json.decode(line)
@@ -249,11 +268,15 @@
             address=listen_by_side['peers'],
         )
 
-    async def _start(self, *arguments: str) -> Program:
-        return await self._stack.enter_async_context(Program(*arguments))
+    async def _start(self, name: str, *arguments: str) -> Program:
+        """Start a program; a failed test keeps its output in ``name``.log."""
+        output_path = self._folder / f'{name}.log'
+        return await self._stack.enter_async_context(
+            Program(*arguments, output_path=output_path)
+        )
 
     async def _start_platform(self) -> None:
-        program = await self._start('chivepond-standin', 'platform')
+        program = await self._start('platform', 'chivepond-standin', 'platform')
         address_line = await program.line_with('127.0.0.1:')
         platform_address = address.parse(address_line).unwrap()
         self.address_by_id['platform'] = platform_address
@@ -263,6 +286,7 @@
         path = self._folder / f'{searcher_id}.yaml'
         path.write_bytes(msgspec.yaml.encode(profile))
         program = await self._start(
+            searcher_id,
             'chivepond-standin',
             'searcher',
             '--profile',
