The soak keeps its addresses and every process it starts

Cause: free_loopback_subnet looked whether one address had a listener, and gateways bind a second later; a kill that overlaps a kill or a planned stop of the same gateway started two processes, of which only the last was kept; and faults were cancelled, but not awaited, before the processes were killed.

Change: a subnet is reserved by a listening socket of its own, and all ports of all its gateways are probed; a restart starts one process however many overlap; the end of the soak awaits its faults. An error exit counts also when a restart has replaced the process.

Tests: two soaks get different subnets; any address in use skips the subnet (the old test looked at one address, and is replaced); three restarts at once start one process.

--- a/chivepond/soak/gateway_process.py
+++ b/chivepond/soak/gateway_process.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import types
 from typing import Self
@@ -16,39 +15,23 @@
 _READINESS_PORT = 8102
 _PEER_PORT = 8103
 _METRICS_PORT = 8104
-#: How many 127.x.77 subnets of loopback addresses are tried.
-_SUBNET_COUNT = 250
+#: The ports that a gateway listens on.
+PORTS = (_CALLER_PORT, _READINESS_PORT, _PEER_PORT, _METRICS_PORT)
 #: Second sends that a service may get in a window in addition to a share of
 #: its requests.
 SECOND_SEND_BURST = 40
 
 
-def free_loopback_subnet(first: int) -> int:
-    """Return the second octet of an unused 127.x.77 subnet.
-
-    Tries 250 octets from ``first + 1`` on. Avoids the gateways of another
-    soak, running or left behind when it was killed: callers would connect to
-    those instead of the gateways of this soak. Raises RuntimeError when every
-    subnet is in use.
-    """
-    for number in range(first, first + _SUBNET_COUNT):
-        subnet = number % _SUBNET_COUNT + 1
-        with socket.socket() as probe:
-            if probe.connect_ex((f'127.{subnet}.77.1', _CALLER_PORT)):
-                return subnet
-    raise RuntimeError(
-        'every loopback subnet 127.x.77 is in use; stop other soaks'
-    )
-
-
 class GatewayProcess:
     """Starts, signals and restarts the gateway program."""
 
     __slots__ = (
         '_data_centre',
         '_folder',
+        '_had_error',
         '_ip',
         '_log',
+        '_restart_lock',
         '_store',
         'name',
         'process',
@@ -72,6 +55,8 @@
         self._store = store
         self._folder = folder
         self._log = folder / f'{name}.log'
+        self._restart_lock = asyncio.Lock()
+        self._had_error = False
         self.process: asyncio.subprocess.Process | None = None
 
     async def __aenter__(self) -> Self:
@@ -107,13 +92,13 @@
 
     @property
     def exited_with_error(self) -> bool:
-        """Whether the last process exited with an error status.
+        """Whether any of the processes exited with an error status.
 
-        False for a process that a signal ended or that exited with 0.
+        False for processes that a signal ended or that exited with 0.
         """
-        return self.process is not None and bool(
-            (self.process.returncode or 0) > 0,
-        )
+        if self.process is None:
+            return False
+        return self._had_error or (self.process.returncode or 0) > 0
 
     async def start(self) -> None:
         """Write the settings file, and start a new process."""
@@ -138,6 +123,21 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
 
+    async def restart(self, number: signal.Signals) -> None:
+        """Signal the process, and start a new one once it has exited.
+
+        Overlapping calls for the same process start one new process.
+        Otherwise only one of several would be stopped at the end, and the
+        others would go on serving.
+        """
+        process = self.process
+        self.send_signal(number)
+        await process.wait()
+        async with self._restart_lock:
+            if self.process is process:
+                self._had_error = self.exited_with_error
+                await self.start()
+
     async def wait(self) -> None:
         """Wait until the process exits."""
         await self.process.wait()
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -17,6 +17,7 @@
     gateway_checks,
     gateway_process,
     loopback_proxy,
+    loopback_subnet,
     searcher_ledger,
 )
 from chivepond.standins import routed_store, scripted_searcher
@@ -84,8 +85,12 @@
         for _ in range(_INITIAL_BEHAVIOUR_CHANGES):
             await self._change_behaviour()
         self._configure()
-        subnet = gateway_process.free_loopback_subnet(
-            self._random.randrange(1, 250)
+        subnet = self._exit_stack.enter_context(
+            loopback_subnet.LoopbackSubnet(
+                self._random.randrange(1, 250),
+                self._gateway_count,
+                gateway_process.PORTS,
+            )
         )
         for number in range(1, self._gateway_count + 1):
             proxy = loopback_proxy.LoopbackProxy(self._store.address)
@@ -93,7 +98,7 @@
             self._proxies.append(proxy)
             process = gateway_process.GatewayProcess(
                 f'gate-{number}',
-                f'127.{subnet}.77.{number}',
+                subnet.ip(number),
                 str(proxy.address),
                 self._folder,
                 _DATA_CENTRES[number % len(_DATA_CENTRES)],
@@ -111,8 +116,11 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Cancel running faults, and stop everything that was started."""
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        # A cancelled restart may have started a process that must be stopped.
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._exit_stack.aclose()
 
     async def run(self, seconds: float) -> None:
@@ -334,9 +342,7 @@
         if process.name in self._stopping_names:
             return
         self._mark_fault()
-        process.send_signal(signal.SIGKILL)
-        await process.wait()
-        await process.start()
+        await process.restart(signal.SIGKILL)
 
     async def _stop_gateway(self) -> None:
         process = self._random.choice(self.processes)
@@ -344,10 +350,8 @@
             return
         self._mark_fault()
         self._stopping_names.add(process.name)
-        process.send_signal(signal.SIGTERM)
-        await process.wait()
+        await process.restart(signal.SIGTERM)
         self._stopping_names.discard(process.name)
-        await process.start()
 
     async def _reload_gateway(self) -> None:
         process = self._random.choice(self.processes)
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import socket
 
 import pytest
@@ -13,6 +14,7 @@
     gateway_process,
     gateway_soak,
     loopback_proxy,
+    loopback_subnet,
     searcher_ledger,
 )
 from chivepond.standins import connection_reset, scripted_searcher
@@ -191,16 +193,66 @@
     support.run(try_each_fault())
 
 
-def test_free_subnet_skips_addresses_in_use():
+@pytest.mark.parametrize(
+    'ip_and_port', [('127.201.77.1', 8101), ('127.201.77.4', 8103)]
+)
+def test_subnet_with_an_address_in_use_is_skipped(ip_and_port):
     """Guards against callers that reach the gateways of another soak.
 
     A killed soak had left gateways on the addresses that the seed drew. The
     new gateways exited at once, unnoticed, and callers got only refusals.
     """
     with socket.socket() as other_socket:
-        other_socket.bind(('127.201.77.1', 8101))
+        other_socket.bind(ip_and_port)
         other_socket.listen()
-        assert gateway_process.free_loopback_subnet(200) != 201
+        with _subnet() as subnet:
+            assert subnet.ip(1) != '127.201.77.1'
+
+
+def test_two_soaks_reserve_different_subnets():
+    """Guards against two soaks whose gateways are not listening yet."""
+    with _subnet() as subnet, _subnet() as other:
+        assert subnet.ip(1) != other.ip(1)
+
+
+def _subnet():
+    return loopback_subnet.LoopbackSubnet(200, 4, gateway_process.PORTS)
+
+
+class _RecordedProcess(gateway_process.GatewayProcess):
+    """Records the processes that it starts."""
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.started: list[asyncio.subprocess.Process] = []
+
+    async def start(self) -> None:
+        await super().start()
+        self.started.append(self.process)
+
+
+def test_overlapping_restarts_leave_one_process(tmp_path):
+    """Guards against a gateway that goes on serving after the soak.
+
+    Two kills at the same time each started a process; the first one was
+    stopped by nobody, and its requests counted as those of the fleet.
+    """
+
+    async def restart_at_once() -> int:
+        with _subnet() as subnet:
+            process = _RecordedProcess(
+                'gate-1', subnet.ip(1), '127.0.0.1:1', tmp_path, 'base'
+            )
+            async with process:
+                await asyncio.gather(
+                    process.restart(signal.SIGKILL),
+                    process.restart(signal.SIGTERM),
+                    process.restart(signal.SIGKILL),
+                )
+            assert all(one.returncode is not None for one in process.started)
+            return len(process.started)
+
+    assert asyncio.run(restart_at_once()) == 2
 
 
 def test_process_that_exits_with_an_error_is_reported(tmp_path):
