The searcher stand-in imports what it streams with before it listens

Seen by callers of test_paused_owner, in its first phase: on a loaded machine the first search after the start took its 600 ms and lacked up to four of six shards ('late'). On a quiet one the first two took 61 to 67 and 46 to 65 ms, later ones 10 to 12.

Cause: a streamed response imports the asyncio backend of anyio at first use, 30 ms of processor time in each of twelve searchers at once.

Evidence: the first query sent to a stand-in directly took 36 and 42 ms, the next ones 6; the list of modules that a first search loads names only that backend. Ruled out: nodes that are ready too early (the first search through the second node took 12 to 14 ms), a deadline that is too short (later searches took 14 to 29 ms beside eight busy processes).

--- a/chivepond/standins/searcher.py
+++ b/chivepond/standins/searcher.py
@@ -7,6 +7,7 @@
 from typing import Self
 
 import result
+from anyio import lowlevel
 from starlette import applications, requests, responses, routing
 
 from chivepond.errors import problem
@@ -94,6 +95,9 @@
 
     async def __aenter__(self) -> Self:
         """Start serving; the searcher is cold for ``cold_start_ms``."""
+        # Streamed responses import the backend of anyio on first use, which
+        # would delay the first reply.
+        await lowlevel.checkpoint()
         self._started_at = _now()
         await self._server.__aenter__()
         return self
