A group that is requested again too late is not sent elsewhere

Cause: a gateway retains a search that it runs for another for 0.3 s after it is due, and then answers 404, as for one that it never received. A gateway that was paused for longer asked again, read the 404 as 'never received', and sent the shards itself, after two attempts there.

Ruled out: a killed gateway (none started then), a wrong count (the sends of the logs add up).

Change: a 404 counts only while the other gateway must still retain the search, and not if the first connection was closed, after which it may have restarted. Otherwise the shards are missing.

--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -22,6 +22,7 @@
 from chivepond.wire import gather_request
 
 _OK = 200
+_NOT_FOUND = 404
 #: How long after the answer is due the reply for a group may still arrive
 #: before it is requested again, in seconds. Network delays vary by that much.
 _REPLY_GRACE_S = 0.015
@@ -148,7 +149,8 @@
                 f'{self._gateway_name}: no reply in time, requested again'
             )
             exchange_outcome = await self._first_decodable(
-                first_exchange, self._start_exchange(self._retry_reply())
+                first_exchange,
+                self._start_exchange(self._retry_reply(message)),
             )
         self._record_network_delay(message, exchange_outcome)
         return exchange_outcome
@@ -160,7 +162,9 @@
     ) -> outcome.Outcome:
         """Return the first reply that can be decoded.
 
-        If there is none, returns the outcome of ``retry``.
+        If there is none, returns the outcome of ``retry``, unless the first
+        connection was closed: the other gateway may have restarted since it
+        received the request, and know nothing of it.
         """
         pending = {first_exchange, retry}
         while pending:
@@ -172,16 +176,26 @@
                 exchange_outcome = exchange.result()
                 if _decode_reply(exchange_outcome) is not None:
                     return exchange_outcome
-        return retry.result()
+        match first_exchange.result():
+            case outcome.Broken(is_disconnect=True) as disconnect:
+                return disconnect
+            case _:
+                return retry.result()
 
-    async def _retry_reply(self) -> outcome.Outcome:
+    async def _retry_reply(
+        self, gather_message: peer_message.GatherMessage
+    ) -> outcome.Outcome:
         """Request a missing reply again, on another connection.
 
         Guards against a lost packet: for the 200 ms until TCP retransmits it,
         the gateway appears to send no reply, and the search lost the whole
         group. The gateway returns the results that it has, or reports that it
-        never received the request; if it does neither in time, the shards of
-        the group are missing.
+        never received ``gather_message``; if it does neither in time, the
+        shards of the group are missing.
+
+        Guards also against a third attempt at a shard after a pause of this
+        host: the other gateway has discarded the results by then, and its
+        report does not mean that it never received the request.
         """
         message = peer_message.remaining_parts_message(
             self._context.search.request.request_id,
@@ -196,6 +210,13 @@
             case outcome.NotSent(reason=reason):
                 # The search may have run: the first request was sent.
                 return outcome.Broken(reason)
+            case outcome.Reply(status=status) if (
+                status == _NOT_FOUND
+                and not gather_message.is_retained(
+                    asyncio.get_running_loop().time()
+                )
+            ):
+                return outcome.Broken('requested again too late')
             case _:
                 return exchange_outcome
 
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -14,6 +14,11 @@
 MORE_PATH = b'/v1/gather/more'
 SYNC_PATH = b'/v1/news'
 FORWARD_PATH = b'/v1/forward'
+#: How long a pending search is retained after its reply is due, in seconds. In
+#: this time the other gateway can request the reply again, also after its
+#: connection ended, or ask for more; it covers the round trip between any two
+#: gateways. After it the requests to searchers are cancelled.
+RETENTION_S = 0.3
 
 _sync_numbers = itertools.count(1)
 
@@ -78,6 +83,11 @@
         #: When it was sent, in seconds on the loop's clock; zero before that.
         self.sent_at: float = 0
 
+    def is_retained(self, now: float) -> bool:
+        """Tell whether the receiver still retains the search if it got it."""
+        due_in_s = max(0, self._request.answer_in_s)
+        return not self.sent_at or now < self.sent_at + due_in_s + RETENTION_S
+
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes, with the time left as of now."""
         self.sent_at = asyncio.get_running_loop().time()
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -37,11 +37,6 @@
         },
     )
 )
-#: How long a pending search is retained after its reply is due, in seconds. In
-#: this time the other gateway can request the reply again, also after its
-#: connection ended, or ask for more; it covers the round trip between any two
-#: gateways. After it the requests to searchers are cancelled.
-_RETENTION_S = 0.3
 
 
 class PeerService:
@@ -164,7 +159,7 @@
         pending.hold_count += 1
         self._pending_by_id[request_id] = pending
         asyncio.get_running_loop().call_later(
-            max(0, due_in_s) + _RETENTION_S,
+            max(0, due_in_s) + peer_message.RETENTION_S,
             self._discard,
             request_id,
             pending.hold_count,
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -5,7 +5,7 @@
 import dataclasses
 import itertools
 import types
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Self
 
 from chivepond.gateway import (
@@ -220,6 +220,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent_connections = 0
+        self._dropped_reply = b''
         #: The number of connections accepted so far.
         self.connections = 0
 
@@ -227,6 +228,10 @@
         """Relay no replies on the next ``connections`` connections."""
         self._silent_connections = connections
 
+    def drop_reply(self, marker: bytes) -> None:
+        """Drop the next chunk of a reply that contains ``marker``."""
+        self._dropped_reply = marker
+
     async def __aenter__(self) -> Self:
         """Start the relay."""
         self._server = await asyncio.start_server(
@@ -263,20 +268,28 @@
             return
         await asyncio.gather(
             _relay_bytes(reader, backend[1], self._delay_s),
-            _relay_bytes(backend[0], writer, self._delay_s),
+            _relay_bytes(backend[0], writer, self._delay_s, self._is_dropped),
             return_exceptions=True,
         )
 
+    def _is_dropped(self, chunk: bytes) -> bool:
+        is_dropped = bool(self._dropped_reply) and self._dropped_reply in chunk
+        if is_dropped:
+            self._dropped_reply = b''
+        return is_dropped
+
 
 async def _relay_bytes(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     delay_s: float = 0,
+    is_dropped: Callable[[bytes], bool] = lambda chunk: False,
 ) -> None:
     with contextlib.suppress(ConnectionError, asyncio.CancelledError):
         while chunk := await reader.read(_CHUNK):
             await asyncio.sleep(delay_s)
-            writer.write(chunk)
+            if not is_dropped(chunk):
+                writer.write(chunk)
     writer.close()
 
 
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies
 
 from chivepond.decisions import gather_time
-from chivepond.gateway import merge, shard_requests, shard_results
+from chivepond.gateway import (
+    group_request,
+    merge,
+    shard_requests,
+    shard_results,
+)
 from chivepond.platform import headers
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
@@ -454,6 +459,38 @@
     support.run(scenario())
 
 
+def test_group_requested_again_too_late_causes_no_further_attempt(monkeypatch):
+    """Guards against a third attempt at a shard after a gateway's pause.
+
+    The local gateway requests a missing reply again when the remote one has
+    discarded the search: no answer tells then whether it ran.
+    """
+    monkeypatch.setattr(group_request, '_REPLY_GRACE_S', 0.4)
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = await _start_remote_searchers(bench)
+            remote_gateway = await _start_remote_gateway(bench)
+            async with gateway_bench.TcpProxy(remote_gateway.peers) as proxy:
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(proxy.address), 'data_centre': 'hub'},
+                )
+                local_gateway = await _start_local_gateway(bench)
+                caller = await bench.caller(local_gateway.client_address)
+                proxy.drop_reply(b'late-search')
+                raw = gateway_bench.request(
+                    'GET', '/search/x', request_id='late-search'
+                )
+                reply = gateway_bench.reply_of(await caller.send(raw))
+                assert reply.status == 502
+                requests = [len(one.got) for one in searchers.values()]
+                assert requests == [1, 1, 1, 1]
+
+    support.run(scenario())
+
+
 def test_response_without_a_group_keeps_its_connection():
     """Guards against every second search being late while a shard is silent.
 
