A stall of a gateway no longer times out its connections to others

Seen by callers: 503 'no gateway with connections to the service is available' at a gateway that forwards through another one, while that one was well (found while provoking the entry of test_lost_non_idempotent_request_is_not_forwarded_again).

Cause: a connection to another gateway that is being opened, or an update that is awaited from it, times out while this process stalls; the timer runs before the loop learns that the connection is open. One failure distrusts a gateway for half a second.

Change: both time-outs end only after the loop ran for the last quarter of the time (0.1 s at most). Without a stall nothing changes.

--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -9,6 +9,7 @@
     http_connection,
     outcome,
     peer_endpoint,
+    stall_timeout,
 )
 from chivepond.platform import headers
 
@@ -166,9 +167,12 @@
         )
         self._open_connections.add(connection)
         remote = self._remote_end.address
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._remote_end.connect_s):
-                await asyncio.get_running_loop().create_connection(
+            async with stall_timeout.StallTimeout(
+                loop.time() + self._remote_end.connect_s
+            ):
+                await loop.create_connection(
                     lambda: connection,
                     remote.ip,
                     remote.port,
--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -13,6 +13,7 @@
     health_log,
     outcome,
     peer_endpoint,
+    stall_timeout,
     transfer,
 )
 from chivepond.platform import headers
@@ -111,8 +112,13 @@
         attempt = next(_attempt_ids)
         if not request.is_long_poll:
             self.health.sent(attempt, loop.time())
+        time_limit = (
+            stall_timeout.StallTimeout(deadline)
+            if request.is_long_poll
+            else asyncio.timeout_at(deadline)
+        )
         try:
-            async with asyncio.timeout_at(deadline) as timeout:
+            async with time_limit as timeout:
                 if request.progress is not None:
                     request.progress.extend(timeout)
                 exchange_outcome = await self._exchange(request, deadline)
--- a/chivepond/tests/test_gateway_delegation.py
+++ b/chivepond/tests/test_gateway_delegation.py
@@ -1,11 +1,15 @@
 """Gateways that the connection cap of a service leaves no connection."""
 
 import asyncio
+import time
 
-from chivepond.gateway import gateway
+import pytest
+
+from chivepond.gateway import gateway, peer_message
 from chivepond.platform import headers
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.wire import sync_message
 
 ReceivedRequest = scripted_searcher.Got
 ScriptedReply = scripted_searcher.Told
@@ -98,6 +102,37 @@
     support.run(scenario())
 
 
+@pytest.mark.parametrize('stall_s', [0.15, 0.6])
+def test_stalled_gateway_still_forwards_through_another(stall_s):
+    """Guards against a refusal after this process has stalled.
+
+    A connection to the other gateway is being opened, or an update is awaited
+    from it, when the process stalls beyond the time-out. The other gateway is
+    not at fault, and is the only one that may connect to the searchers.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _echo)
+            bench.configure(1, _stamps(), connection_cap=_CAP)
+            holder, other = await _gateways(bench, 'desk')
+            client = await bench.caller(other.client_address)
+            peers = other._components.peer_gateways
+            channel = peers.channel(holder._settings.node_id)
+            message = peer_message.sync_message(sync_message.SyncRequest({}, 0))
+            deadline = asyncio.get_running_loop().time() + 0.1
+            exchange = asyncio.create_task(channel.send(message, deadline))
+            connecting = asyncio.create_task(channel._pool._connect())
+            await asyncio.sleep(0)
+            time.sleep(stall_s)
+            await asyncio.gather(exchange, connecting)
+            reply = gateway_bench.reply_of(await client.get('/stamps/1'))
+            assert reply.status == 200
+            assert connecting.result() is not None
+
+    support.run(scenario())
+
+
 def test_search_without_own_connections_covers_all_shards():
     """Guards against missing shards at a gateway without connections."""
 
