Faults of the gateway soak come in series and overlap

Cause: a planned stop was skipped while any gateway stopped, a kill while its gateway stopped, and every fault waited at least 50 ms for the last one, so that the soak played few of the overlaps that the platform has.

Change: a fifth of the faults are followed by the next one at once; stops overlap stops, and kills end planned stops, after which they guarantee nothing. A stop is tracked by its process, not by the gateway's name: a request counts as cut only if its own process still runs.

--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -35,6 +35,9 @@
 _FAULT_FREE_S = 4.0
 #: Share of the faults that are followed by a fault-free period.
 _FAULT_FREE_PROBABILITY = 0.02
+#: Share of the faults that begin a series: the next fault follows at once,
+#: and so overlaps them.
+_SERIES_PROBABILITY = 0.2
 #: How often a random searcher gets a random behaviour before the start.
 _INITIAL_BEHAVIOUR_CHANGES = 5
 #: Seconds for which a draining searcher keeps serving; gateways must stop
@@ -69,7 +72,8 @@
         self.processes: list[gateway_process.GatewayProcess] = []
         self._proxies: list[loopback_proxy.LoopbackProxy] = []
         self._searcher_by_id: dict[str, scripted_searcher.ScriptedSearcher] = {}
-        self._stopping_names: set[str] = set()
+        #: Processes that perform a planned stop.
+        self._stopping: set[asyncio.subprocess.Process] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -205,6 +209,7 @@
         kind = self._random.choice(('search', 'search', 'stamp', 'read'))
         request_id = b'r%d' % next(self._id_numbers)
         shards = self._shards
+        serving = process.process
         call_outcome = await gateway_calls.send_request(
             connection, kind, request_id
         )
@@ -225,9 +230,7 @@
                     call_outcome,
                     is_idempotent=kind != 'stamp',
                 )
-            case _ if (
-                process.name in self._stopping_names and process.is_running
-            ):
+            case _ if serving in self._stopping and serving.returncode is None:
                 self.checks.add_violation(
                     'a planned stop interrupts no request',
                     f'{request_id!r} at {process.name}: {call_outcome}',
@@ -266,6 +269,8 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             pause_s = self._random.uniform(0.05, 0.4)
+            if self._random.random() < _SERIES_PROBABILITY:
+                pause_s = 0
             if self._random.random() < _FAULT_FREE_PROBABILITY:
                 # Makes time for the checks that need a fault-free period.
                 pause_s = _FAULT_FREE_S + _UPDATE_BOUND_S
@@ -339,19 +344,20 @@
 
     async def _kill_gateway(self) -> None:
         process = self._random.choice(self.processes)
-        if process.name in self._stopping_names:
-            return
+        # A kill ends a planned stop, which then guarantees nothing.
+        self._stopping.discard(process.process)
         self._mark_fault()
         await process.restart(signal.SIGKILL)
 
     async def _stop_gateway(self) -> None:
         process = self._random.choice(self.processes)
-        if self._stopping_names or not process.is_running:
+        if not process.is_running:
             return
         self._mark_fault()
-        self._stopping_names.add(process.name)
+        stopping = process.process
+        self._stopping.add(stopping)
         await process.restart(signal.SIGTERM)
-        self._stopping_names.discard(process.name)
+        self._stopping.discard(stopping)
 
     async def _reload_gateway(self) -> None:
         process = self._random.choice(self.processes)
