Test that a group delayed beyond its report is not run

Cause: a hypothesis on third attempts. A group's request may arrive after the other gateway has reported that it never received it, when the shards are sent elsewhere.

Ruled out by this test: delayed by 0.7 s it reaches a connection that is closed, and each searcher gets one request.

--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -221,6 +221,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent_connections = 0
         self._dropped_reply = b''
+        self._delayed_request = b''
+        self._request_delay_s: float = 0
         #: The number of connections accepted so far.
         self.connections = 0
 
@@ -232,6 +234,11 @@
         """Drop the next chunk of a reply that contains ``marker``."""
         self._dropped_reply = marker
 
+    def delay_request(self, marker: bytes, delay_s: float) -> None:
+        """Delay the next chunk of a request that contains ``marker``."""
+        self._delayed_request = marker
+        self._request_delay_s = delay_s
+
     async def __aenter__(self) -> Self:
         """Start the relay."""
         self._server = await asyncio.start_server(
@@ -267,11 +274,22 @@
             await _relay_bytes(reader, backend[1])
             return
         await asyncio.gather(
-            _relay_bytes(reader, backend[1], self._delay_s),
+            _relay_bytes(
+                reader,
+                backend[1],
+                self._delay_s,
+                request_delay_s=self._delay_of_request,
+            ),
             _relay_bytes(backend[0], writer, self._delay_s, self._is_dropped),
             return_exceptions=True,
         )
 
+    def _delay_of_request(self, chunk: bytes) -> float:
+        if self._delayed_request and self._delayed_request in chunk:
+            self._delayed_request = b''
+            return self._request_delay_s
+        return 0
+
     def _is_dropped(self, chunk: bytes) -> bool:
         is_dropped = bool(self._dropped_reply) and self._dropped_reply in chunk
         if is_dropped:
@@ -284,10 +302,11 @@
     writer: asyncio.StreamWriter,
     delay_s: float = 0,
     is_dropped: Callable[[bytes], bool] = lambda chunk: False,
+    request_delay_s: Callable[[bytes], float] = lambda chunk: 0,
 ) -> None:
     with contextlib.suppress(ConnectionError, asyncio.CancelledError):
         while chunk := await reader.read(_CHUNK):
-            await asyncio.sleep(delay_s)
+            await asyncio.sleep(delay_s + request_delay_s(chunk))
             if not is_dropped(chunk):
                 writer.write(chunk)
     writer.close()
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -491,6 +491,39 @@
     support.run(scenario())
 
 
+def test_group_delayed_beyond_its_report_is_not_run():
+    """Guards against a third attempt at a shard after a lost packet.
+
+    The request of a group is delayed in the network. The remote gateway
+    reports that it knows no such search, the local one sends the shards
+    itself, and then the request arrives.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = await _start_remote_searchers(bench)
+            remote_gateway = await _start_remote_gateway(bench)
+            async with gateway_bench.TcpProxy(remote_gateway.peers) as proxy:
+                bench.store.put(
+                    'chivepond-gateways',
+                    'gate-2',
+                    {'address': str(proxy.address), 'data_centre': 'hub'},
+                )
+                local_gateway = await _start_local_gateway(bench)
+                caller = await bench.caller(local_gateway.client_address)
+                proxy.delay_request(b'slow-search', 0.7)
+                raw = gateway_bench.request(
+                    'GET', '/search/x', request_id='slow-search'
+                )
+                reply = gateway_bench.reply_of(await caller.send(raw))
+                assert reply.status == 200
+                await asyncio.sleep(0.5)
+                requests = [len(one.got) for one in searchers.values()]
+                assert requests == [1, 1, 1, 1]
+
+    support.run(scenario())
+
+
 def test_response_without_a_group_keeps_its_connection():
     """Guards against every second search being late while a shard is silent.
 
