The soak names the budget by the requests of clients as well

Change: the soak records what clients send, and the row gives the allowance by both counts. The check and its bound stay as they are.

--- a/chivepond/soak/gateway_checks.py
+++ b/chivepond/soak/gateway_checks.py
@@ -157,34 +157,16 @@
         First sends are counted in this window and in windows that begin half
         and one window earlier; the greatest count applies.
         """
-        sent_ids: set[bytes] = set()
-        first_send_times: list[float] = []
-        repeat_send_times: list[float] = []
-        for arrival in arrivals:
-            (
-                repeat_send_times
-                if arrival.request_id in sent_ids
-                else first_send_times
-            ).append(arrival.at)
-            sent_ids.add(arrival.request_id)
+        first_send_times, repeat_send_times = _split_sends(arrivals)
+        request_times = self._ledger.request_times_by_service[service]
         for start in repeat_send_times:
             repeat_count = _count_in_window(repeat_send_times, start)
-            allowed = (
-                gateway_process.SECOND_SEND_BURST
-                + _SECOND_SEND_SHARE
-                * max(
-                    _count_in_window(first_send_times, start),
-                    _count_in_window(
-                        first_send_times, start - _BUDGET_WINDOW_S / 2
-                    ),
-                    _count_in_window(
-                        first_send_times, start - _BUDGET_WINDOW_S
-                    ),
-                )
-            )
+            allowed = _allowed_repeats(first_send_times, start)
             if repeat_count > allowed:
+                by_requests = _allowed_repeats(request_times, start)
                 observed = (
-                    f'{service}: {repeat_count} sent, allowed {allowed:.0f}'
+                    f'{service}: {repeat_count} sent, allowed {allowed:.0f}, '
+                    f'or {by_requests:.0f} by the requests of clients'
                 )
                 self.add_violation(
                     'second sends stay within the budget', observed
@@ -218,6 +200,32 @@
     return bisect.bisect_left(times, start + _BUDGET_WINDOW_S) - first
 
 
+def _split_sends(
+    arrivals: list[searcher_ledger.Arrival],
+) -> tuple[list[float], list[float]]:
+    """Return the times of the first sends, and those of the repeated ones."""
+    sent_ids: set[bytes] = set()
+    first_send_times: list[float] = []
+    repeat_send_times: list[float] = []
+    for arrival in arrivals:
+        is_repeat = arrival.request_id in sent_ids
+        times = repeat_send_times if is_repeat else first_send_times
+        times.append(arrival.at)
+        sent_ids.add(arrival.request_id)
+    return first_send_times, repeat_send_times
+
+
+def _allowed_repeats(times: list[float], start: float) -> float:
+    """Return the budget of a window in which requests came at ``times``."""
+    window_starts = (
+        start,
+        start - _BUDGET_WINDOW_S / 2,
+        start - _BUDGET_WINDOW_S,
+    )
+    requests = max(_count_in_window(times, begin) for begin in window_starts)
+    return gateway_process.SECOND_SEND_BURST + _SECOND_SEND_SHARE * requests
+
+
 def _top_records(shards: list[str], request_id: bytes) -> bytes:
     candidates = [
         record
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -210,6 +210,9 @@
         request_id = b'r%d' % next(self._id_numbers)
         shards = self._shards
         serving = process.process
+        self._ledger.record_client_request(
+            {'search': shards, 'stamp': (_STAMPS,), 'read': (_READS,)}[kind]
+        )
         call_outcome = await gateway_calls.send_request(
             connection, kind, request_id
         )
--- a/chivepond/soak/searcher_ledger.py
+++ b/chivepond/soak/searcher_ledger.py
@@ -6,6 +6,7 @@
 import hashlib
 import random
 import time
+from collections.abc import Iterable
 
 from chivepond.platform import headers
 from chivepond.standins import scripted_searcher
@@ -70,6 +71,7 @@
         'arrivals_after_drain',
         'draining_at_by_searcher_id',
         'behaviour_by_searcher_id',
+        'request_times_by_service',
         'runs',
     )
 
@@ -95,6 +97,17 @@
             collections.defaultdict(list)
         )
 
+        #: When clients sent the requests for each service, whether or not they
+        #: reached a searcher.
+        self.request_times_by_service: dict[str, list[float]] = (
+            collections.defaultdict(list)
+        )
+
+    def record_client_request(self, services: Iterable[str]) -> None:
+        """Record that a client sends a request for ``services``."""
+        for service in services:
+            self.request_times_by_service[service].append(time.monotonic())
+
     def reply_script(
         self,
         searcher_id: str,
