The soak sends one SIGTERM to a stopping gateway

Cause: the soak stopped a gateway that was stopping. docs/OPERATORS.md says that a second SIGTERM ends a process at once, with an error status; the platform sends one and then SIGKILL.

Change: a gateway that stops is not stopped again; other gateways are, and kills still come.

--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -354,10 +354,11 @@
 
     async def _stop_gateway(self) -> None:
         process = self._random.choice(self.processes)
-        if not process.is_running:
+        stopping = process.process
+        # A second SIGTERM ends a planned stop at once, by request.
+        if not process.is_running or stopping in self._stopping:
             return
         self._mark_fault()
-        stopping = process.process
         self._stopping.add(stopping)
         await process.restart(signal.SIGTERM)
         self._stopping.discard(stopping)
