--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -112,6 +112,7 @@
         attempt = next(_attempt_ids)
         if not request.is_long_poll:
             self.health.sent(attempt, loop.time())
+        # Other requests end by their client's deadline, also after a stall.
         time_limit = (
             stall_timeout.StallTimeout(deadline)
             if request.is_long_poll
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -33,6 +33,8 @@
         # A planned stop once reset connections that were opened while the
         # gateway's host was paused.
         (5011, 4, 8),
+        # Shards of a search once reached a third searcher after a pause.
+        (301, 4, 12),
     ],
 )
 def test_gateways_keep_guarantees_under_external_faults(
