--- a/chivepond/gateway/delegated_shards.py
+++ b/chivepond/gateway/delegated_shards.py
@@ -28,6 +28,13 @@
 
     def start(self, shards: Iterable[str]) -> None:
         """Start requests for ``shards``, directly or through other gateways."""
+        self._start(shards, is_moved=False)
+
+    def start_moved(self, shards: Iterable[str]) -> None:
+        """Start requests that another gateway reported as not sent."""
+        self._start(shards, is_moved=True)
+
+    def _start(self, shards: Iterable[str], *, is_moved: bool) -> None:
         shares = self._context.request_context.searchers.shares
         direct_shards: list[str] = []
         shards_by_holders: dict[upstream_share.Holders, list[str]] = {}
@@ -37,7 +44,9 @@
             else:
                 holders = shares.holders(shard)
                 shards_by_holders.setdefault(holders, []).append(shard)
-        self._requests.start_direct(direct_shards, self._context.search)
+        self._requests.start_direct(
+            direct_shards, self._context.search, is_moved=is_moved
+        )
         for holders, delegated in shards_by_holders.items():
             self._delegate(holders, delegated)
 
@@ -58,6 +67,10 @@
         self._tried_gateways.add(channel.end.name)
         self._requests.start_group(
             group_request.GroupRequest(
-                self._context, channel, shards, self._requests, self.start
+                self._context,
+                channel,
+                shards,
+                self._requests,
+                self.start_moved,
             ),
         )
--- a/chivepond/gateway/scatter_gather.py
+++ b/chivepond/gateway/scatter_gather.py
@@ -123,14 +123,12 @@
         search_plan: gather_plan.GatherPlan,
         requests: shard_requests.ShardRequests,
     ) -> None:
-        start_shards = delegated_shards.DelegatedShards(
-            self._context, requests
-        ).start
-        start_shards(search_plan.direct)
+        delegated = delegated_shards.DelegatedShards(self._context, requests)
+        delegated.start(search_plan.direct)
         for data_centre, shards in search_plan.shards_by_data_centre.items():
             channel = self._context.others.choose_aggregator(data_centre)
             if channel is None:
-                start_shards(shards)
+                delegated.start(shards)
             else:
                 requests.start_group(
                     group_request.GroupRequest(
@@ -138,7 +136,7 @@
                         channel,
                         shards,
                         requests,
-                        start_shards,
+                        delegated.start_moved,
                     ),
                 )
 
--- a/chivepond/gateway/shard_requests.py
+++ b/chivepond/gateway/shard_requests.py
@@ -121,16 +121,23 @@
         self,
         shards: Iterable[str],
         search: searches.Search,
+        *,
+        is_moved: bool,
     ) -> None:
-        """Start requests for ``shards`` from this gateway."""
+        """Start requests for ``shards`` from this gateway.
+
+        ``is_moved`` tells that another gateway reported them as not sent.
+        """
         times = upstream_request.Times(search.answer_at, search.deadline)
-        self.start(shards, search.request, times)
+        self.start(shards, search.request, times, is_moved=is_moved)
 
     def start(
         self,
         shards: Iterable[str],
         request: forwarded_request.ForwardedRequest,
         times: upstream_request.Times,
+        *,
+        is_moved: bool = False,
     ) -> None:
         """Start requests for ``shards``; shed ones become fallbacks."""
         requested_shards = list(shards)
@@ -138,12 +145,15 @@
         self.shard_results.shed |= shed
         if shed:
             self.add_fallback(
-                functools.partial(self._start_shed, shed, request, times),
+                functools.partial(
+                    self._start_shed, shed, request, times, is_moved=is_moved
+                ),
             )
         self._start_requests(
             [shard for shard in requested_shards if shard not in shed],
             request,
             times,
+            is_moved=is_moved,
         )
 
     def start_fallbacks(self) -> None:
@@ -215,15 +225,19 @@
         shards: frozenset[str],
         request: forwarded_request.ForwardedRequest,
         times: upstream_request.Times,
+        *,
+        is_moved: bool,
     ) -> None:
         self.shard_results.shed -= shards
-        self._start_requests(shards, request, times)
+        self._start_requests(shards, request, times, is_moved=is_moved)
 
     def _start_requests(
         self,
         shards: Iterable[str],
         request: forwarded_request.ForwardedRequest,
         times: upstream_request.Times,
+        *,
+        is_moved: bool,
     ) -> None:
         for shard in shards:
             upstream = upstream_request.UpstreamRequest(
@@ -232,6 +246,7 @@
                 self._route,
                 self._context,
                 self._trace,
+                is_moved=is_moved,
             )
             self._requests.append(upstream)
             task = asyncio.create_task(self._run_request(upstream, times))
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -21,6 +21,7 @@
     routing_table,
     searcher_selection,
     searchers,
+    send_counts,
     telemetry,
 )
 from chivepond.platform import headers
@@ -45,6 +46,11 @@
     admission: search_admission.SearchAdmission
     switches: switches.Switches
     crash_watch: crash_watch.CrashWatch
+    sends: send_counts.SendCounts = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Count the sends in the same telemetry."""
+        self.sends = send_counts.SendCounts(self.telemetry)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -81,6 +87,7 @@
 
     __slots__ = (
         '_delivered_attempts',
+        '_first_kind',
         '_hedge_at',
         '_keeps_attempts_running',
         '_may_have_run',
@@ -105,8 +112,18 @@
         route: routing_table.Route,
         context: RequestContext,
         trace: request_trace.RequestTrace,
+        *,
+        is_moved: bool = False,
     ) -> None:
-        """Prepare the request; ``run`` sends it."""
+        """Prepare the request; ``run`` sends it.
+
+        ``is_moved`` tells that another gateway reported it as not sent.
+        """
+        self._first_kind = (
+            send_counts.SendKind.MOVED
+            if is_moved
+            else send_counts.SendKind.FIRST
+        )
         self._trace = trace
         self.service = service
         self._request = request
@@ -146,7 +163,7 @@
                 left_s,
                 self._context.switches,
             )
-        self._send()
+        self._send(self._first_kind)
         try:
             reply = await self._first_accepted()
         except asyncio.CancelledError:
@@ -242,7 +259,7 @@
         match exchange_outcome:
             case outcome.NotSent():
                 if self._unsent_attempts < _MAX_UNSENT_ATTEMPTS:
-                    self._send()
+                    self._send(send_counts.SendKind.REPLACED)
             case _:
                 if self._route.is_idempotent or not self._may_have_run:
                     self._send_additional()
@@ -277,17 +294,18 @@
             return
         if self._context.budgets.spend(self.service):
             self._context.telemetry.count('second_sends', 'sent')
-            self._send()
+            self._send(send_counts.SendKind.HEDGED)
         else:
             self._context.telemetry.count('second_sends', 'over budget')
             self._trace.note(
                 f'{self.service}: not sent again, budget exhausted'
             )
 
-    def _send(self) -> None:
+    def _send(self, kind: send_counts.SendKind) -> None:
         channel = self._choose()
         if channel is None:
             return
+        self._context.sends.add(self.service, kind)
         self._tried.add(channel.end.name)
         self._sends += 1
         self._trace.send(
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -302,6 +302,12 @@
     'peer entry removed',
     'The entry of a gateway that no longer replies was deleted from the store.',
 )
+SENDS_BY_SERVICE = event.Event(
+    6036,
+    'INFO',
+    'requests sent more than once',
+    'The sends to each service since the last such line, by their reason.',
+)
 REQUEST_ANSWERED = event.Event(
     6100,
     'INFO',
--- a/chivepond/tests/test_gateway_logs.py
+++ b/chivepond/tests/test_gateway_logs.py
@@ -145,6 +145,38 @@
     _log_lines(scenario)
 
 
+def test_sends_by_service_and_reason_are_logged_and_counted():
+    """Guards against extra load on a service that no figure explains."""
+    pages = []
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _refuse)
+            await bench.searcher('s-2', 'desk', _refuse)
+            bench.configure(
+                1,
+                gateway_bench.route('r', '/r/', service='desk'),
+            )
+            gateway = await bench.ready_gateway()
+            caller = await bench.caller(gateway.client_address)
+            await caller.get('/r/', request_id='refused')
+            metrics = await bench.caller(gateway.metrics)
+            reply = await metrics.send(gateway_bench.request('GET', '/metrics'))
+            pages.append(reply.body.decode())
+            await asyncio.sleep(1.1)
+
+    lines = [
+        line
+        for line in _log_lines(scenario)
+        if line['event'] == events.SENDS_BY_SERVICE.number
+    ]
+    assert [line['by_service'] for line in lines] == [
+        {'desk': {'first_sends': 1, 'hedged_sends': 1}},
+    ]
+    assert 'chivepond_gateway_first_sends_total{of="desk"} 1' in pages[0]
+    assert 'chivepond_gateway_hedged_sends_total{of="desk"} 1' in pages[0]
+
+
 def test_a_blocked_log_reader_does_not_block_requests():
     """Guards against a gateway that stops answering when its log pipe is full.
 
