--- a/chivepond/decisions/sync_source.py
+++ b/chivepond/decisions/sync_source.py
@@ -51,9 +51,10 @@
 _OTHER_READERS_RETRY_S = 2.4
 #: Spreads the calls of gateways that failed at the same moment.
 JITTER = (0.7, 1.3)
-#: Watch call for other gateways, in seconds; at most as long as the store
-#: waits.
-_GATEWAYS_WATCH_S = 12.0
+#: Watch calls for other gateways and for kinds whose updates may be late, in
+#: seconds; at most as long as the store waits.
+_GATEWAYS_WATCH_S = 2.0
+_UNBOUNDED_WATCH_S = 12.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -104,18 +105,23 @@
     maximum age, ``is_known`` that the gateway has content.
     """
     is_urgent = is_age_bounded or not is_known
-    return _OTHER_READERS_RETRY_S if is_urgent else _GATEWAYS_WATCH_S
+    return _OTHER_READERS_RETRY_S if is_urgent else _UNBOUNDED_WATCH_S
 
 
 def gateways_watch_s(members: int) -> float:
     """Return how long a watch for other gateways waits, in seconds.
 
-    These updates may be late: a new gateway only starts to help a little
-    later, and a gateway that is gone is noticed by its first failed exchange.
+    A reply shows that the list is current. Gateways whose list is old use no
+    part of a burst (``burst_share``).
     """
     return _UNFOLLOWED_WATCH_S if members < 2 else _GATEWAYS_WATCH_S
 
 
+def unbounded_watch_s(members: int) -> float:
+    """Return how long a watch for updates waits that may be late."""
+    return _UNFOLLOWED_WATCH_S if members < 2 else _UNBOUNDED_WATCH_S
+
+
 def source_age_s(bound_s: float) -> float:
     """Return the maximum content age of a reading gateway, in seconds."""
     return _SOURCE_AGE_PART * bound_s
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -105,7 +105,6 @@
         budgets=hedge_budgets.HedgeBudgets(
             derived_settings.budget_limits(settings),
             searcher_registry.shares,
-            is_first_start=settings.is_first_start,
         ),
         late_responses=late_responses.LateResponses(),
         telemetry=gateway_telemetry,
@@ -126,7 +125,6 @@
         on_update,
         mechanism_switches,
     )
-    replicas_changed = asyncio.Event()
     return Components(
         telemetry=gateway_telemetry,
         peer_gateways=peer_gateways,
@@ -134,17 +132,7 @@
         context=context,
         router=router,
         store_updates=updates,
-        sync=sync_service.SyncService(
-            store_replicas.make_replicas(
-                updates,
-                peer_gateways,
-                context.crash_watch.table,
-                replicas_changed,
-            ),
-            replicas_changed,
-            settings.node_id,
-            settings.update_bound_s,
-        ),
+        sync=_build_sync(settings, updates, peer_gateways, context),
         exit_stack=contextlib.ExitStack(),
     )
 
@@ -160,11 +148,13 @@
     other gateways reach this one.
     """
     store = address.parse(settings.store).unwrap()
+    components.peer_gateways.own_address = str(own_address)
     registry = gateway_registration.GatewayRegistration(
         settings.node_id,
         derived_settings.own_entry(settings, own_address),
         store,
         components.sync.replica_by_kind[store_calls.GATEWAY_KIND],
+        settings.entry_settle_s,
         is_first_start=settings.is_first_start,
     )
     sync = store_sync.StoreSync(
@@ -191,6 +181,28 @@
     ]
 
 
+def _build_sync(
+    settings: gateway_settings.GatewaySettings,
+    updates: store_updates.StoreUpdates,
+    peer_gateways: peers.Peers,
+    context: upstream_request.RequestContext,
+) -> sync_service.SyncService:
+    replicas_changed = asyncio.Event()
+    replica_by_kind = store_replicas.make_replicas(
+        updates, peer_gateways, context.crash_watch.table, replicas_changed
+    )
+    context.searchers.shares.lists = (
+        replica_by_kind[store_calls.GATEWAY_KIND],
+        replica_by_kind[store_calls.SEARCHERS],
+    )
+    return sync_service.SyncService(
+        replica_by_kind,
+        replicas_changed,
+        settings.node_id,
+        settings.update_bound_s,
+    )
+
+
 def _build_sweeper(
     components: Components,
     store: address.Address,
--- a/chivepond/gateway/gateway_counts.py
+++ b/chivepond/gateway/gateway_counts.py
@@ -44,6 +44,11 @@
         """The number of registered gateways, including this one."""
         return self._peers.gateways
 
+    @property
+    def has_burst_part(self) -> bool:
+        """Whether this gateway may use a part of the bursts of hedges."""
+        return self._searchers.shares.burst_grant('').part > 0
+
     def connections_to(self, service: str) -> int:
         """Return the connection limit per searcher of a service."""
         return self._searchers.shares.connections(service)
--- a/chivepond/gateway/gateway_registration.py
+++ b/chivepond/gateway/gateway_registration.py
@@ -39,6 +39,8 @@
         '_gateway_replica',
         '_entry',
         '_node_id',
+        '_settle_s',
+        '_unsettled_since',
         '_written_revision',
         'is_first_start',
         'registered',
@@ -50,10 +52,18 @@
         entry: gateway_entry.GatewayEntry,
         store: address.Address,
         gateway_replica: replica.Replica,
+        settle_s: float,
         *,
         is_first_start: bool,
     ) -> None:
-        """Write ``entry`` for ``node_id`` if the replica lacks it."""
+        """Write ``entry`` for ``node_id`` if the replica lacks it.
+
+        A new entry is settled after ``settle_s`` seconds.
+        """
+        self._settle_s = settle_s
+        #: When this process first knew that its entry is in the store, in
+        #: seconds on the loop's clock; none once the entry is settled.
+        self._unsettled_since: float | None = None
         self._node_id = node_id
         self._entry = entry
         self._gateway_replica = gateway_replica
@@ -79,6 +89,7 @@
                 if self._is_registered() or await self._register():
                     self.registered.set()
                     retry_s = _FIRST_RETRY_S
+                    await self._settle()
                     await asyncio.sleep(_ENTRY_CHECK_S)
                 else:
                     await asyncio.sleep(retry_s * random.uniform(*_JITTER))
@@ -96,7 +107,7 @@
         stored = self._gateway_replica.find(self._node_id)
         entry = stored and _decode_entry(stored)
         if self._written_revision is None:
-            return entry == self._entry
+            return entry is not None and self._adopt(entry)
         if self._gateway_replica.as_of < self._written_revision:
             return True
         # An entry with another address belongs to a process that started later
@@ -104,7 +115,40 @@
         # other's entry forever.
         return entry is not None and not entry.suspected_by
 
+    def _adopt(self, entry: gateway_entry.GatewayEntry) -> bool:
+        """Return whether an entry is this gateway's; take over its state."""
+        settled = msgspec.structs.replace(self._entry, is_settled=True)
+        if entry == settled:
+            self._entry = settled
+            self._unsettled_since = None
+            return True
+        if entry == self._entry and self._unsettled_since is None:
+            self._unsettled_since = asyncio.get_running_loop().time()
+        return entry == self._entry
+
+    async def _settle(self) -> None:
+        """Mark the entry as settled, once it has been listed long enough."""
+        if self._unsettled_since is None:
+            return
+        listed_s = asyncio.get_running_loop().time() - self._unsettled_since
+        stored = self._gateway_replica.find(self._node_id)
+        if listed_s < self._settle_s or stored is None:
+            return
+        if _decode_entry(stored) != self._entry:
+            return
+        settled = msgspec.structs.replace(self._entry, is_settled=True)
+        body = store_calls.object_body(
+            self._node_id, settled, stored.meta.revision
+        )
+        if await self._replace(body):
+            self._entry = settled
+            self._unsettled_since = None
+
     async def _register(self) -> bool:
+        self._entry = msgspec.structs.replace(
+            self._entry, is_settled=not self._settle_s
+        )
+        self._unsettled_since = None
         body = store_calls.object_body(self._node_id, self._entry)
         path = store_calls.kind_path(store_calls.GATEWAY_KIND)
         match await self._client.post(path, body, _CALL_TIMEOUT_S):
@@ -133,13 +177,16 @@
 
     def _is_own_entry(self, body: bytes) -> bool:
         stored = _decode_object(body)
-        if stored is None or _decode_entry(stored) != self._entry:
+        entry = stored and _decode_entry(stored)
+        if entry is None or not self._adopt(entry):
             return False
         return self._record_write(body)
 
     def _record_write(self, body: bytes) -> bool:
         stored = _decode_object(body)
         self._written_revision = stored.meta.revision if stored else 0
+        if not self._entry.is_settled and self._unsettled_since is None:
+            self._unsettled_since = asyncio.get_running_loop().time()
         return True
 
 
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -123,6 +123,8 @@
             after = page.items[-1].meta.name
 
     def _update_confirmed(self, started_at: float, *, is_new: bool) -> None:
+        if is_new:
+            self._replica.verify(started_at)
         self._is_confirmed = is_new or not self._replica.is_age_bounded
         if self._is_confirmed:
             self._replica.confirm(started_at)
@@ -131,6 +133,7 @@
         await self._watch_allowed.wait()
         while True:
             wait_s = self._watch_s() if self._is_confirmed else _FIRST_WATCH_S
+            started_at = asyncio.get_running_loop().time()
             changes = await self._read(
                 store_calls.watch_path(
                     self._kind,
@@ -146,6 +149,7 @@
             revision = changes.as_of
             self._replica.apply_changes(changes.events, revision)
             self._replica.confirm(asyncio.get_running_loop().time())
+            self._replica.verify(started_at)
             await asyncio.sleep(_WATCH_PAUSE_S)
 
     async def _read(
@@ -185,7 +189,10 @@
             )
         await self._store_retry.wait_to_retry(
             self._kind,
-            is_age_bounded=self._replica.is_age_bounded,
+            is_age_bounded=(
+                self._replica.is_age_bounded
+                or self._kind == store_calls.GATEWAY_KIND
+            ),
             has_content=bool(self._replica.as_of),
             is_fresh=self._is_fresh(),
         )
--- a/chivepond/gateway/peer_list.py
+++ b/chivepond/gateway/peer_list.py
@@ -27,6 +27,8 @@
                 self._peers.remove(node_id)
         for stored in stored_objects:
             self._put(stored)
+        if self._peers.own_id not in node_ids:
+            self._peers.set_own_entry(None)
         # A list without this gateway is older than its registration, and may
         # lack other gateways that share the connection limits of upstreams.
         if self._peers.own_id in node_ids:
@@ -36,30 +38,43 @@
         """Apply one change from the store."""
         if change.deleted:
             self._peers.remove(change.object.meta.name)
+            if change.object.meta.name == self._peers.own_id:
+                self._peers.set_own_entry(None)
             return
         self._put(change.object)
         if change.object.meta.name == self._peers.own_id:
             self._peers.mark_listed()
 
     def _put(self, stored: store_calls.StoredObject) -> None:
-        record = _record(stored)
+        entry = _entry(stored)
+        if stored.meta.name == self._peers.own_id:
+            self._peers.set_own_entry(entry)
+            return
+        record = entry and _record(stored.meta.name, entry)
         if record is not None:
             self._peers.put(record)
 
 
-def _record(stored: store_calls.StoredObject) -> peer_record.PeerRecord | None:
+def _entry(
+    stored: store_calls.StoredObject,
+) -> gateway_entry.GatewayEntry | None:
     try:
-        entry = msgspec.json.decode(
+        return msgspec.json.decode(
             stored.spec,
             type=gateway_entry.GatewayEntry,
         )
     except msgspec.DecodeError:
         return None
+
+
+def _record(
+    node_id: str, entry: gateway_entry.GatewayEntry
+) -> peer_record.PeerRecord | None:
     parsed_address = address.parse(entry.address)
     if parsed_address.is_err():
         return None
     return peer_record.PeerRecord(
-        stored.meta.name,
+        node_id,
         parsed_address.unwrap(),
         entry.data_centre,
         entry.link_mbps,
--- a/chivepond/gateway/peer_updates.py
+++ b/chivepond/gateway/peer_updates.py
@@ -15,6 +15,7 @@
     update_packing,
 )
 from chivepond.observe import events
+from chivepond.platform import store_calls
 from chivepond.wire import sync_message
 
 #: Time that a reply may take beyond the requested wait, in seconds.
@@ -51,8 +52,10 @@
         ),
     )
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + wait_s + _REPLY_GRACE_S
-    reply = _decode_reply(await channel.send(message, deadline))
+    sent_at = loop.time()
+    reply = _decode_reply(
+        await channel.send(message, sent_at + wait_s + _REPLY_GRACE_S)
+    )
     if reply is None:
         gateway_telemetry.count('news', 'failed')
         return None
@@ -66,6 +69,8 @@
         # the history since then.
         kind_replica.apply_changes([], reply.as_of_by_kind.get(kind, 0))
         kind_replica.confirm(loop.time() - reply.age_s)
+        if kind in store_calls.LISTS:
+            kind_replica.verify(sent_at - reply.list_age_s)
     return reply
 
 
@@ -109,4 +114,5 @@
         reply.age_s,
         reply.origin,
         reply.as_of_by_kind,
+        reply.list_age_s,
     )
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -1,11 +1,13 @@
 """The other gateways: their addresses, channels and health."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Iterable, Iterator
 
 from chivepond.decisions import (
     aggregator_selection,
+    burst_share,
     round_trip,
     switches,
     sync_source,
@@ -24,6 +26,7 @@
 from chivepond.observe import events
 from chivepond.settings import mechanism
 from chivepond.transport import address
+from chivepond.wire import gateway_entry
 
 #: The most connections to one gateway; each carries one gather at a time.
 _MAX_CONNECTIONS = 8
@@ -52,14 +55,17 @@
         '_is_listed',
         '_channel_by_id',
         '_link_mbps',
+        '_listed',
         '_own_data_centre',
         '_record_by_id',
         '_round_trip_by_id',
         '_seed_channels',
+        '_settled_since',
         '_shares',
         '_switches',
         '_telemetry',
         'is_seed',
+        'own_address',
         'own_id',
     )
 
@@ -79,6 +85,12 @@
         self._own_data_centre = own_record.data_centre
         self._switches = mechanism_switches
         self._is_listed = False
+        #: The address that this gateway is registered with.
+        self.own_address = str(own_record.address)
+        #: Since when the listed entry of this gateway has been settled, in
+        #: seconds on the loop's clock; none while it is not.
+        self._settled_since: float | None = None
+        self._listed: burst_share.Listed | None = None
         self._link_mbps = own_record.link_mbps
         self._telemetry = gateway_telemetry
         self._health_log = health_log.of_peers(gateway_telemetry)
@@ -132,6 +144,46 @@
             )
         return self._shares
 
+    def set_own_entry(self, entry: gateway_entry.GatewayEntry | None) -> None:
+        """Set the entry of this gateway in the list; none if it lacks one."""
+        # Another entry belongs to an earlier process, or to one that runs under
+        # the same identifier.
+        settled = gateway_entry.GatewayEntry(
+            self.own_address,
+            self._own_data_centre,
+            self._link_mbps,
+            is_settled=True,
+        )
+        if entry != settled:
+            self._settled_since = None
+        elif self._settled_since is None:
+            self._settled_since = asyncio.get_running_loop().time()
+
+    @property
+    def settled_since(self) -> float | None:
+        """Since when the listed entry of this gateway has been settled.
+
+        In seconds on the loop's clock; none while it is not.
+        """
+        return self._settled_since
+
+    @property
+    def listed(self) -> burst_share.Listed:
+        """The listed gateways, as a burst is divided among them."""
+        if self._listed is None:
+            weights: dict[str, float] = collections.defaultdict(float)
+            weights[self._own_data_centre] = burst_share.link_weight(
+                self._link_mbps
+            )
+            for record in self._record_by_id.values():
+                weights[record.data_centre] += burst_share.link_weight(
+                    record.link_mbps
+                )
+            self._listed = burst_share.Listed(
+                self._link_mbps, self._own_data_centre, weights
+            )
+        return self._listed
+
     def mark_listed(self) -> None:
         """Record that the store's list of gateways has been read."""
         self._is_listed = True
@@ -147,6 +199,7 @@
             return
         self.remove(node_id)
         self._shares = None
+        self._listed = None
         self._record_by_id[node_id] = record
         self._channel_by_id[node_id] = self._channel(record)
         self._telemetry.emit(
@@ -159,6 +212,7 @@
         """Remove a gateway and close its channel."""
         if self._record_by_id.pop(node_id, None) is not None:
             self._shares = None
+            self._listed = None
             self._round_trip_by_id.pop(node_id, None)
             self._channel_by_id.pop(node_id).close()
             self._telemetry.emit(events.PEER_GONE, peer=node_id)
--- a/chivepond/gateway/replica.py
+++ b/chivepond/gateway/replica.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Callable, Iterator
 
+from chivepond.decisions import burst_share, list_age
 from chivepond.platform import store_calls
 from chivepond.wire import sync_message
 
@@ -36,6 +37,7 @@
         'changed',
         'confirmed_at',
         'is_age_bounded',
+        'list_age',
     )
 
     def __init__(
@@ -57,6 +59,9 @@
         #: When the store last confirmed this replica, as time of the event
         #: loop, in seconds.
         self.confirmed_at: float = 0
+        #: Unlike ``confirmed_at`` it allows for replies that were long on their
+        #: way.
+        self.list_age = list_age.ListAge(burst_share.MAX_LIST_AGE_S)
         self._history_start = 0
         self._stored_by_name: dict[str, store_calls.StoredObject] = {}
         self._deleted_at_by_name: dict[str, int] = {}
@@ -67,6 +72,11 @@
             self.confirmed_at = confirmed_at
             self.changed.set()
 
+    def verify(self, verified_at: float) -> None:
+        """Record that a read began at this loop time and is applied."""
+        now = asyncio.get_running_loop().time()
+        self.list_age.verify(verified_at, now)
+
     def apply_list(
         self,
         stored_objects: list[store_calls.StoredObject],
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -69,7 +69,9 @@
         self._id_by_address: dict[address.Address, str] = {}
         #: Searcher processes at whose address another searcher replied.
         self._misdirected: set[tuple[str, int]] = set()
-        self.shares = upstream_shares.UpstreamShares(peer_gateways)
+        self.shares = upstream_shares.UpstreamShares(
+            peer_gateways, mechanism_switches
+        )
         self._switches = mechanism_switches
         self._candidates_by_service: dict[str, _Candidates] = {}
         self._usual_latency_by_service: dict[
--- a/chivepond/gateway/store_sync.py
+++ b/chivepond/gateway/store_sync.py
@@ -197,9 +197,12 @@
         await asyncio.sleep(pause_s)
 
     def _watch_s(self, kind: str) -> float:
-        if not self._replica_by_kind[kind].is_age_bounded:
-            return sync_source.gateways_watch_s(self._peer_gateways.gateways)
-        return sync_source.watch_s(self._bound_s, self._peer_gateways.gateways)
+        members = self._peer_gateways.gateways
+        if kind == store_calls.GATEWAY_KIND:
+            return sync_source.gateways_watch_s(members)
+        if self._replica_by_kind[kind].is_age_bounded:
+            return sync_source.watch_s(self._bound_s, members)
+        return sync_source.unbounded_watch_s(members)
 
     def _max_age_s(self) -> float:
         return sync_source.follower_age_s(
--- a/chivepond/gateway/store_updates.py
+++ b/chivepond/gateway/store_updates.py
@@ -1,6 +1,7 @@
 """Applies the store's updates of routes and searchers."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterable
 
 import result
 
@@ -9,6 +10,7 @@
     closeable,
     request_router,
     routing_table,
+    searcher_record,
     searchers,
     telemetry,
     version_queue,
@@ -76,6 +78,8 @@
                 case failure:
                     self._log_refused_entry(stored, str(failure.unwrap_err()))
         self._searchers.replace(records)
+        self._locate(records.values())
+        self._searchers.shares.locations.retain(set(records), _now())
         self._has_searcher_list = True
         self._versions.recheck()
         self._on_update()
@@ -84,17 +88,18 @@
         """Add, replace or remove one searcher."""
         name = change.object.meta.name
         if change.deleted:
-            self._searchers.deregister(name)
+            self._remove(name)
             return
         match searcher_codec.decode(name, change.object.spec):
             case result.Ok(record):
                 self._searchers.put(record)
+                self._locate([record])
                 self._versions.recheck()
             case failure:
                 self._log_refused_entry(
                     change.object, str(failure.unwrap_err())
                 )
-                self._searchers.deregister(name)
+                self._remove(name)
 
     def apply_configurations(
         self,
@@ -111,6 +116,19 @@
         if not change.deleted:
             self._apply_configuration(change.object)
 
+    def _locate(
+        self, records: Iterable[searcher_record.SearcherRecord]
+    ) -> None:
+        locations = self._searchers.shares.locations
+        for record in records:
+            locations.put(
+                record.searcher_id, record.service, record.data_centre, _now()
+            )
+
+    def _remove(self, searcher_id: str) -> None:
+        self._searchers.deregister(searcher_id)
+        self._searchers.shares.locations.remove(searcher_id, _now())
+
     def _apply_configuration(self, stored: store_calls.StoredObject) -> None:
         if stored.meta.name != store_calls.CONFIGURATION_NAME:
             return
@@ -147,3 +165,7 @@
             revision=stored.meta.revision,
             why=reason,
         )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/chivepond/gateway/sync_service.py
+++ b/chivepond/gateway/sync_service.py
@@ -6,6 +6,7 @@
 
 from chivepond.decisions import sync_source
 from chivepond.gateway import replica, update_packing
+from chivepond.platform import store_calls
 from chivepond.wire import sync_message
 
 
@@ -81,6 +82,10 @@
                 kind: kind_replica.as_of
                 for kind, kind_replica in self.replica_by_kind.items()
             },
+            max(
+                now - self.replica_by_kind[kind].list_age.verified_at
+                for kind in store_calls.LISTS
+            ),
         )
 
     def _updates_for(
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -172,6 +172,9 @@
             raise
         self._abandon_running(may_probe=True)
         if reply is None:
+            if not self._delivered_attempts:
+                # Another gateway may send it, and counts it then.
+                self._context.budgets.uncount_request(self.service)
             return UpstreamFailure(
                 self._reason,
                 self._may_have_run,
@@ -293,7 +296,7 @@
             return
         if not self._context.selection.has_other(self.service, self._tried):
             return
-        if self._context.budgets.spend(self.service):
+        if self._context.budgets.spend(self.service, self._times.deadline):
             self._context.telemetry.count('second_sends', 'sent')
             self._send(send_counts.SendKind.HEDGED)
         else:
--- a/chivepond/gateway/upstream_shares.py
+++ b/chivepond/gateway/upstream_shares.py
@@ -1,10 +1,17 @@
 """This gateway's shares of the limits of services and searchers."""
 
+import asyncio
 import types
 from collections.abc import Mapping
 
-from chivepond.decisions import upstream_share
-from chivepond.gateway import peers
+from chivepond.decisions import (
+    burst_share,
+    service_locations,
+    switches,
+    upstream_share,
+)
+from chivepond.gateway import peers, replica
+from chivepond.settings import mechanism
 
 #: The connection limit of a searcher whose service has none configured.
 _DEFAULT_MAX_CONNECTIONS = 10
@@ -17,11 +24,23 @@
         '_data_centres_by_service',
         '_max_connections_by_service',
         '_peers',
+        '_switches',
+        'lists',
+        'locations',
     )
 
-    def __init__(self, peer_gateways: peers.Peers) -> None:
+    def __init__(
+        self,
+        peer_gateways: peers.Peers,
+        mechanism_switches: switches.Switches,
+    ) -> None:
         """Share the limits with ``peer_gateways``."""
         self._peers = peer_gateways
+        self._switches = mechanism_switches
+        #: Data centres of the services, by the entries in the store.
+        self.locations = service_locations.ServiceLocations()
+        #: The replicas of the gateways and of the searchers.
+        self.lists: tuple[replica.Replica, ...] = ()
         self._max_connections_by_service: Mapping[str, int] = (
             types.MappingProxyType({})
         )
@@ -40,14 +59,22 @@
         else:
             self._data_centres_by_service.pop(service, None)
 
-    def hedge_share(self, service: str) -> float:
-        """Return this gateway's share of a service's hedges, from 0 to 1.
-
-        It is zero until the list of gateways has been read.
-        """
-        if not self._peers.is_listed:
-            return 0
-        return self._share(service).part
+    def burst_grant(self, service: str) -> burst_share.BurstGrant:
+        """Return what this gateway may use of a service's burst of hedges."""
+        grant = burst_share.grant(
+            service,
+            self._peers.listed,
+            burst_share.Knowledge(
+                tuple(kind_replica.list_age for kind_replica in self.lists),
+                self.locations,
+                self._peers.settled_since,
+            ),
+            asyncio.get_running_loop().time(),
+        )
+        if self._switches.is_on(mechanism.Mechanism.UNEVEN_BUDGET):
+            return grant
+        part = min(grant.part, 1 / self._peers.gateways)
+        return burst_share.BurstGrant(part, grant.since)
 
     def connections(self, service: str) -> int:
         """Return the limit of connections to each searcher of a service.
--- a/chivepond/platform/store_calls.py
+++ b/chivepond/platform/store_calls.py
@@ -15,6 +15,8 @@
 CRASH_KIND = 'chivepond-crashes'
 #: Kind of searcher registrations.
 SEARCHERS = 'servers'
+#: Kinds by which bursts are divided.
+LISTS = (GATEWAY_KIND, SEARCHERS)
 #: Kind and name of the only object that holds the routing configuration.
 CONFIGURATION = 'config'
 CONFIGURATION_NAME = 'main'
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chivepond.decisions import burst_share
 from chivepond.settings import mechanism, setting_error
 from chivepond.transport import address
 
@@ -30,9 +31,11 @@
     while the store can't be read; each gateway listens for them on ``peers``.
     ``metrics_port`` is opened on the address of ``callers``. New routes must
     take effect within ``routes_bound_ms``, and a searcher's notice that it is
-    leaving within ``leaving_bound_ms``. ``is_first_start`` means that no
-    gateway has run before, so that the full burst of second sends is
-    available at once. ``switched_off`` names the mechanisms to disable; a
+    leaving within ``leaving_bound_ms``. A gateway that was not registered
+    before uses its part of the burst of second sends after
+    ``entry_settle_s``, by when all others know it. ``is_first_start`` means
+    that no gateway has run before, so that no client waits yet.
+    ``switched_off`` names the mechanisms to disable; a
     reload of the settings applies it as well.
     """
 
@@ -54,6 +57,7 @@
     second_send_share: _Share = 0.2
     second_send_burst: float = 10
     second_send_span_s: _Seconds = 10
+    entry_settle_s: _Seconds = burst_share.MAX_LIST_AGE_S
     is_first_start: bool = False
     switched_off: _Mechanisms = msgspec.field(default_factory=list)
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/chivepond/wire/sync_message.py
+++ b/chivepond/wire/sync_message.py
@@ -4,6 +4,8 @@
 run side by side during a rolling update.
 """
 
+import math
+
 import msgspec
 
 
@@ -58,3 +60,6 @@
     origin: str = ''
     #: Store revision up to which the gateway has each kind.
     as_of_by_kind: dict[str, int] = msgspec.field(default_factory=dict)
+    #: Maximum age of the gateway's lists of gateways and searchers, in seconds;
+    #: infinite if it is not known.
+    list_age_s: float = math.inf
