--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -27,6 +27,9 @@
 _CONFLICT = 409
 _UNAVAILABLE = 503
 _MS_PER_S = 1000
+#: How long a request may be delayed in the network, in seconds: TCP sends a
+#: lost packet again for many seconds.
+_UNRECEIVED_S = 60.0
 _MESSAGE_TYPE_BY_PATH: Mapping[bytes, type[msgspec.Struct]] = (
     types.MappingProxyType(
         {
@@ -50,6 +53,7 @@
         '_timings',
         '_sync',
         '_context',
+        '_unreceived_ids',
     )
 
     def __init__(
@@ -71,6 +75,8 @@
         self._is_stopping = is_stopping
         self._timings = hedge_timings.HedgeTimings(lambda: router.table)
         self._pending_by_id: dict[bytes, pending_search.PendingSearch] = {}
+        #: Searches that were reported as never received.
+        self._unreceived_ids: set[bytes] = set()
 
     async def serve(
         self,
@@ -111,6 +117,10 @@
         self,
         message: gather_request.GatherRequest,
     ) -> client_response.ClientResponse:
+        if message.request_id in self._unreceived_ids:
+            return client_response.refusal(
+                _CONFLICT, 'the search was reported as never received'
+            )
         if not self._serves_shards(message.route, message.shards):
             return client_response.refusal(
                 _CONFLICT,
@@ -135,6 +145,8 @@
     ) -> client_response.ClientResponse:
         pending = self._pending_by_id.get(message.request_id)
         if pending is None:
+            if not message.has_reply:
+                self._refuse_later(message.request_id)
             return client_response.refusal(
                 _NOT_FOUND, 'no pending search with this request ID'
             )
@@ -149,6 +161,16 @@
         self._retain(message.request_id, pending, 0)
         return _response(message.request_id, reply)
 
+    def _refuse_later(self, request_id: bytes) -> None:
+        """Refuse a search that may still be on its way.
+
+        The other gateway sends the shards itself.
+        """
+        self._unreceived_ids.add(request_id)
+        asyncio.get_running_loop().call_later(
+            _UNRECEIVED_S, self._unreceived_ids.discard, request_id
+        )
+
     def _retain(
         self,
         request_id: bytes,
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -10,6 +10,7 @@
 from chivepond.gateway import (
     group_request,
     merge,
+    peer_message,
     shard_requests,
     shard_results,
 )
@@ -491,6 +492,49 @@
     support.run(scenario())
 
 
+def test_group_that_was_reported_as_not_received_is_never_run():
+    """Guards against a group that two gateways run after a lost packet.
+
+    The request of the group arrives after the report, and its connection is
+    still open.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            searchers = await _start_remote_searchers(bench)
+            remote_gateway = await _start_remote_gateway(bench)
+            caller = await bench.caller(remote_gateway.peers)
+            repeated = peer_message.remaining_parts_message(
+                b'lost', has_reply=False
+            )
+            reply = gateway_bench.reply_of(
+                await caller.send(repeated.encode('gate-2', 1))
+            )
+            assert reply.status == 404
+            gather = gather_request.GatherRequest(
+                request_id=b'lost',
+                head=b'GET /search/x HTTP/1.1\r\n',
+                body=b'',
+                route='search',
+                shards=list(searchers),
+                least_share=0.5,
+                top_count=2,
+                max_attempts=2,
+                answer_in_s=0.2,
+                left_s=1,
+                target_latency_s=0.2,
+            )
+            due_at = asyncio.get_running_loop().time() + 0.2
+            delayed = peer_message.GatherMessage(gather, due_at)
+            reply = gateway_bench.reply_of(
+                await caller.send(delayed.encode('gate-2', 1))
+            )
+            assert reply.status == 409
+            assert not any(one.got for one in searchers.values())
+
+    support.run(scenario())
+
+
 def test_group_delayed_beyond_its_report_is_not_run():
     """Guards against a third attempt at a shard after a lost packet.
 
