--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -130,9 +130,11 @@
         match exchange_outcome:
             case outcome.Reply(headers=response_headers):
                 self._learn_idle(response_headers.get(b'keep-alive'))
-        if connection.is_open and self._max_connections:
+        is_surplus = len(self._open_connections) > self._max_connections
+        if connection.is_open and not is_surplus:
             self._idle_connections.append(connection)
         else:
+            self._open_connections.discard(connection)
             connection.close()
         self._wake_waiter()
 
