--- a/chivepond/tests/test_hedge_budget_model.py
+++ b/chivepond/tests/test_hedge_budget_model.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from chivepond.decisions import (
@@ -357,6 +358,83 @@
     fleet.want_hedges(is_wanted=True)
 
 
+def _restart_all_again_and_again(fleet: _Fleet) -> None:
+    for _ in range(15):
+        for node_id in range(4):
+            fleet.start(node_id)
+            fleet.sync(node_id)
+        fleet.run(1.5, 40)
+
+
+def _join_while_others_are_cut_off(fleet: _Fleet) -> None:
+    fleet.cut(0, 60)
+    fleet.cut(1, 60)
+    for node_id in range(2, 8):
+        fleet.start(node_id)
+    for _ in range(30):
+        for node_id in range(2, 8):
+            fleet.sync(node_id)
+        fleet.run(1, 400)
+
+
+def _remove_a_gateway_that_is_cut_off(fleet: _Fleet) -> None:
+    fleet.cut(0, 200)
+    fleet.mark(0)
+    for _ in range(40):
+        for node_id in range(4):
+            fleet.sync(node_id)
+        fleet.run(1, 40)
+
+
+def _move_the_service_while_some_lag(fleet: _Fleet) -> None:
+    fleet.move([0])
+    for _ in range(14):
+        for node_id in range(4):
+            fleet.sync(node_id)
+        fleet.run(1, 40)
+    fleet.move([1])
+    for second in range(20):
+        for node_id in range(4):
+            if node_id or second > 7:
+                fleet.sync(node_id)
+        fleet.run(1, 40)
+
+
+def _stall_searchers(fleet: _Fleet) -> None:
+    for _ in range(30):
+        for node_id in range(4):
+            fleet.sync(node_id)
+        fleet.run(1, 40)
+
+
+@pytest.mark.parametrize(
+    ('series', 'gateways', 'margin'),
+    [
+        (_restart_all_again_and_again, 4, _PROMPT),
+        (_join_while_others_are_cut_off, 2, _PROMPT),
+        (_remove_a_gateway_that_is_cut_off, 4, _PROMPT),
+        (_move_the_service_while_some_lag, 4, _PROMPT),
+        (_stall_searchers, 4, _Margin(1, True)),
+    ],
+)
+def test_whole_burst_suffices_in_the_hardest_series(series, gateways, margin):
+    """Guards against parts of a burst that add up where lists differ longest.
+
+    There is no share of the requests, and no margin.
+    """
+    limits = hedge_budget.BudgetLimits(0, 184, _SPAN_S)
+    with mock.patch.multiple(
+        hedge_budget, _USABLE_PART=margin.usable_part, _EARNED_PART=0
+    ):
+        fleet = _Fleet(42, limits, margin.is_late)
+        fleet.link_by_id = dict.fromkeys(range(42), 20)
+        _settle(fleet, gateways)
+        fleet.run(1, 40)
+        series(fleet)
+        assert fleet.arrivals
+        fleet.check()
+
+
 def test_a_settled_fleet_may_use_most_of_its_burst():
     """Guards against a budget that is kept because nothing is ever sent."""
     fleet = _Fleet(12, hedge_budget.BudgetLimits(0.2, 184, _SPAN_S), False)
