--- a/chivepond/soak/fleet_report.py
+++ b/chivepond/soak/fleet_report.py
@@ -50,19 +50,20 @@
     ledger: searcher_ledger.SearcherLedger,
     budget: second_sends.Budget,
     log_folder: pathlib.Path,
-    killed_at: Sequence[float],
+    silenced_at: Sequence[float],
 ) -> list[ServiceReport]:
     """Return a report on each service, from arrivals and logs.
 
-    Requests are not checked for unpaid arrivals if a gateway was killed, at
-    one of the monotonic times ``killed_at``, before it had written its log.
+    Requests are not checked for unpaid arrivals if a gateway was killed or
+    paused, at one of the monotonic times ``silenced_at``, before it had written
+    its log.
     """
     kinds_by_send = _kinds_by_send(log_folder)
     unlogged_ids = {
         arrival.request_id
         for arrivals in ledger.arrivals_by_service.values()
         for arrival in arrivals
-        if _is_unlogged(arrival.at, killed_at)
+        if _is_unlogged(arrival.at, silenced_at)
     }
     return [
         _of_service(service, ledger, budget, kinds_by_send, unlogged_ids)
@@ -105,10 +106,10 @@
     )
 
 
-def _is_unlogged(at: float, killed_at: Sequence[float]) -> bool:
+def _is_unlogged(at: float, silenced_at: Sequence[float]) -> bool:
     return any(
-        killed - _LOG_DELAY_S < at < killed + _LOG_DELAY_S
-        for killed in killed_at
+        silenced - _LOG_DELAY_S < at < silenced + _LOG_DELAY_S
+        for silenced in silenced_at
     )
 
 
--- a/chivepond/soak/fleet_soak.py
+++ b/chivepond/soak/fleet_soak.py
@@ -61,8 +61,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.statuses: collections.Counter[int] = collections.Counter()
         self.restarts = 0
-        #: When gateways were killed, in monotonic seconds.
-        self.killed_at: list[float] = []
+        #: When gateways were killed or paused, in monotonic seconds. Lines of
+        #: the log that they had not written by then may be lost.
+        self.silenced_at: list[float] = []
 
     async def __aenter__(self) -> Self:
         """Start store and searchers, and all gateways at once."""
@@ -129,7 +130,7 @@
     def report(self) -> list[fleet_report.ServiceReport]:
         """Return what was measured of each service."""
         return fleet_report.of_services(
-            self.ledger, self._plan.budget, self._folder, self.killed_at
+            self.ledger, self._plan.budget, self._folder, self.silenced_at
         )
 
     async def _add_searcher(
@@ -242,7 +243,7 @@
                 (signal.SIGKILL, signal.SIGKILL, signal.SIGTERM)
             )
             # A second SIGTERM ends a planned stop at once, like a kill.
-            self.killed_at.append(time.monotonic())
+            self.silenced_at.append(time.monotonic())
             for process in chosen:
                 self._start_task(process.restart(number))
             self.restarts += count
@@ -283,6 +284,7 @@
 
     async def _pause_gateway(self) -> None:
         process = self._random.choice(self.processes)
+        self.silenced_at.append(time.monotonic())
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._random.uniform(*_PAUSE_S))
         process.send_signal(signal.SIGCONT)
