--- a/chivepond/decisions/sync_source.py
+++ b/chivepond/decisions/sync_source.py
@@ -114,7 +114,7 @@
     A reply shows that the list is current. Gateways whose list is old use no
     part of a burst (``burst_share``).
     """
-    return _UNFOLLOWED_WATCH_S if members < 2 else _GATEWAYS_WATCH_S
+    return min(_GATEWAYS_WATCH_S, unbounded_watch_s(members))
 
 
 def unbounded_watch_s(members: int) -> float:
--- a/chivepond/tests/test_gateway_decisions.py
+++ b/chivepond/tests/test_gateway_decisions.py
@@ -152,6 +152,17 @@
     assert detected_s + sync_source.WATCH_GRACE_S < bound_s
 
 
+@hypothesis.given(strategies.integers(1, 600))
+def test_list_of_gateways_stays_recent_enough_for_a_burst(members):
+    """Guards against a gateway that loses its part between two watches.
+
+    A list is as old as the beginning of the watch before the running one.
+    """
+    watch_s = sync_source.gateways_watch_s(members)
+    age_s = 2 * (watch_s + sync_source.WATCH_GRACE_S)
+    assert age_s < burst_share.MAX_LIST_AGE_S
+
+
 @hypothesis.given(
     strategies.floats(0.002, 0.1),
     strategies.floats(0, 0.03),
--- a/chivepond/tests/test_gateway_fleet.py
+++ b/chivepond/tests/test_gateway_fleet.py
@@ -365,3 +365,45 @@
             assert changes.as_of < store.as_of or changes.events
 
     support.run(scenario())
+
+
+def test_new_gateway_has_no_part_of_a_burst_until_all_know_it():
+    """Guards against a burst divided among fewer gateways than there are.
+
+    Its next process finds the entry settled, and has its part at once.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            bench.configure(1, gateway_bench.route('r', '/r/', service='desk'))
+            started_at = asyncio.get_running_loop().time()
+            gateway = await bench.ready_gateway(entry_settle_s=1.2)
+            assert not gateway.counts.has_burst_part
+            entry = bench.store.spec('chivepond-gateways', 'gate-1')
+            assert not entry['is_settled']
+            await gateway_bench.until(lambda: gateway.counts.has_burst_part)
+            assert asyncio.get_running_loop().time() > started_at + 1.2
+            entry = bench.store.spec('chivepond-gateways', 'gate-1')
+            assert entry['is_settled']
+            bench.store.put(
+                'chivepond-gateways',
+                'gate-1',
+                entry | {'suspected_by': 'gate-2'},
+            )
+            await gateway_bench.until(lambda: not gateway.counts.has_burst_part)
+
+    support.run(scenario())
+
+
+def test_another_process_of_the_same_name_has_no_part_of_a_burst():
+    """Guards against two processes that both use the part of one name."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            bench.configure(1, gateway_bench.route('r', '/r/', service='desk'))
+            first = await bench.hedging_gateway()
+            second = await bench.hedging_gateway()
+            assert second.peers != first.peers
+            await gateway_bench.until(lambda: not first.counts.has_burst_part)
+
+    support.run(scenario())
