--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,120 +1,213 @@
-"""A gateway is stopped while requests wait in it for a busy service."""
+"""Some searchers leave; searches then need two groups of one gateway."""
 
 import asyncio
-import signal
+import json
+import pathlib
+import random
+import sys
 
 import client
 import deployment
-import searcher
+import parts
 
 _HOST = 'pass.example'
-_SERVICE = 'refund-office'
-_WORK_S = 0.54
-_REQUESTS_A_SECOND = 30
-_LOAD_S = 10
-_DEADLINE_MS = 8000
-#: Connections that a searcher of this service accepts.
-_MAX_CONNS = 41
+_SHARDS = [f's{number:02d}' for number in range(20)]
+#: Searchers of each shard stand in the first two zones.
+_ZONES = list(deployment.REGION_BY_ZONE)
+_LEAVING_ZONE = _ZONES[1]
+#: 4 of 40 searchers, one of each of these shards.
+_LEAVING_SHARDS = _SHARDS[:4]
+_WORK_S = 0.0075
+_TARGET_MS = 108
+_DEADLINE_MS = 1500
+_TOP = 5
+_LEAST_SHARE = 0.75
+#: Connections that a searcher accepts, of all gateways together.
+_MAX_CONNS = 7
+_SEARCHES_A_SECOND = 120
+_LOAD_S = 60
+_PROCESSES = 4
+_BORN_MS = 1700000000000
 
 
-async def _run(deployed):
-    searchers = [
-        searcher.Searcher(
-            f'i-{number}', _SERVICE, zone, deployed.note, 3, 12, _WORK_S
-        )
-        for number, zone in enumerate(deployment.REGION_BY_ZONE)
-    ]
-    for number, each in enumerate(searchers, start=100):
-        await each.start(f'{deployed.net}.{number}', deployed.store)
-    route = {
-        'name': 'refund-trace',
-        'host': _HOST,
-        'path_prefix': '/refund/',
-        'kind': 'idempotent',
-        'timeout_ms': _DEADLINE_MS,
-        'target_latency_ms': 555,
-        'priority': 2,
-        'service': _SERVICE,
-        'max_attempts': 2,
+def _plan(net):
+    plans = []
+    for shard in _SHARDS:
+        for zone in _ZONES[:2]:
+            plans.append(
+                {
+                    'name': f'i-{shard}-{zone[0]}',
+                    'service': shard,
+                    'zone': zone,
+                    'ip': f'{net}.{100 + len(plans)}',
+                    'work_s': _WORK_S,
+                    'slots': 2,
+                    'queue': 12,
+                    'phase': random.uniform(0, 4.5),
+                }
+            )
+    return plans
+
+
+def _entry(plan, state='ready', sequence=1):
+    return {
+        'service': plan['service'],
+        'address': plan['address'],
+        'zone': plan['zone'],
+        'version': 'v1',
+        'slots': plan['slots'],
+        'state': state,
+        'warmup_left_ms': 0,
+        'sequence': sequence,
+        'born': _BORN_MS,
     }
-    deployed.store.put(
-        'config', 'main', deployment.configuration(7, [route], _MAX_CONNS)
-    )
-    await deployed.start_gateways(list(deployment.REGION_BY_ZONE))
-    await asyncio.sleep(9)
-    return await _stop_under_load(deployed, searchers)
 
 
-async def _stop_under_load(deployed, searchers):
+async def _start_searchers(plans):
+    program = str(pathlib.Path(parts.__file__).resolve())
+    processes = []
+    for number in range(_PROCESSES):
+        own_plans = plans[number::_PROCESSES]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            program,
+            json.dumps(own_plans),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        processes.append(process)
+        addresses = json.loads(await process.stdout.readline())
+        for plan in own_plans:
+            plan['address'] = addresses[plan['name']]
+    return processes
+
+
+async def _run(deployed):
+    plans = _plan(deployed.net)
+    processes = await _start_searchers(plans)
+    try:
+        return await _search(deployed, plans)
+    finally:
+        for process in processes:
+            process.kill()
+            await process.wait()
+
+
+async def _search(deployed, plans):
+    for plan in plans:
+        deployed.store.put('servers', plan['name'], _entry(plan))
+    configuration = deployment.configuration(
+        7, [{'service': shard} for shard in _SHARDS], _MAX_CONNS
+    )
+    configuration['routes'] = [
+        {
+            'name': 'gate-match',
+            'host': _HOST,
+            'path_prefix': '/match/',
+            'kind': 'idempotent',
+            'timeout_ms': _DEADLINE_MS,
+            'target_latency_ms': _TARGET_MS,
+            'priority': 2,
+            'gather': _SHARDS,
+            'max_attempts': 2,
+            'top_k': _TOP,
+            'min_shard_ratio': _LEAST_SHARE,
+        }
+    ]
+    deployed.store.put('config', 'main', configuration)
+    await deployed.start_gateways(_ZONES)
+    await asyncio.sleep(9)
+    if deployment.TROUBLE:
+        await _scale_in(deployed, plans)
+    else:
+        await asyncio.sleep(5)
+    # The gateway that may open no connection to these searchers.
+    gateway = deployed.gateways[1]
     loop = asyncio.get_running_loop()
-    gateway = deployed.gateways[0]
-    sends = []
-    for number in range(_REQUESTS_A_SECOND * _LOAD_S):
-        request_id = f'{number:016x}'
-        sends.append(
+    began_at = loop.time()
+    searches = []
+    while loop.time() < began_at + _LOAD_S:
+        number = len(searches)
+        searches.append(
             asyncio.create_task(
                 client.send(
                     gateway,
                     _HOST,
-                    f'/refund/{number}',
-                    request_id,
+                    f'/match/{number}',
+                    f'{number:016x}',
                     _DEADLINE_MS,
                     deployed.note,
                 )
             )
         )
-        await asyncio.sleep(1 / _REQUESTS_A_SECOND)
-    stopped_at = loop.time()
-    if deployment.TROUBLE:
-        deployed.note(f'SIGTERM to {gateway.name}')
-        gateway.signal(signal.SIGTERM)
-    # What was at work in the last sixth of the grace is excused.
-    last_sixth_at = stopped_at + deployment.GRACE_S * 5 / 6
-    at_work = set()
-    while loop.time() < stopped_at + deployment.GRACE_S:
-        if loop.time() >= last_sixth_at:
-            for each in searchers:
-                at_work.update(each.at_work)
-        await asyncio.sleep(0.005)
-    if deployment.TROUBLE:
-        gateway.signal(signal.SIGKILL)
-    attempts = await asyncio.gather(*sends)
-    received = {
-        request_id for each in searchers for _, request_id in each.arrivals
-    }
-    return _judge(deployed, attempts, at_work, received)
+        next_at = began_at + len(searches) / _SEARCHES_A_SECOND
+        await asyncio.sleep(max(0, next_at - loop.time()))
+    return _judge(deployed, await asyncio.gather(*searches))
+
+
+async def _scale_in(deployed, plans):
+    leaving = [
+        plan
+        for plan in plans
+        if plan['zone'] == _LEAVING_ZONE and plan['service'] in _LEAVING_SHARDS
+    ]
+    for plan in leaving:
+        deployed.store.put(
+            'servers', plan['name'], _entry(plan, 'draining', 2)
+        )
+        deployed.note(f'{plan["name"]} is draining')
+    await asyncio.sleep(deployment.DRAIN_MS / 1000 + 1)
+    for plan in leaving:
+        deployed.store.remove('servers', plan['name'])
+        deployed.note(f'{plan["name"]} has left')
+    await asyncio.sleep(1)
 
 
-def _judge(deployed, attempts, at_work, received):
+def _fault(attempt):
+    """Return what is wrong with a success, or an empty text."""
+    signatures = [
+        text.strip()
+        for text in attempt.headers.get('x-part-stamps', '').split(',')
+        if text.strip()
+    ]
+    services = set()
+    records = []
+    for signature in signatures:
+        service, _, request_id, _ = signature.split('.')
+        if request_id != attempt.request_id or service in services:
+            return f'the signature {signature} is foreign or stands twice'
+        services.add(service)
+        body = parts.body_of(signature)
+        records.extend(
+            body[start : start + parts.RECORD_BYTES]
+            for start in range(0, len(body), parts.RECORD_BYTES)
+        )
+    missing = int(attempt.headers.get('x-missing-parts', 0))
+    if len(services) + missing != len(_SHARDS):
+        return f'{len(services)} parts and {missing} missing ones'
+    right = b''.join(sorted(records, reverse=True)[:_TOP])
+    if attempt.body != right:
+        return (
+            f'the body is not the greatest {_TOP} records of the'
+            f' {len(services)} parts: {attempt.body.hex(" ", 16)}'
+            f' in place of {right.hex(" ", 16)}'
+        )
+    return ''
+
+
+def _judge(deployed, attempts):
     counts = {}
+    wrong = 0
     for attempt in attempts:
         counts[attempt.status] = counts.get(attempt.status, 0) + 1
-    deployed.note(f'answers by status, 0 for none: {counts}')
-    lost = []
-    for attempt in attempts:
-        took_s = attempt.ended_at - attempt.sent_at
-        is_over = took_s * 1000 >= attempt.deadline_ms
-        if (
-            attempt.status == 0
-            and not attempt.is_refused_connection
-            and took_s > deployment.LOSS_SLACK_S
-            and not is_over
-            and attempt.request_id not in at_work
-        ):
-            lost.append(attempt)
-            deployed.note(
-                f'LOST {attempt.request_id}: read whole, closed without an'
-                f' answer after {took_s:.3f} s of {attempt.deadline_ms} ms'
-            )
-    kept = sum(attempt.request_id not in received for attempt in lost)
-    summary = (
-        f'{len(lost)} of {len(attempts)} requests are lost,'
-        f' {kept} of them never passed on to a searcher'
-    )
+        fault = _fault(attempt) if 200 <= attempt.status < 300 else ''
+        if fault:
+            wrong += 1
+            deployed.note(f'MIXED {attempt.request_id}: {fault}')
+    summary = f'{wrong} of {counts.get(200, 0)} successes are wrong; {counts}'
     deployed.note(summary)
-    print(f'{summary}; {counts}')
-    return not lost
+    print(summary)
+    return not wrong
 
 
 if __name__ == '__main__':
-    deployment.main('.', _run)
+    deployment.main('.', _run, 118)
