--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # CPython's own library.
 set -e
 cd "$(dirname "$0")"
-python3 -m compileall -q standins 1 2
+python3 -m compileall -q standins 1 2 3
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -118,8 +118,12 @@
         self.store = store_module.Store()
         await self.store.start(f'{self.net}.250')
 
-    async def start_gateways(self, zones):
-        """Start one gateway in each of ``zones``; wait until all are ready."""
+    async def start_gateways(self, zones, store_by_zone=None):
+        """Start one gateway in each of ``zones``; wait until all are ready.
+
+        ``store_by_zone`` gives some of them another address of the store.
+        """
+        store_by_zone = store_by_zone or {}
         places = []
         for number, zone in enumerate(zones, start=1):
             ip = f'{self.net}.{number}'
@@ -133,7 +137,7 @@
                 'region_by_data_centre': REGION_BY_ZONE,
                 'callers': f'{ip}:{ports[0]}',
                 'readiness': f'{ip}:{ports[1]}',
-                'store': self.store.address,
+                'store': store_by_zone.get(zone, self.store.address),
                 'peers': f'{ip}:{ports[2]}',
                 'metrics_port': ports[3],
                 'seeds': seeds,
