--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -208,10 +208,13 @@
 
     async def run():
         deployment = Deployment(case)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             await deployment.start_store()
             held = await asyncio.wait_for(scenario(deployment), limit_s)
-        except Exception as error:  # The case could not run.
+        except (Exception, asyncio.CancelledError) as error:
             deployment.note(f'could not run: {error!r}')
             print(f'could not run: {error!r}', file=sys.stderr)
             return 2
