--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -54,9 +54,13 @@
     load = asyncio.create_task(_send_all(deployed))
     await asyncio.sleep(_CUT_AFTER_S)
     leaving = searchers[0]
-    # The reader has just read both lists when it is cut off.
+    added = searcher.Searcher(
+        'i-9', 'group-sales', _ZONES[2], deployed.note, 3, 12, _WORK_S
+    )
+    # A version and an added searcher of another service: the reader has just
+    # read both lists when it is cut off.
     deployed.store.put('config', 'main', _configuration(8, 14000))
-    searchers[1].report()
+    await added.start(f'{deployed.net}.110', deployed.store)
     await asyncio.sleep(0.05)
     if deployment.TROUBLE:
         link.cut()
