Groups of a search have identifiers of their own

Cause: two groups of one search at one gateway both had the client's identifier. PeerService kept one pending search for each identifier, so that the second group replaced the first, and the request for a late reply of the first returned the results of the second, which were merged twice. The timer or cancellation of one also ended the other, and clients that chose the same identifier shared a search.

Why this works: a gather_id names the gateway, its process and the group. The receiver keeps, discards and refuses by it, and the reply repeats it. A reply of another group or for other shards counts as none, also from a gateway of an earlier release.

Red before the change: test_groups_of_one_search_at_one_gateway_are_not_mixed_up (a record twice), test_searches_with_one_identifier_are_not_mixed_up (the other search's records), test_cancelled_search_leaves_one_with_the_same_identifier_running (502).

--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chivepond.gateway import (
+    gather_id,
     outcome,
     peer_channel,
     peer_message,
@@ -51,6 +52,7 @@
         '_shard_requests',
         '_start_elsewhere',
         '_exchanges',
+        '_gather_id',
         'is_left_running',
         '_channel',
         '_shards',
@@ -74,6 +76,7 @@
         self._start_elsewhere = start_elsewhere
         self._channel = channel
         self._shards = shards
+        self._gather_id = gather_id.new(context.others.own_id)
         self._shard_requests = requests
         self._exchanges: set[Exchange] = set()
         self.is_left_running = False
@@ -92,16 +95,13 @@
     async def fetch_more(self) -> None:
         """Fetch the results after the first reply, as they arrive."""
         collected = self._context.shard_results
-        message = peer_message.remaining_parts_message(
-            self._context.search.request.request_id,
-            has_reply=True,
-        )
+        message = self._remaining_parts_message(has_reply=True)
         has_more = True
         while has_more and not collected.settled.is_set():
             exchange_outcome = await self._channel.send(
                 message, self._context.search.deadline
             )
-            reply = _decode_reply(exchange_outcome)
+            reply = self._decode_reply(exchange_outcome)
             if reply is None:
                 pending_shards = collected.pending_among(self._shards)
                 self._fail_shards(pending_shards, 'no further results received')
@@ -174,7 +174,7 @@
             )
             for exchange in done:
                 exchange_outcome = exchange.result()
-                if _decode_reply(exchange_outcome) is not None:
+                if self._decode_reply(exchange_outcome) is not None:
                     return exchange_outcome
         match first_exchange.result():
             case outcome.Broken(is_disconnect=True) as disconnect:
@@ -197,10 +197,7 @@
         host: the other gateway has discarded the results by then, and its
         report does not mean that it never received the request.
         """
-        message = peer_message.remaining_parts_message(
-            self._context.search.request.request_id,
-            has_reply=False,
-        )
+        message = self._remaining_parts_message(has_reply=False)
         until = asyncio.get_running_loop().time() + _RETRY_TIMEOUT_S
         exchange_outcome = await self._channel.send(
             message,
@@ -221,7 +218,7 @@
                 return exchange_outcome
 
     def _process_outcome(self, exchange_outcome: outcome.Outcome) -> None:
-        reply = _decode_reply(exchange_outcome)
+        reply = self._decode_reply(exchange_outcome)
         if reply is not None:
             self._process_reply(reply)
             return
@@ -261,7 +258,7 @@
         message: peer_message.GatherMessage,
         exchange_outcome: outcome.Outcome,
     ) -> None:
-        reply = _decode_reply(exchange_outcome)
+        reply = self._decode_reply(exchange_outcome)
         if reply is not None and message.sent_at:
             now = asyncio.get_running_loop().time()
             delay_s = now - message.sent_at - reply.took_s
@@ -282,8 +279,32 @@
             answer_in_s=0,
             left_s=search.deadline - now,
             target_latency_s=search.route.target_latency_s,
+            gather_id=self._gather_id,
+        )
+
+    def _remaining_parts_message(
+        self, *, has_reply: bool
+    ) -> peer_message.PeerMessage:
+        return peer_message.remaining_parts_message(
+            self._context.search.request.request_id,
+            has_reply=has_reply,
+            gather_id=self._gather_id,
         )
 
+    def _decode_reply(
+        self, exchange_outcome: outcome.Outcome
+    ) -> gather_request.GatherReply | None:
+        """Return the reply for this group, or ``None`` after any failure.
+
+        Gateways of an earlier release reply without a ``gather_id``, and may
+        return the results of another group.
+        """
+        reply = _decode_reply(exchange_outcome)
+        if reply is None or reply.gather_id not in {b'', self._gather_id}:
+            return None
+        is_own = reply.signature_by_shard.keys() <= set(self._shards)
+        return reply if is_own else None
+
     def _start_exchange(
         self,
         exchange: Coroutine[Any, Any, outcome.Outcome],
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -97,13 +97,13 @@
 
 
 def remaining_parts_message(
-    request_id: bytes, *, has_reply: bool
+    request_id: bytes, *, has_reply: bool, gather_id: bytes = b''
 ) -> PeerMessage:
     """Return the request for the remaining results, or for a lost reply.
 
     ``has_reply`` tells whether a first reply was received.
     """
-    request = gather_request.MoreRequest(request_id, has_reply)
+    request = gather_request.MoreRequest(request_id, has_reply, gather_id)
     message = PeerMessage(
         MORE_PATH, request_id, msgspec.msgpack.encode(request)
     )
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -30,6 +30,10 @@
 #: How long a request may be delayed in the network, in seconds: TCP sends a
 #: lost packet again for many seconds.
 _UNRECEIVED_S = 60.0
+#: Identifies a gather: the identifier of the group, and that of the client's
+#: request, which alone identifies it if the other gateway is of an earlier
+#: release.
+_GatherKey = tuple[bytes, bytes]
 _MESSAGE_TYPE_BY_PATH: Mapping[bytes, type[msgspec.Struct]] = (
     types.MappingProxyType(
         {
@@ -48,12 +52,12 @@
     __slots__ = (
         '_forwarding',
         '_serves_shards',
-        '_pending_by_id',
+        '_pending_by_key',
         '_is_stopping',
         '_timings',
         '_sync',
         '_context',
-        '_unreceived_ids',
+        '_unreceived_keys',
     )
 
     def __init__(
@@ -74,9 +78,11 @@
         self._context = context
         self._is_stopping = is_stopping
         self._timings = hedge_timings.HedgeTimings(lambda: router.table)
-        self._pending_by_id: dict[bytes, pending_search.PendingSearch] = {}
-        #: Searches that were reported as never received.
-        self._unreceived_ids: set[bytes] = set()
+        self._pending_by_key: dict[
+            _GatherKey, pending_search.PendingSearch
+        ] = {}
+        #: Gathers that were reported as never received.
+        self._unreceived_keys: set[_GatherKey] = set()
 
     async def serve(
         self,
@@ -117,10 +123,15 @@
         self,
         message: gather_request.GatherRequest,
     ) -> client_response.ClientResponse:
-        if message.request_id in self._unreceived_ids:
+        key = _key(message)
+        if key in self._unreceived_keys:
             return client_response.refusal(
                 _CONFLICT, 'the search was reported as never received'
             )
+        if key in self._pending_by_key:
+            return client_response.refusal(
+                _CONFLICT, 'a search with this identifier is pending'
+            )
         if not self._serves_shards(message.route, message.shards):
             return client_response.refusal(
                 _CONFLICT,
@@ -130,12 +141,12 @@
         pending = pending_search.PendingSearch(
             message, self._context, hedge_timing
         )
-        self._retain(message.request_id, pending, message.answer_in_s)
+        self._retain(key, pending, message.answer_in_s)
         try:
             reply = await pending.first_reply()
         except asyncio.CancelledError:
             # The requesting gateway disconnected: cancel at the searchers now.
-            self._discard(message.request_id, pending.hold_count)
+            self._discard(key, pending.hold_count)
             raise
         self._log_gather(message, pending, reply)
         return _response(message.request_id, reply)
@@ -143,54 +154,55 @@
     async def _gather_more(
         self, message: gather_request.MoreRequest
     ) -> client_response.ClientResponse:
-        pending = self._pending_by_id.get(message.request_id)
+        key = _key(message)
+        pending = self._pending_by_key.get(key)
         if pending is None:
             if not message.has_reply:
-                self._refuse_later(message.request_id)
+                self._refuse_later(key)
             return client_response.refusal(
                 _NOT_FOUND, 'no pending search with this request ID'
             )
         if not message.has_reply:
             return _response(message.request_id, pending.repeat_reply())
-        self._pending_by_id.pop(message.request_id)
+        self._pending_by_key.pop(key)
         try:
             reply = await pending.next_reply()
         except asyncio.CancelledError:
             pending.end(is_answered=False)
             raise
-        self._retain(message.request_id, pending, 0)
+        self._retain(key, pending, 0)
         return _response(message.request_id, reply)
 
-    def _refuse_later(self, request_id: bytes) -> None:
+    def _refuse_later(self, key: _GatherKey) -> None:
         """Refuse a search that may still be on its way.
 
         The other gateway sends the shards itself.
         """
-        self._unreceived_ids.add(request_id)
+        self._unreceived_keys.add(key)
         asyncio.get_running_loop().call_later(
-            _UNRECEIVED_S, self._unreceived_ids.discard, request_id
+            _UNRECEIVED_S, self._unreceived_keys.discard, key
         )
 
     def _retain(
         self,
-        request_id: bytes,
+        key: _GatherKey,
         pending: pending_search.PendingSearch,
         due_in_s: float,
     ) -> None:
         """Retain a search until its reply is due plus the retention time."""
         pending.hold_count += 1
-        self._pending_by_id[request_id] = pending
+        self._pending_by_key[key] = pending
         asyncio.get_running_loop().call_later(
             max(0, due_in_s) + peer_message.RETENTION_S,
             self._discard,
-            request_id,
+            key,
             pending.hold_count,
         )
 
-    def _discard(self, request_id: bytes, hold_count: int) -> None:
-        pending = self._pending_by_id.get(request_id)
+    def _discard(self, key: _GatherKey, hold_count: int) -> None:
+        pending = self._pending_by_key.get(key)
         if pending is not None and pending.hold_count == hold_count:
-            self._pending_by_id.pop(request_id)
+            self._pending_by_key.pop(key)
             pending.end(is_answered=False)
 
     def _log_gather(
@@ -213,6 +225,12 @@
         )
 
 
+def _key(
+    message: gather_request.GatherRequest | gather_request.MoreRequest,
+) -> _GatherKey:
+    return (message.gather_id, message.request_id)
+
+
 def _response(
     request_id: bytes, reply: msgspec.Struct
 ) -> client_response.ClientResponse:
--- a/chivepond/gateway/pending_search.py
+++ b/chivepond/gateway/pending_search.py
@@ -148,6 +148,7 @@
             ),
             may_have_run=collected.may_have_run,
             shed=list(collected.shed),
+            gather_id=self._gather_request.gather_id,
         )
 
 
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -228,6 +228,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent_connections = 0
         self._dropped_reply = b''
+        self._replies_to_drop = 0
         self._delayed_request = b''
         self._request_delay_s: float = 0
         #: The number of connections accepted so far.
@@ -237,9 +238,10 @@
         """Relay no replies on the next ``connections`` connections."""
         self._silent_connections = connections
 
-    def drop_reply(self, marker: bytes) -> None:
-        """Drop the next chunk of a reply that contains ``marker``."""
+    def drop_reply(self, marker: bytes, count: int = 1) -> None:
+        """Drop the next ``count`` chunks of replies with ``marker``."""
         self._dropped_reply = marker
+        self._replies_to_drop = count
 
     def delay_request(self, marker: bytes, delay_s: float) -> None:
         """Delay the next chunk of a request that contains ``marker``."""
@@ -298,10 +300,10 @@
         return 0
 
     def _is_dropped(self, chunk: bytes) -> bool:
-        is_dropped = bool(self._dropped_reply) and self._dropped_reply in chunk
+        is_dropped = self._replies_to_drop and self._dropped_reply in chunk
         if is_dropped:
-            self._dropped_reply = b''
-        return is_dropped
+            self._replies_to_drop -= 1
+        return bool(is_dropped)
 
 
 async def _relay_bytes(
--- a/chivepond/tests/test_gateway_gathering.py
+++ b/chivepond/tests/test_gateway_gathering.py
@@ -1,6 +1,7 @@
 """Searches that the gateway fans out over all shards."""
 
 import asyncio
+import contextlib
 import struct
 
 import hypothesis
@@ -701,3 +702,137 @@
         assert loop.time() - began < 1
 
     support.run(scenario())
+
+
+def _numbered_part(shard: str, delay_s: float = 0) -> scripted_searcher.Reply:
+    """Return a searcher whose record has the number at the end of the path."""
+
+    async def reply(request: ReceivedRequest) -> ScriptedReply:
+        await asyncio.sleep(delay_s)
+        number = int(request.line.split()[1].rsplit(b'/', 1)[-1])
+        return scripted_searcher.good(request, _record(number), shard)
+
+    return reply
+
+
+@contextlib.asynccontextmanager
+async def _proxied_gateway(bench: gateway_bench.Bench, **overrides):
+    """Start a remote gateway behind a proxy; yield the proxy."""
+    remote_gateway = await _start_remote_gateway(bench, **overrides)
+    async with gateway_bench.TcpProxy(remote_gateway.peers) as proxy:
+        bench.store.put(
+            'chivepond-gateways',
+            overrides.get('node_id', 'gate-2'),
+            {'address': str(proxy.address), 'data_centre': 'hub'},
+        )
+        yield proxy
+
+
+def test_groups_of_one_search_at_one_gateway_are_not_mixed_up():
+    """Guards against a success with the records of one group twice.
+
+    The remote gateway gathers the shards of its data centre, and the one to
+    which the local gateway may not connect. The reply of that group is lost.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            for number, shard in enumerate(_SHARDS):
+                is_local = shard == 'd'
+                reply = _part(shard, number)
+                await bench.searcher(
+                    f's-{shard}',
+                    shard,
+                    reply if is_local else _delayed(0.1, reply),
+                    zone='base' if is_local else 'hub',
+                )
+            bench.configure(1, _search(top_k=8), connection_cap=2)
+            async with _proxied_gateway(bench, node_id='gate-0') as proxy:
+                local_gateway = await _start_local_gateway(bench)
+                assert not local_gateway.counts.connections_to('d')
+                proxy.drop_reply(b'two-groups', 2)
+                caller = await bench.caller(local_gateway.client_address)
+                reply = gateway_bench.reply_of(
+                    await caller.get('/search/x', request_id='two-groups'),
+                )
+                shards = sorted(_signatures(reply), reverse=True)
+                assert reply.body == b''.join(
+                    _record(_SHARDS.index(shard.decode())) for shard in shards
+                )
+
+    support.run(scenario())
+
+
+def test_searches_with_one_identifier_are_not_mixed_up():
+    """Guards against a success with the records of another client's search.
+
+    Two clients send the same identifier, and the reply for the group of the
+    first search is lost.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            for shard in _SHARDS:
+                await bench.searcher(
+                    f's-{shard}', shard, _numbered_part(shard), zone='hub'
+                )
+            bench.configure(1, _search(top_k=8))
+            async with _proxied_gateway(bench) as proxy:
+                local_gateway = await _start_local_gateway(bench)
+                proxy.drop_reply(b'same-id')
+                replies = await _search_twice(bench, local_gateway)
+                assert [reply.body for reply in replies] == [
+                    _record(1) * 4,
+                    _record(2) * 4,
+                ]
+
+    support.run(scenario())
+
+
+async def _search_twice(bench: gateway_bench.Bench, local_gateway):
+    """Send two searches with one identifier, the second 50 ms later."""
+    callers = [
+        await bench.caller(local_gateway.client_address) for _ in range(2)
+    ]
+    searches = []
+    for number, caller in enumerate(callers, start=1):
+        searches.append(
+            asyncio.create_task(
+                caller.get(f'/search/{number}', request_id='same-id')
+            )
+        )
+        await asyncio.sleep(0.05)
+    return [
+        gateway_bench.reply_of(reply)
+        for reply in await asyncio.gather(*searches)
+    ]
+
+
+def test_cancelled_search_leaves_one_with_the_same_identifier_running():
+    """Guards against a search that ends because another client left."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            for shard in _SHARDS:
+                await bench.searcher(
+                    f's-{shard}', shard, _numbered_part(shard, 0.2), zone='hub'
+                )
+            bench.configure(1, _search(top_k=8))
+            await _start_remote_gateway(bench)
+            local_gateway = await _start_local_gateway(bench)
+            leaving = await bench.caller(local_gateway.client_address)
+            staying = await bench.caller(local_gateway.client_address)
+            abandoned = asyncio.create_task(
+                leaving.get('/search/1', request_id='same-id')
+            )
+            await asyncio.sleep(0.05)
+            kept = asyncio.create_task(
+                staying.get('/search/2', request_id='same-id')
+            )
+            await asyncio.sleep(0.05)
+            leaving.connection.abort()
+            reply = gateway_bench.reply_of(await kept)
+            assert reply.body == _record(2) * 4
+            await abandoned
+
+    support.run(scenario())
--- a/chivepond/wire/gather_request.py
+++ b/chivepond/wire/gather_request.py
@@ -1,4 +1,8 @@
-"""Messages with which a gateway delegates gathering to another one."""
+"""Messages with which a gateway delegates gathering to another one.
+
+New fields are appended and have defaults, because gateways of two releases
+run side by side during a rolling update.
+"""
 
 import msgspec
 
@@ -22,6 +26,9 @@
     #: Seconds until the caller stops waiting.
     left_s: float
     target_latency_s: float
+    #: Identifies this gather among those of all gateways. The caller chooses
+    #: ``request_id``, and a search may send several gathers to one gateway.
+    gather_id: bytes = b''
 
 
 class GatherReply(msgspec.Struct, array_like=True):
@@ -42,6 +49,8 @@
     may_have_run: bool = True
     #: Shards that are queried only if the requester has too few parts.
     shed: list[str] = msgspec.field(default_factory=list)
+    #: The ``gather_id`` of the request.
+    gather_id: bytes = b''
 
 
 class MoreRequest(msgspec.Struct, array_like=True):
@@ -50,3 +59,5 @@
     request_id: bytes
     #: Whether the first reply arrived; if not, all parts are sent again.
     has_reply: bool
+    #: The ``gather_id`` of the request.
+    gather_id: bytes = b''
