A repeated reply does not answer a request with the same identifier

Callers that choose an identifier that another client has just used could get the reply to that client's request, if its searcher sent it twice.

Cause: replies on a kept connection are told apart by the identifier alone, which the client chooses.

Why this works: a connection to a searcher is not used twice in a row for the same identifier. Gateways reply once to each request and keep their connections.

test_repeated_reply_does_not_answer_a_request_with_the_same_identifier is red before the change: the second client got the body of the first.

--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -86,16 +86,18 @@
     async def acquire(
         self,
         max_idle_s: float,
+        avoided_id: bytes = b'',
     ) -> http_connection.HttpConnection | None:
         """Return a connection, waiting for one while the pool is exhausted.
 
-        Reuses a connection that was idle for less than ``max_idle_s`` seconds,
-        or opens one. Returns ``None`` when the connect fails or times out, or
+        Reuses a connection that was idle for less than ``max_idle_s`` seconds
+        and whose last request did not have the identifier ``avoided_id``, or
+        opens one. Returns ``None`` when the connect fails or times out, or
         when the pool is closed.
         """
         max_idle_s = min(max_idle_s, self._max_idle_s)
         while True:
-            idle_connection = self._pop_idle(max_idle_s)
+            idle_connection = self._pop_idle(max_idle_s, avoided_id)
             if idle_connection is not None:
                 return idle_connection
             if len(self._open_connections) < self._max_connections:
@@ -150,6 +152,7 @@
     def _pop_idle(
         self,
         max_idle_s: float,
+        avoided_id: bytes,
     ) -> http_connection.HttpConnection | None:
         earliest_idle_since = asyncio.get_running_loop().time() - max_idle_s
         while self._idle_connections:
@@ -157,6 +160,7 @@
             if (
                 connection.is_open
                 and connection.idle_since > earliest_idle_since
+                and not connection.may_confuse(avoided_id)
             ):
                 return connection
             connection.close()
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -27,6 +27,7 @@
         'is_head',
         'is_long_poll',
         'is_repeatable',
+        'may_get_two_replies',
         'has_crash_check',
         'on_disconnect',
         'on_reply',
@@ -55,6 +56,7 @@
         self.body = body
         self.is_head = is_head
         self.is_long_poll = False
+        self.may_get_two_replies = True
         self.progress = None
         #: Replies and disconnects of the searchers that received the request.
         self.evidence = crash_evidence.Evidence()
--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -31,6 +31,7 @@
         '_headers',
         '_id_header',
         '_is_head',
+        '_last_id',
         '_on_closed',
         '_parser',
         '_pending',
@@ -53,6 +54,7 @@
         self._pending: asyncio.Future[outcome.Outcome] | None = None
         self._transfer: transfer.Transfer | None = None
         self._expected_id = b''
+        self._last_id = b''
         self._is_head = False
         #: Whether the connection can carry no further exchange.
         self.closes_after = False
@@ -74,6 +76,14 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    def may_confuse(self, request_id: bytes) -> bool:
+        """Tell whether a repeated reply could pass for that to a request.
+
+        The previous request had the same identifier, and its reply may still
+        arrive a second time.
+        """
+        return bool(request_id) and self._last_id == request_id
+
     def begin(
         self,
         message: bytes,
@@ -90,6 +100,7 @@
         pending = asyncio.get_running_loop().create_future()
         self._pending = pending
         self._expected_id = expected_id
+        self._last_id = expected_id
         self._is_head = is_head
         self._transfer = progress
         self._parser = httptools.HttpResponseParser(self)
--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -35,6 +35,8 @@
     is_head: bool
     #: Whether it may be sent again after its connection has closed.
     is_repeatable: bool
+    #: Whether the receiver may send its reply a second time.
+    may_get_two_replies: bool
     #: Whether the receiver delays its reply until it has an update.
     is_long_poll: bool
     #: Counts the bytes of a reply that may be large.
@@ -149,7 +151,10 @@
         max_idle_s = (
             math.inf if request.is_repeatable else _UNREPEATABLE_MAX_IDLE_S
         )
-        connection = await self._pool.acquire(max_idle_s)
+        connection = await self._pool.acquire(
+            max_idle_s,
+            request.request_id if request.may_get_two_replies else b'',
+        )
         if connection is None:
             return outcome.NotSent('no connection could be opened')
         message = request.encode(
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -32,6 +32,7 @@
         'is_head',
         'is_long_poll',
         'is_repeatable',
+        'may_get_two_replies',
         'progress',
         'request_id',
     )
@@ -44,6 +45,7 @@
         self.is_head = False
         self.is_long_poll = False
         self.is_repeatable = True
+        self.may_get_two_replies = False
         self.progress: transfer.Transfer | None = None
 
     def encode(self, receiver: str, left_s: float) -> bytes:
--- a/chivepond/tests/test_gateway_forwarding.py
+++ b/chivepond/tests/test_gateway_forwarding.py
@@ -1,6 +1,7 @@
 """Requests that the gateway forwards to a single searcher."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -9,6 +10,7 @@
 from chivepond.soak import loopback_proxy
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, support
+from chivepond.transport import address
 
 ReceivedRequest = scripted_searcher.Got
 ScriptedReply = scripted_searcher.Told
@@ -601,3 +603,48 @@
             assert remaining == 1
 
     support.run(scenario())
+
+
+async def _repeat_replies(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Reply with the request line; repeat the last reply before the next."""
+    last_reply = b''
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            fields = dict(
+                line.lower().split(b': ', 1)
+                for line in head.split(b'\r\n')[1:-2]
+            )
+            request = ReceivedRequest(head.split(b'\r\n')[0], fields, b'')
+            reply = scripted_searcher.good(request, request.line).written
+            writer.write(last_reply + reply)
+            last_reply = reply
+    writer.close()
+
+
+def test_repeated_reply_does_not_answer_a_request_with_the_same_identifier():
+    """Guards against a client that gets the reply to another client's request.
+
+    A searcher repeats a reply where the next one is due, and both requests
+    have the identifier that their clients chose.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            server = await asyncio.start_server(_repeat_replies, '127.0.0.1', 0)
+            async with server:
+                ip, port = server.sockets[0].getsockname()[:2]
+                bench.register('s-1', 'desk', address.Address(ip, port))
+                bench.configure(1, _stamps())
+                gateway = await bench.ready_gateway()
+                caller = await bench.caller(gateway.client_address)
+                for number in range(3):
+                    reply = gateway_bench.reply_of(
+                        await caller.get(f'/stamps/{number}', request_id='own'),
+                    )
+                    line = f'GET /stamps/{number} HTTP/1.1'
+                    assert reply.body == line.encode()
+
+    support.run(scenario())
