Sub-queries have identifiers that callers do not choose

Callers of nodes that sent the same request_id at once lost one of the searches: its shards were reported late.

Cause: an owner matched the replies of a batch, and cancellations, by the caller's identifier, the attempt and the shard; two queries in one batch shared the key.

Why this works: each query of an owner has an identifier that ends with a random token. Answers keep the caller's.

test_queries_with_one_identifier_are_not_mixed_up is red before the change: two of three queries without a shard.

--- a/chivepond/owner/owner.py
+++ b/chivepond/owner/owner.py
@@ -220,7 +220,7 @@
         shard_attempt = attempt.Attempt(
             call,
             sub_query.SubQuery(
-                query.request_id,
+                call.sub_query_id,
                 len(progress.tried),
                 query.service,
                 shard,
--- a/chivepond/owner/owner_call.py
+++ b/chivepond/owner/owner_call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+import secrets
 
 from chivepond.owner import shard_progress
 from chivepond.wire import (
@@ -16,6 +17,7 @@
 #: A sub-query counts as delayed at half of the wait that a standing queue
 #: allows, so that entry hosts admit fewer searches before work is rejected.
 _LONG_WAIT_SHARE = 0.5
+_TOKEN_BYTES = 6
 
 
 class OwnerCall:
@@ -33,6 +35,7 @@
         'pending',
         'query',
         'started_at',
+        'sub_query_id',
         'wait_share',
     )
 
@@ -50,6 +53,11 @@
         """
         self.wait_share = wait_share
         self.query = query
+        #: Request identifier of its sub-queries. That of the query is chosen
+        #: by the caller, and queries that share it may be in one batch.
+        self.sub_query_id = (
+            f'{query.request_id}.{secrets.token_urlsafe(_TOKEN_BYTES)}'
+        )
         self.started_at = started_at
         self.deadline = deadline
         self.attempts = 0
--- a/chivepond/tests/test_owner_decisions.py
+++ b/chivepond/tests/test_owner_decisions.py
@@ -103,8 +103,10 @@
         for hosts in self.directories:
             hosts.view = view.View({}, host_by_id, {})
 
-    def resize(self, slots):
-        capacity = capacity_service.CapacityService(slots=slots, max_batch=1)
+    def resize(self, slots, max_batch=1):
+        capacity = capacity_service.CapacityService(
+            slots=slots, max_batch=max_batch
+        )
         self.settings.document = deployment.Deployment(
             capacity=capacity_section.CapacitySection({'name': capacity}),
         )
@@ -158,6 +160,21 @@
         assert leaving.counts.batches == batches_before == 1
 
 
+async def test_queries_with_one_identifier_are_not_mixed_up():
+    """Guards against a query that gets the reply to another one, or none.
+
+    Two callers chose the same identifier, and both queries are in one batch.
+    """
+    async with OwnerBench() as bench:
+        await bench.start('a', slots=1, work_ms=30)
+        owner_role = await bench.start_owner()
+        bench.resize(1, max_batch=4)
+        queries = [_query(['a'], 1) for _ in range(3)]
+        answers = await asyncio.gather(*map(owner_role.answer, queries))
+        assert [one.covered for one in answers] == [['s0'], ['s0'], ['s0']]
+        assert all(one.request_id == 'q' for one in answers)
+
+
 async def test_searcher_marked_leaving_gets_no_more_batches():
     async with OwnerBench() as bench:
         leaving = await bench.start('a', work_ms=30)
