A stopping gateway answers all requests before it exits

Cause: Gateway.stop returned shortly before the end of its grace with requests in progress, and the exit dropped them. A wait for a connection or a reply had no bound but the deadline of the request. The same held for requests of other gateways, for which a stop did not even wait, and for pipelined requests.

Why this works: a stop sets one time at which all requests in progress are answered. Each request knows which receivers it was sent to and which have reported that they did not run it, so that 503 is given if and only if no searcher can have run it. Waiters that can't have a reply by then are rejected at once.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -269,7 +269,8 @@
     ) -> None:
         response = await self._service.serve(request)
         self.current_task = None
-        keep_alive = request.is_kept_alive and not self._service.is_stopping()
+        is_closing = self._service.is_stopping() and not self._queued_requests
+        keep_alive = request.is_kept_alive and not is_closing
         self._transport.write(
             response.encode(
                 keep_alive=keep_alive,
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -16,6 +16,8 @@
 #: Seconds before the searcher's own idle time-out at which an idle connection
 #: is no longer used, so that no request is sent while the searcher closes it.
 _IDLE_MARGIN_S = 1.0
+#: Weight of a new exchange in the average duration.
+_DURATION_WEIGHT = 0.2
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -23,6 +25,7 @@
     """Hands out connections, each to one exchange at a time."""
 
     __slots__ = (
+        '_exchange_s',
         '_health_log',
         '_idle_connections',
         '_max_connections',
@@ -45,9 +48,12 @@
         self._idle_connections: list[http_connection.HttpConnection] = []
         self._max_idle_s = remote_end.idle_s
         self._open_connections: set[http_connection.HttpConnection] = set()
-        self._waiters: collections.deque[asyncio.Future[None]] = (
+        #: Futures whose result tells whether a connection may be free.
+        self._waiters: collections.deque[asyncio.Future[bool]] = (
             collections.deque()
         )
+        #: Average duration of an exchange, in seconds.
+        self._exchange_s: float = 0
 
     @property
     def connections(self) -> int:
@@ -92,8 +98,8 @@
 
         Reuses a connection that was idle for less than ``max_idle_s`` seconds
         and whose last request did not have the identifier ``avoided_id``, or
-        opens one. Returns ``None`` when the connect fails or times out, or
-        when the pool is closed.
+        opens one. Returns ``None`` when the connect fails or times out, when
+        the pool is closed, or when ``reject_waiters`` ended the wait.
         """
         max_idle_s = min(max_idle_s, self._max_idle_s)
         while True:
@@ -104,7 +110,26 @@
                 return await self._connect()
             if not self._max_connections:
                 return None
-            await self._wait_for_release()
+            if not await self._wait_for_release():
+                return None
+
+    def record_exchange(self, duration_s: float) -> None:
+        """Record for how long an exchange used its connection."""
+        if not self._exchange_s:
+            self._exchange_s = duration_s
+        self._exchange_s += _DURATION_WEIGHT * (duration_s - self._exchange_s)
+
+    def reject_waiters(self, left_s: float) -> None:
+        """End the wait of those that can't have a reply within ``left_s``.
+
+        Each connection carries one exchange at a time, so that a waiter gets
+        one after as many exchanges as there are others before it.
+        """
+        waiters = [waiter for waiter in self._waiters if not waiter.done()]
+        for position, waiter in enumerate(waiters):
+            exchanges = 1 + position // max(1, self._max_connections)
+            if exchanges * self._exchange_s > left_s:
+                waiter.set_result(False)
 
     async def is_reachable(self) -> bool:
         """Tell whether the remote end accepts connections.
@@ -205,13 +230,14 @@
             self._idle_connections.remove(connection)
         self._wake_waiter()
 
-    async def _wait_for_release(self) -> None:
+    async def _wait_for_release(self) -> bool:
+        """Return whether a connection may be free, or the wait was ended."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         waiter = loop.create_future()
         self._waiters.append(waiter)
         try:
-            await waiter
+            return await waiter
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
                 self._wake_waiter()
@@ -223,5 +249,5 @@
         while self._waiters:
             waiter = self._waiters.popleft()
             if not waiter.done():
-                waiter.set_result(None)
+                waiter.set_result(True)
                 return
--- a/chivepond/gateway/delegated_request.py
+++ b/chivepond/gateway/delegated_request.py
@@ -89,10 +89,7 @@
             left_s=deadline - asyncio.get_running_loop().time(),
             target_latency_s=self._route.target_latency_s,
         )
-        return peer_message.forward_message(
-            message,
-            is_repeatable=self._request.is_repeatable,
-        )
+        return peer_message.ForwardMessage(message, self._request)
 
 
 def _may_have_forwarded(exchange_outcome: outcome.Outcome) -> bool:
--- a/chivepond/gateway/forwarded_request.py
+++ b/chivepond/gateway/forwarded_request.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         '_fingerprint',
+        '_unresolved',
         'body',
         'evidence',
         'head',
@@ -67,6 +68,26 @@
         #: Called at the first reply of a searcher that ran the request.
         self.on_reply: Callable[[Self], None] | None = None
         self._fingerprint = ''
+        #: Receivers that were sent the request and have not reported that it
+        #: did not run.
+        self._unresolved: set[str] = set()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher has run the request, or may still run it."""
+        return bool(self._unresolved)
+
+    def is_unresolved(self, receiver: str) -> bool:
+        """Tell whether a receiver may have run the request."""
+        return receiver in self._unresolved
+
+    def mark_sent(self, receiver: str) -> None:
+        """Record that bytes of the request go to a receiver."""
+        self._unresolved.add(receiver)
+
+    def mark_not_run(self, receiver: str) -> None:
+        """Record the report of a receiver that it did not run the request."""
+        self._unresolved.discard(receiver)
 
     @property
     def fingerprint(self) -> str:
@@ -104,11 +125,14 @@
             case outcome.Broken(is_disconnect=True):
                 self.evidence.disconnected(receiver)
                 self._report_disconnect()
-            case outcome.Reply() if not _was_not_run(exchange_outcome):
+            case outcome.Reply() if _was_not_run(exchange_outcome):
+                self.mark_not_run(receiver)
+            case outcome.Reply():
                 self._record_reply()
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes for one searcher, which has ``left_s`` seconds."""
+        self.mark_sent(receiver)
         return b''.join(
             (
                 self.head,
--- a/chivepond/gateway/forwarding_service.py
+++ b/chivepond/gateway/forwarding_service.py
@@ -12,6 +12,7 @@
     request_router,
     request_trace,
     routing_table,
+    shutdown,
     upstream_request,
 )
 from chivepond.observe import events
@@ -57,21 +58,25 @@
             )
         clock = asyncio.get_running_loop().time
         trace = request_trace.RequestTrace(clock, clock())
+        request = self._request(forward)
         upstream = upstream_request.UpstreamRequest(
             forward.service,
-            self._request(forward),
+            request,
             _route(forward),
             self._context,
             trace,
         )
-        timing = self._timings.of(forward.route)
-        received_at = clock()
-        times = upstream_request.Times(
-            received_at + forward.target_latency_s,
-            received_at + forward.left_s,
-            needs_late_reply=True,
-        )
-        reply = _reply(await upstream.run(times, timing))
+        reply = forward_request.ForwardReply(None, shutdown.REASON)
+        async with self._context.shutdown.limit(
+            shutdown.PEER_MARGIN_S
+        ) as limit:
+            reply = _reply(
+                await upstream.run(
+                    _times(forward), self._timings.of(forward.route)
+                )
+            )
+        if limit.is_expired:
+            reply.may_have_run = request.may_have_run
         self._context.telemetry.emit(
             events.FORWARD_SERVED,
             is_ordinary=reply.response is not None,
@@ -102,6 +107,15 @@
         return request
 
 
+def _times(forward: forward_request.ForwardRequest) -> upstream_request.Times:
+    received_at = asyncio.get_running_loop().time()
+    return upstream_request.Times(
+        received_at + forward.target_latency_s,
+        received_at + forward.left_s,
+        needs_late_reply=True,
+    )
+
+
 def _reply(
     attempt_outcome: outcome.Reply | upstream_request.UpstreamFailure,
 ) -> forward_request.ForwardReply:
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -30,6 +30,8 @@
 _BALANCER_LAG_S = 3.0
 #: Part of the shutdown grace that is reserved for process exit, in seconds.
 _EXIT_RESERVE_S = 0.5
+#: Time to send the last responses before the process exits, in seconds.
+_FLUSH_S = 0.1
 _POLL_S = 0.05
 #: Idle timeout of connections from other gateways, in seconds.
 _PEER_IDLE_S = 120.0
@@ -49,6 +51,7 @@
         '_exit_stack',
         '_components',
         '_peer_listener',
+        '_peer_service',
         '_background_tasks',
         '_readiness',
         '_settings',
@@ -78,14 +81,15 @@
         self._readiness = self._make_listener(
             settings.readiness, self._serve_readiness
         )
+        self._peer_service = peer_service.PeerService(
+            self._components.context,
+            self._components.sync,
+            self._is_draining,
+            self._components.router,
+        )
         self._peer_listener = self._make_listener(
             settings.peers,
-            peer_service.PeerService(
-                self._components.context,
-                self._components.sync,
-                self._is_draining,
-                self._components.router,
-            ).serve,
+            self._peer_service.serve,
             idle_timeout_s=_PEER_IDLE_S,
         )
         self._metrics_listener = self._make_metrics_listener()
@@ -163,28 +167,33 @@
         """Shut down without aborting any request that has been read.
 
         Responses announce that their connection closes. Idle connections are
-        closed once the balancer routes no more clients here. Returns when all
-        connections are closed, or shortly before the shutdown grace ends.
+        closed once the balancer routes no more clients here. Requests that
+        can't be answered by searchers in time are rejected, and all others are
+        answered shortly before the shutdown grace ends. Returns when all
+        connections are closed, or then.
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        ends_at = started_at + self._settings.stop_grace_s - _EXIT_RESERVE_S
         self._is_stopping = True
+        self._components.context.shutdown.begin(ends_at - _FLUSH_S)
         self._telemetry.emit(
             events.GATEWAY_STOPPING,
             connections=self._client_listener.connections,
             working=self._client_listener.requests_in_progress,
         )
-        await asyncio.sleep(_BALANCER_LAG_S)
+        balancer_until = started_at + _BALANCER_LAG_S
+        while loop.time() < balancer_until:
+            await self._pause()
         # Clients may have connected while the host was paused. When it resumes
         # the balancer lag has passed, and without these two pauses they would
         # be reset before they are accepted, or before their request is read.
-        await asyncio.sleep(_POLL_S)
+        await self._pause()
         self._client_listener.stop_listening()
-        await asyncio.sleep(_POLL_S)
-        ends_at = started_at + self._settings.stop_grace_s - _EXIT_RESERVE_S
-        while self._client_listener.connections and loop.time() < ends_at:
+        await self._pause()
+        while self._is_serving() and loop.time() < ends_at:
             self._client_listener.close_idle()
-            await asyncio.sleep(_POLL_S)
+            await self._pause()
         self._telemetry.emit(
             events.GATEWAY_STOPPED,
             connections=self._client_listener.connections,
@@ -215,6 +224,20 @@
             derived_settings.budget_limits(settings)
         )
 
+    async def _pause(self) -> None:
+        """Reject requests that can't be served before the exit, then sleep."""
+        left_s = self._components.context.shutdown.left_s()
+        self._components.searchers.reject_waiters(left_s)
+        peer_gateways = self._components.peer_gateways
+        for node_id in peer_gateways.node_ids():
+            peer_gateways.channel(node_id).reject_waiters(left_s)
+        await asyncio.sleep(_POLL_S)
+
+    def _is_serving(self) -> bool:
+        return bool(
+            self._client_listener.connections or self._peer_service.is_busy
+        )
+
     def _log_switches(self) -> None:
         self._telemetry.emit(
             events.MECHANISMS_SWITCHED,
--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -55,6 +55,7 @@
         '_gather_id',
         'is_left_running',
         '_channel',
+        '_moved_shards',
         '_shards',
         '_context',
     )
@@ -76,6 +77,8 @@
         self._start_elsewhere = start_elsewhere
         self._channel = channel
         self._shards = shards
+        #: Shards that the other gateway did not request.
+        self._moved_shards: set[str] = set()
         self._gather_id = gather_id.new(context.others.own_id)
         self._shard_requests = requests
         self._exchanges: set[Exchange] = set()
@@ -103,10 +106,14 @@
             )
             reply = self._decode_reply(exchange_outcome)
             if reply is None:
-                pending_shards = collected.pending_among(self._shards)
+                pending_shards = collected.pending_among(
+                    shard
+                    for shard in self._shards
+                    if shard not in self._moved_shards
+                )
                 self._fail_shards(pending_shards, 'no further results received')
                 return
-            collected.add_group(reply)
+            self._add_reply(reply)
             has_more = reply.has_more
 
     def keep_attempts_running(self) -> None:
@@ -134,6 +141,7 @@
             self._request(),
             search.answer_at
             - self._context.others.round_trip_estimate_s(self._gateway_name),
+            search.request,
         )
         until = min(retry_at + _RETRY_TIMEOUT_S, search.deadline)
         first_exchange = self._start_exchange(
@@ -228,17 +236,29 @@
             case outcome.Reply(status=status) if status == _OK:
                 self._fail_shards(self._shards, 'unreadable')
             case _:
+                self._mark_not_run()
                 self._start_elsewhere(self._shards)
 
     def _process_reply(self, reply: gather_request.GatherReply) -> None:
         self._context.trace.note(
             f'group reply received, gathered in {reply.took_s:.3f} s',
         )
-        self._context.shard_results.add_group(reply)
-        self._start_elsewhere(reply.unasked)
+        self._add_reply(reply)
         if reply.has_more:
             self._shard_requests.add_fallback(self.fetch_more)
 
+    def _add_reply(self, reply: gather_request.GatherReply) -> None:
+        """Add results, and request shards elsewhere that were not requested."""
+        if not reply.may_have_run:
+            self._mark_not_run()
+        self._context.shard_results.add_group(reply)
+        moved_shards = set(reply.unasked) - self._moved_shards
+        self._moved_shards |= moved_shards
+        self._start_elsewhere(sorted(moved_shards))
+
+    def _mark_not_run(self) -> None:
+        self._context.search.request.mark_not_run(self._gather_id.decode())
+
     def _fail_shards(self, shards: list[str], reason: str) -> None:
         """Mark shards as missing after their gateway stopped replying.
 
--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -95,6 +95,10 @@
         """Set the largest number of connections."""
         self._pool.limit(max_connections)
 
+    def reject_waiters(self, left_s: float) -> None:
+        """Reject queued requests that can't have a reply within ``left_s``."""
+        self._pool.reject_waiters(left_s)
+
     async def is_reachable(self) -> bool:
         """Tell whether the remote end accepts connections."""
         return await self._pool.is_reachable()
@@ -156,11 +160,12 @@
             request.request_id if request.may_get_two_replies else b'',
         )
         if connection is None:
-            return outcome.NotSent('no connection could be opened')
+            return outcome.NotSent('no connection was available')
         message = request.encode(
             self.end.name,
             deadline - loop.time(),
         )
+        sent_at = loop.time()
         try:
             exchange_outcome = await connection.begin(
                 message,
@@ -171,6 +176,8 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
+        if not request.is_long_poll:
+            self._pool.record_exchange(loop.time() - sent_at)
         self._pool.release(connection, exchange_outcome)
         return exchange_outcome
 
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chivepond.gateway import outcome, transfer
+from chivepond.gateway import forwarded_request, outcome, transfer
 from chivepond.platform import headers
 from chivepond.wire import forward_request, gather_request
 from chivepond.wire import sync_message as sync_messages
@@ -20,6 +20,7 @@
 #: gateways. After it the requests to searchers are cancelled.
 RETENTION_S = 0.3
 
+_OK = 200
 _sync_numbers = itertools.count(1)
 
 
@@ -71,16 +72,21 @@
     opening a connection may have used up some of it.
     """
 
-    __slots__ = ('_due_at', '_request', 'sent_at')
+    __slots__ = ('_due_at', '_origin', '_request', 'sent_at')
 
     def __init__(
         self,
         request: gather_request.GatherRequest,
         due_at: float,
+        origin: forwarded_request.ForwardedRequest | None = None,
     ) -> None:
-        """Request a reply by ``due_at``, in seconds on the loop's clock."""
+        """Request a reply by ``due_at``, in seconds on the loop's clock.
+
+        The client's request ``origin`` records when this one is sent.
+        """
         super().__init__(GATHER_PATH, request.request_id, b'')
         self._request = request
+        self._origin = origin
         self._due_at = due_at
         #: When it was sent, in seconds on the loop's clock; zero before that.
         self.sent_at: float = 0
@@ -92,12 +98,45 @@
 
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes, with the time left as of now."""
+        if self._origin is not None:
+            self._origin.mark_sent(self._request.gather_id.decode())
         self.sent_at = asyncio.get_running_loop().time()
         self._request.answer_in_s = self._due_at - self.sent_at
         self._body = msgspec.msgpack.encode(self._request)
         return super().encode(receiver, left_s)
 
 
+class ForwardMessage(PeerMessage):
+    """A request for another gateway to forward to a searcher."""
+
+    __slots__ = ('_origin',)
+
+    def __init__(
+        self,
+        request: forward_request.ForwardRequest,
+        origin: forwarded_request.ForwardedRequest,
+    ) -> None:
+        """Forward ``origin``, which learns when the request is sent."""
+        super().__init__(
+            FORWARD_PATH,
+            request.request_id,
+            msgspec.msgpack.encode(request),
+        )
+        self._origin = origin
+        self.is_repeatable = origin.is_repeatable
+
+    def encode(self, receiver: str, left_s: float) -> bytes:
+        """Return the bytes, and record that they are sent."""
+        self._origin.mark_sent(receiver)
+        return super().encode(receiver, left_s)
+
+    def observe(self, receiver: str, ended: outcome.Outcome) -> None:
+        """Record that a gateway that refused the request did not run it."""
+        match ended:
+            case outcome.Reply(status=status) if status != _OK:
+                self._origin.mark_not_run(receiver)
+
+
 def remaining_parts_message(
     request_id: bytes, *, has_reply: bool, gather_id: bytes = b''
 ) -> PeerMessage:
@@ -113,21 +152,6 @@
     return message
 
 
-def forward_message(
-    request: forward_request.ForwardRequest,
-    *,
-    is_repeatable: bool,
-) -> PeerMessage:
-    """Return a request for another gateway to forward to a searcher."""
-    message = PeerMessage(
-        FORWARD_PATH,
-        request.request_id,
-        msgspec.msgpack.encode(request),
-    )
-    message.is_repeatable = is_repeatable
-    return message
-
-
 def sync_message(request: sync_messages.SyncRequest) -> PeerMessage:
     """Return the long-poll request for updates of the store's objects."""
     request_id = b'sync-%d' % next(_sync_numbers)
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -14,6 +14,7 @@
     peer_message,
     pending_search,
     request_router,
+    shutdown,
     sync_service,
     upstream_request,
 )
@@ -53,6 +54,7 @@
         '_forwarding',
         '_serves_shards',
         '_pending_by_key',
+        '_requests_in_progress',
         '_is_stopping',
         '_timings',
         '_sync',
@@ -83,6 +85,12 @@
         ] = {}
         #: Gathers that were reported as never received.
         self._unreceived_keys: set[_GatherKey] = set()
+        self._requests_in_progress = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether another gateway waits, or may ask, for results."""
+        return bool(self._requests_in_progress or self._pending_by_key)
 
     async def serve(
         self,
@@ -104,20 +112,28 @@
         self,
         request_id: bytes,
         message: msgspec.Struct,
+    ) -> client_response.ClientResponse:
+        match message:
+            case sync_message.SyncRequest() if not self._is_stopping():
+                return _response(request_id, await self._sync.serve(message))
+        self._requests_in_progress += 1
+        try:
+            return await self._serve_request(message)
+        finally:
+            self._requests_in_progress -= 1
+
+    async def _serve_request(
+        self, message: msgspec.Struct
     ) -> client_response.ClientResponse:
         match message:
             case gather_request.MoreRequest():
                 return await self._gather_more(message)
-            case _ if self._is_stopping():
-                return client_response.refusal(
-                    _UNAVAILABLE, 'this gateway is shutting down'
-                )
-            case gather_request.GatherRequest():
+            case gather_request.GatherRequest() if not self._is_stopping():
                 return await self._gather(message)
-            case forward_request.ForwardRequest():
+            case forward_request.ForwardRequest() if not self._is_stopping():
                 return await self._forwarding.serve(message)
             case _:
-                return _response(request_id, await self._sync.serve(message))
+                return client_response.refusal(_UNAVAILABLE, shutdown.REASON)
 
     async def _gather(
         self,
--- a/chivepond/gateway/pending_search.py
+++ b/chivepond/gateway/pending_search.py
@@ -1,6 +1,7 @@
 """A search on some shards that this gateway runs for another gateway."""
 
 import asyncio
+import contextlib
 
 from chivepond.decisions import gather_time, hedge_timing
 from chivepond.gateway import (
@@ -10,6 +11,7 @@
     routing_table,
     shard_requests,
     shard_results,
+    shutdown,
     upstream_request,
 )
 from chivepond.wire import gather_request
@@ -23,6 +25,7 @@
 
     __slots__ = (
         '_gather_request',
+        '_request',
         '_requests',
         '_started_at',
         '_shard_results',
@@ -59,18 +62,18 @@
             timing,
             self.trace,
         )
-        request = forwarded_request.ForwardedRequest(
+        self._request = forwarded_request.ForwardedRequest(
             gather.request_id,
             gather.head,
             gather.body,
             is_head=False,
         )
-        context.crash_watch.follow(request)
+        context.crash_watch.follow(self._request)
         times = upstream_request.Times(
             self._started_at + gather.answer_in_s,
             self._started_at + gather.left_s,
         )
-        self._requests.start(gather.shards, request, times)
+        self._requests.start(gather.shards, self._request, times)
 
     def end(self, *, is_answered: bool) -> None:
         """Stop the requests; see ``ShardRequests.end``."""
@@ -78,9 +81,12 @@
 
     async def first_reply(self) -> gather_request.GatherReply:
         """Return the results when the answer is due, or earlier if complete."""
-        await self._requests.wait_all(
-            self._started_at + self._gather_request.answer_in_s
-        )
+        async with self._limit() as limit:
+            await self._requests.wait_all(
+                self._started_at + self._gather_request.answer_in_s
+            )
+        if limit.is_expired:
+            self._requests.give_up(shutdown.REASON)
         return self._reply()
 
     def repeat_reply(self) -> gather_request.GatherReply:
@@ -95,20 +101,28 @@
         the whole group delayed results that would have completed the search.
         """
         self._requests.start_fallbacks()
-        try:
-            async with asyncio.timeout_at(
-                self._started_at + self._gather_request.left_s
-            ):
-                await self._wait_next_result()
-        except TimeoutError:
-            return self._reply()
+        async with self._limit() as limit:
+            await self._wait_next_result()
+        if limit.is_expired:
+            self._requests.give_up(shutdown.REASON)
         return self._reply()
 
     def missing(self) -> dict[str, str]:
         """Return the reason for each missing shard."""
         return self._shard_results.missing_reasons()
 
+    def _limit(self) -> shutdown.RequestLimit:
+        return self._context.shutdown.limit(shutdown.PEER_MARGIN_S)
+
     async def _wait_next_result(self) -> None:
+        """Wait for a result that was not sent, until the client's deadline."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(
+                self._started_at + self._gather_request.left_s
+            ):
+                await self._wait_unsent_result()
+
+    async def _wait_unsent_result(self) -> None:
         collected = self._shard_results
         while self._sent_shards >= collected.signature_by_shard.keys():
             if not (
@@ -146,7 +160,7 @@
             queued=sum(
                 map(self._context.selection.is_queued, collected.shards)
             ),
-            may_have_run=collected.may_have_run,
+            may_have_run=self._request.may_have_run,
             shed=list(collected.shed),
             gather_id=self._gather_request.gather_id,
         )
--- a/chivepond/gateway/request_router.py
+++ b/chivepond/gateway/request_router.py
@@ -14,6 +14,7 @@
     request_trace,
     routing_table,
     scatter_gather,
+    shutdown,
     single_request,
     upstream_request,
 )
@@ -169,6 +170,10 @@
             return client_response.refusal(
                 _UNAVAILABLE, 'the deadline of the request has passed', 0
             )
+        if self._stops_before(route):
+            return client_response.refusal(
+                _UNAVAILABLE, shutdown.REASON, single_request.RETRY_AFTER_S
+            )
         forwarded = forwarded_request.ForwardedRequest.of(
             request,
             is_repeatable=route.is_idempotent,
@@ -210,6 +215,18 @@
                     trace,
                 )
 
+    def _stops_before(self, route: routing_table.Route) -> bool:
+        """Tell whether the gateway stops before a response is expected."""
+        left_s = self._context.shutdown.left_s()
+        if left_s is None:
+            return False
+        match route.target:
+            case routing_table.OneService(service=service):
+                expected_s = self._context.selection.expected_s(service)
+            case _:
+                expected_s = 0
+        return left_s < max(expected_s, _MIN_SEARCHER_TIME_S)
+
     def _choose_service(self, route: routing_table.Route) -> str:
         match route.target:
             case routing_table.OneService(service=service):
--- a/chivepond/gateway/scatter_gather.py
+++ b/chivepond/gateway/scatter_gather.py
@@ -81,10 +81,15 @@
             self._timing,
             context.trace,
         ) as requests:
-            self._start_requests(search_plan, requests)
-            await requests.wait_all(self._answer_at())
-            self._update_admission(search_plan)
-            await requests.wait_enough(context.search.deadline)
+            async with context.request_context.shutdown.limit() as limit:
+                self._start_requests(search_plan, requests)
+                await requests.wait_all(self._answer_at())
+                self._update_admission(search_plan)
+                await requests.wait_enough(context.search.deadline)
+        if limit.is_expired:
+            return search_response.interrupted(
+                context.search, context.shard_results
+            )
         return search_response.of(context.search, context.shard_results)
 
     def _is_admitted(self) -> bool:
--- a/chivepond/gateway/search_response.py
+++ b/chivepond/gateway/search_response.py
@@ -7,6 +7,7 @@
     merge,
     search,
     shard_results,
+    shutdown,
     single_request,
 )
 from chivepond.platform import headers
@@ -40,6 +41,21 @@
     return not_run(collected)
 
 
+def interrupted(
+    client_search: search.Search, collected: shard_results.ShardResults
+) -> client_response.ClientResponse:
+    """Return the response to a search that ends with its gateway.
+
+    Results that are in are returned if there are enough.
+    """
+    if collected.is_enough:
+        return _success(client_search, collected)
+    if client_search.request.may_have_run:
+        response = client_response.refusal(_BAD_GATEWAY, shutdown.REASON)
+        return _with_reasons(response, collected)
+    return not_run(collected)
+
+
 def not_run(
     collected: shard_results.ShardResults,
 ) -> client_response.ClientResponse:
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -205,6 +205,14 @@
         searcher.channel.limit(self.shares.connections(searcher.record.service))
         return searcher.channel
 
+    def reject_waiters(self, left_s: float) -> None:
+        """Reject requests that wait for a connection and can't be served.
+
+        Those are the ones whose reply is not expected within ``left_s``.
+        """
+        for searcher in self._searcher_by_id.values():
+            searcher.channel.reject_waiters(left_s)
+
     async def is_reachable(self, searcher_id: str) -> bool:
         """Tell whether a searcher accepts connections; true if unknown."""
         searcher = self._searcher_by_id.get(searcher_id)
--- a/chivepond/gateway/shard_requests.py
+++ b/chivepond/gateway/shard_requests.py
@@ -45,6 +45,7 @@
     __slots__ = (
         '_requests',
         '_unresponsive_tasks',
+        '_upstream_by_shard',
         '_is_overdue',
         '_fallbacks',
         '_timing',
@@ -75,6 +76,9 @@
         #: Whether the due time of the search has passed.
         self._is_overdue = False
         self._unresponsive_tasks: set[asyncio.Task[None]] = set()
+        self._upstream_by_shard: dict[
+            str, upstream_request.UpstreamRequest
+        ] = {}
 
     def __enter__(self) -> Self:
         """Return the object itself."""
@@ -97,6 +101,22 @@
         for task in self._tasks:
             task.cancel()
 
+    def give_up(self, reason: str) -> None:
+        """Stop all requests, and mark the shards without a result."""
+        collected = self.shard_results
+        pending_shards = collected.pending_among(collected.shards)
+        for shard in (*pending_shards, *collected.shed):
+            upstream = self._upstream_by_shard.get(shard)
+            may_have_run = upstream is not None and upstream.may_have_run
+            collected.mark_missing(
+                shard,
+                reason,
+                has_run=may_have_run,
+                reached_no_searcher=not may_have_run,
+            )
+        collected.shed.clear()
+        self.end(is_answered=False)
+
     def start_group(self, group: GroupTask) -> None:
         """Start a request for some of the shards through another gateway."""
         self._requests.append(group)
@@ -249,6 +269,7 @@
                 is_moved=is_moved,
             )
             self._requests.append(upstream)
+            self._upstream_by_shard[shard] = upstream
             task = asyncio.create_task(self._run_request(upstream, times))
             self._tasks.add(task)
             if self._context.selection.is_hopeless(shard):
--- a/chivepond/gateway/single_request.py
+++ b/chivepond/gateway/single_request.py
@@ -11,6 +11,7 @@
     peers,
     request_trace,
     routing_table,
+    shutdown,
     upstream_request,
 )
 
@@ -38,24 +39,52 @@
     The error is 503 if no searcher ran the request; otherwise 504 after the
     deadline and 502 before it.
     """
+    exchange_outcome = upstream_request.UpstreamFailure(
+        shutdown.REASON, may_have_run=False, reached_no_searcher=True
+    )
+    async with context.shutdown.limit() as limit:
+        exchange_outcome = await _run(
+            service, request, route, deadline, context, gateways, timing, trace
+        )
+    if limit.is_expired and request.may_have_run:
+        return client_response.refusal(_BAD_GATEWAY, shutdown.REASON)
+    return _response(exchange_outcome, request, deadline)
+
+
+async def _run(
+    service: str,
+    request: forwarded_request.ForwardedRequest,
+    route: routing_table.Route,
+    deadline: float,
+    context: upstream_request.RequestContext,
+    gateways: peers.Peers,
+    timing: hedge_timing.HedgeTiming,
+    trace: request_trace.RequestTrace,
+) -> outcome.Reply | upstream_request.UpstreamFailure:
     if context.searchers.shares.connections(service):
         upstream = upstream_request.UpstreamRequest(
             service, request, route, context, trace
         )
         due = asyncio.get_running_loop().time() + route.target_latency_s
-        exchange_outcome = await upstream.run(
+        return await upstream.run(
             upstream_request.Times(due, deadline, needs_late_reply=True),
             timing,
         )
-    else:
-        delegated = delegated_request.DelegatedRequest(
-            service,
-            request,
-            route,
-            context.searchers.shares,
-            gateways,
-        )
-        exchange_outcome = await delegated.run(deadline, trace)
+    delegated = delegated_request.DelegatedRequest(
+        service,
+        request,
+        route,
+        context.searchers.shares,
+        gateways,
+    )
+    return await delegated.run(deadline, trace)
+
+
+def _response(
+    exchange_outcome: outcome.Reply | upstream_request.UpstreamFailure,
+    request: forwarded_request.ForwardedRequest,
+    deadline: float,
+) -> client_response.ClientResponse:
     match exchange_outcome:
         case outcome.Reply() as reply:
             return _forwarded(reply, is_head=request.is_head)
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -22,6 +22,7 @@
     searcher_selection,
     searchers,
     send_counts,
+    shutdown,
     telemetry,
 )
 from chivepond.observe import events
@@ -47,6 +48,9 @@
     admission: search_admission.SearchAdmission
     switches: switches.Switches
     crash_watch: crash_watch.CrashWatch
+    shutdown: 'shutdown.Shutdown' = dataclasses.field(
+        default_factory=shutdown.Shutdown
+    )
     sends: send_counts.SendCounts = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -184,6 +188,14 @@
         hedge_timer.learn(loop.time() - started)
         return reply
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a searcher has run the request, or may still run it."""
+        return self._may_have_run or any(
+            self._request.is_unresolved(channel.end.name)
+            for channel in self._running.values()
+        )
+
     def keep_attempts_running(self) -> None:
         """Let running attempts finish when this request is cancelled."""
         self._keeps_attempts_running = True
