--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -79,7 +79,7 @@
         self._shards = shards
         #: Shards that the other gateway did not request.
         self._moved_shards: set[str] = set()
-        self._gather_id = gather_id.new(context.others.own_id)
+        self._gather_id = b''
         self._shard_requests = requests
         self._exchanges: set[Exchange] = set()
         self.is_left_running = False
@@ -87,6 +87,7 @@
     async def run(self) -> None:
         """Add the results of the group, or mark its shards as missing."""
         name = self._channel.end.name
+        self._gather_id = gather_id.new(self._context.others.own_id)
         self._context.trace.note(
             f'{len(self._shards)} shards: requested through {name}'
         )
