Requests that wait for a connection are not sent to a leaving searcher

Cause: a request chooses its searcher and then waits for a connection to it, up to its deadline. Nothing ended that wait when the searcher announced its shutdown or was removed.

Why this works: a leaving searcher's pool ends all waits and hands out no connection, also none that is just being opened. The requests were not sent and go to another searcher, or are refused with 503 at once.

Red before the change: test_requests_that_wait_for_a_draining_searcher_go_to_another_one (four requests at it, not one), test_requests_that_wait_for_the_last_searcher_are_refused.

--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -85,9 +85,16 @@
         self._wake_waiter()
 
     def close(self) -> None:
-        """Close idle connections; each busy one closes when it is released."""
+        """Close idle connections; each busy one closes when it is released.
+
+        Ends the wait of all that wait for a connection.
+        """
         self._max_connections = 0
         self.drop_idle()
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(False)
+        self._waiters.clear()
 
     async def acquire(
         self,
@@ -107,7 +114,7 @@
             if idle_connection is not None:
                 return idle_connection
             if len(self._open_connections) < self._max_connections:
-                return await self._connect()
+                return await self._connect_unless_closed()
             if not self._max_connections:
                 return None
             if not await self._wait_for_release():
@@ -191,6 +198,15 @@
             connection.close()
         return None
 
+    async def _connect_unless_closed(
+        self,
+    ) -> http_connection.HttpConnection | None:
+        connection = await self._connect()
+        if connection is not None and self.is_closed:
+            connection.close()
+            return None
+        return connection
+
     async def _connect(self) -> http_connection.HttpConnection | None:
         connection = http_connection.HttpConnection(
             headers.REQUEST_ID,
--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -76,6 +76,13 @@
             end, max_connections, end_health_log
         )
 
+    def drain(self) -> None:
+        """Send no more requests; those that were sent are completed.
+
+        Requests that wait for a connection are not sent.
+        """
+        self._pool.close()
+
     def close(self) -> None:
         """Close idle connections; each busy one closes after its exchange."""
         self._pool.close()
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -132,6 +132,8 @@
                 self._cancel_removal(record.searcher_id)
                 self._log_leaving(searcher.record, record)
                 searcher.record = record
+                if record.is_leaving:
+                    searcher.channel.drain()
                 self._candidates_by_service.pop(record.service, None)
                 return
             self._remove(record.searcher_id)
--- a/chivepond/tests/test_gateway_updates.py
+++ b/chivepond/tests/test_gateway_updates.py
@@ -8,6 +8,7 @@
 
 from chivepond.gateway import replica
 from chivepond.platform import documents, store_calls
+from chivepond.settings import mechanism
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
 from chivepond.transport import address
@@ -118,6 +119,86 @@
     support.run(scenario())
 
 
+def _slow_route():
+    return gateway_bench.route(
+        'r', '/r/', service='desk', kind='non_idempotent', timeout_ms=4000
+    )
+
+
+async def _slow_echo(request: ReceivedRequest) -> ScriptedReply:
+    await asyncio.sleep(0.6)
+    return scripted_searcher.good(request, request.line)
+
+
+async def _post_many(bench: gateway_bench.Bench, gateway, searcher):
+    """Send four requests; return their replies once one is at the searcher."""
+    raw = gateway_bench.request('POST', '/r/', body=b'x', left_ms=4000)
+    callers = [await bench.caller(gateway.client_address) for _ in range(4)]
+    replies = [caller.connection.begin(raw, b'') for caller in callers]
+    await gateway_bench.until(lambda: searcher.got)
+    return replies
+
+
+def test_requests_that_wait_for_a_draining_searcher_go_to_another_one():
+    """Guards against requests sent to a searcher long after its notice.
+
+    They waited for a connection to it when it announced its shutdown.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            leaving = await bench.searcher('s-1', 'desk', _slow_echo)
+            bench.configure(1, _slow_route(), connection_cap=2)
+            gateway = await bench.ready_gateway()
+            replies = await _post_many(bench, gateway, leaving)
+            other = await bench.searcher('s-2', 'desk', _echo, zone='hub')
+            await gateway_bench.until(
+                lambda: gateway.counts.searchers_known == 2
+            )
+            bench.register(
+                's-1', 'desk', leaving.address, state='draining', sequence=2
+            )
+            statuses = [
+                gateway_bench.reply_of(reply).status
+                for reply in await asyncio.gather(*replies)
+            ]
+            assert statuses == [200, 200, 200, 200]
+            assert len(leaving.got) == 1
+            assert len(other.got) == 3
+
+    support.run(scenario())
+
+
+@pytest.mark.parametrize('is_removed', [True, False])
+def test_requests_that_wait_for_the_last_searcher_are_refused(is_removed):
+    """Guards against requests that wait for a searcher that has left."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            leaving = await bench.searcher('s-1', 'desk', _slow_echo)
+            bench.configure(1, _slow_route(), connection_cap=2)
+            gateway = await bench.ready_gateway(
+                switched_off=[mechanism.Mechanism.LAST_CHOICE]
+            )
+            replies = await _post_many(bench, gateway, leaving)
+            if is_removed:
+                bench.store.remove(store_calls.SEARCHERS, 's-1')
+            else:
+                bench.register(
+                    's-1', 'desk', leaving.address, state='draining', sequence=2
+                )
+            await asyncio.sleep(0.4)
+            assert [reply.done() for reply in replies].count(True) == 3
+            statuses = sorted(
+                gateway_bench.reply_of(reply).status
+                for reply in await asyncio.gather(*replies)
+            )
+            assert statuses == [200, 503, 503, 503]
+            assert len(leaving.got) == 1
+
+    support.run(scenario())
+
+
 def test_a_report_of_an_earlier_process_does_not_remove_a_searcher():
     """Guards against a restarted searcher that counts as shutting down.
 
