A removal that is read late takes effect within its bound

Cause: a searcher whose entry is gone remained the last choice for 2 s, counted from when the removal was read. Followers of a gateway that is cut off from the store read it up to 2 s late.

Why this works: the removal is younger than the last confirmation of the content without it, so the delay ends 0.5 s before the bound has passed since then. Content that is older than the bound was read when the store had been away, and entries that lapsed meanwhile return within the 2 s that are kept for them.

--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -96,6 +96,7 @@
         peer_gateways,
         gateway_telemetry,
         mechanism_switches,
+        settings.leaving_bound_s,
     )
     context = upstream_request.RequestContext(
         searchers=searcher_registry,
@@ -195,6 +196,7 @@
         replica_by_kind[store_calls.GATEWAY_KIND],
         replica_by_kind[store_calls.SEARCHERS],
     )
+    context.searchers.replica = replica_by_kind[store_calls.SEARCHERS]
     return sync_service.SyncService(
         replica_by_kind,
         replicas_changed,
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -1,9 +1,11 @@
 """The registered searchers, with their channels and health."""
 
 import asyncio
+import math
 from collections.abc import Iterator, Mapping
 
 from chivepond.decisions import (
+    change_time,
     searcher_choice,
     switches,
     usual_latency,
@@ -14,6 +16,7 @@
     peer_channel,
     peers,
     registered_searcher,
+    replica,
     searcher_record,
     telemetry,
     upstream_shares,
@@ -22,10 +25,12 @@
 from chivepond.settings import mechanism
 from chivepond.transport import address
 
-#: Seconds for which a searcher without an entry remains the last choice.
-#: Entries that expire while the store is unavailable return within two
-#: seconds, and a searcher that leaves serves for longer than that.
+#: Seconds for which a searcher without an entry remains the last choice at
+#: most: entries that expire while the store is unavailable return by then.
 _REMOVAL_DELAY_S = 2.0
+#: Part of the time within which a removal must take effect that is left for
+#: requests on their way, and for confirmations that were late, in seconds.
+_REMOVAL_MARGIN_S = 0.5
 _Candidates = list[searcher_choice.Candidate]
 
 
@@ -37,6 +42,7 @@
         '_health_log',
         '_id_by_address',
         '_ids_by_service',
+        '_leaving_bound_s',
         '_loop',
         '_misdirected',
         '_removal_by_id',
@@ -46,6 +52,7 @@
         '_usual_latency_by_service',
         'own_data_centre',
         'region_by_data_centre',
+        'replica',
         'shares',
     )
 
@@ -56,8 +63,16 @@
         peer_gateways: peers.Peers,
         gateway_telemetry: telemetry.Telemetry,
         mechanism_switches: switches.Switches,
+        leaving_bound_s: float = math.inf,
     ) -> None:
-        """Start without searchers, in the data centre ``own_data_centre``."""
+        """Start without searchers, in the data centre ``own_data_centre``.
+
+        A searcher gets no request more than ``leaving_bound_s`` seconds after
+        its entry was removed.
+        """
+        self._leaving_bound_s = leaving_bound_s
+        #: The replica that the entries come from, if there is one.
+        self.replica: replica.Replica | None = None
         self.own_data_centre = own_data_centre
         self.region_by_data_centre = region_by_data_centre
         self._loop = asyncio.get_running_loop()
@@ -142,7 +157,9 @@
     def deregister(self, searcher_id: str) -> None:
         """Remove a searcher whose entry is gone, after a delay.
 
-        Removes it at once if it is leaving or the delay is switched off.
+        The delay is shorter where the entry may have been gone for a while.
+        Removes the searcher at once if it is leaving or the delay is switched
+        off.
         """
         self._misdirected = {
             incarnation
@@ -157,7 +174,7 @@
             self._remove(searcher_id)
             return
         self._removal_by_id[searcher_id] = self._loop.call_later(
-            _REMOVAL_DELAY_S,
+            self._removal_delay_s(),
             self._remove,
             searcher_id,
         )
@@ -220,6 +237,16 @@
         searcher = self._searcher_by_id.get(searcher_id)
         return searcher is None or await searcher.channel.is_reachable()
 
+    def _removal_delay_s(self) -> float:
+        if self.replica is None:
+            return _REMOVAL_DELAY_S
+        return change_time.max_delay_s(
+            _REMOVAL_DELAY_S,
+            self.replica.age_s(self._loop.time()),
+            self._leaving_bound_s,
+            _REMOVAL_MARGIN_S,
+        )
+
     def _build_candidates(
         self,
         service: str,
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -67,6 +67,11 @@
         """The shorter of the two bounds for applying updates, in seconds."""
         return min(self.routes_bound_ms, self.leaving_bound_ms) / _MS_PER_S
 
+    @property
+    def leaving_bound_s(self) -> float:
+        """The bound for searchers that leave, in seconds."""
+        return self.leaving_bound_ms / _MS_PER_S
+
     def find_error(self) -> setting_error.SettingError | None:
         """Return the first invalid address or missing region, if any."""
         for name in ('callers', 'readiness', 'peers', 'store'):
--- a/chivepond/tests/test_gateway_updates.py
+++ b/chivepond/tests/test_gateway_updates.py
@@ -6,9 +6,11 @@
 import pytest
 from hypothesis import strategies
 
+from chivepond.decisions import change_time
 from chivepond.gateway import replica
 from chivepond.platform import documents, store_calls
 from chivepond.settings import mechanism
+from chivepond.soak import loopback_proxy
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
 from chivepond.transport import address
@@ -199,6 +201,63 @@
     support.run(scenario())
 
 
+def test_a_removal_that_is_read_late_takes_effect_within_the_bound():
+    """Guards against requests to a searcher that left before it was read.
+
+    The gateway that reads the store for the other one is cut off from it just
+    when an entry is removed. The searcher is the last choice for a while.
+    """
+    arrivals = []
+
+    async def record(request: ReceivedRequest) -> ScriptedReply:
+        arrivals.append(asyncio.get_running_loop().time())
+        return scripted_searcher.good(request, b'')
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', record)
+            bench.configure(1, _route())
+            proxy = loopback_proxy.LoopbackProxy(bench.store.address)
+            async with proxy:
+                reader = await bench.ready_gateway(store=str(proxy.address))
+                follower = await bench.ready_gateway(node_id='gate-2')
+                await gateway_bench.until(
+                    lambda: reader.counts.gateways_known == 2
+                )
+                await asyncio.sleep(2)
+                bench.configure(2, _route())
+                await gateway_bench.until(
+                    lambda: follower.counts.routes_version == 2
+                )
+                proxy.apply_fault(loopback_proxy.ProxyFault.SILENT)
+                bench.store.remove(store_calls.SEARCHERS, 's-1')
+                removed_at = asyncio.get_running_loop().time()
+                caller = await bench.caller(follower.client_address)
+                statuses = []
+                while asyncio.get_running_loop().time() < removed_at + 4.5:
+                    statuses.append(await _status(caller))
+                    await asyncio.sleep(0.05)
+            assert max(arrivals) < removed_at + 3
+            assert statuses[0] == 200
+            assert statuses[-1] == 503
+
+    support.run(scenario())
+
+
+@hypothesis.given(
+    age_s=strategies.floats(0, 20), bound_s=strategies.floats(0.1, 10)
+)
+def test_a_change_is_put_off_within_its_bound(age_s, bound_s):
+    """Guards against a bound that begins when a change is read."""
+    margin_s = bound_s / 10
+    delay_s = change_time.max_delay_s(2, age_s, bound_s, margin_s)
+    assert 0 <= delay_s <= 2
+    if age_s >= bound_s:
+        assert delay_s == 2
+    elif delay_s:
+        assert age_s + delay_s <= bound_s - margin_s + 1e-9
+
+
 def test_a_report_of_an_earlier_process_does_not_remove_a_searcher():
     """Guards against a restarted searcher that counts as shutting down.
 
