Ages of versions and of copied content count from their confirmation

Cause: the wait of a version for its searchers began when the version was read, and left room for content that is old by 0.7 of the bound at most. The age of content from another gateway began with the end of the reply, which takes seconds for a large update on a narrow link.

Why this works: the wait ends at 0.95 of the bound since the last confirmation of the content without the version. The age counts from the first byte of the reply.

--- a/chivepond/decisions/version_wait.py
+++ b/chivepond/decisions/version_wait.py
@@ -10,20 +10,25 @@
 
 from collections.abc import Callable
 
-from chivepond.decisions import gather_time
+from chivepond.decisions import change_time, gather_time
 
 #: The fraction of the time within which a version must be active for which it
 #: may be delayed. With the maximum content age of a followed gateway, 0.55,
 #: and the wait for its reply, 0.15, the sum stays below one.
 _MAX_WAIT_PART = 0.25
+#: The fraction of that time that is left when a delayed version is activated.
+_MARGIN_PART = 0.05
 
 
-def max_delay_s(bound_s: float) -> float:
+def max_delay_s(bound_s: float, age_s: float = 0) -> float:
     """Return how long a version may be delayed after it was read, in seconds.
 
-    ``bound_s`` is the time within which it must be active.
+    ``bound_s`` is the time within which it must be active, and ``age_s`` how
+    long ago the previous version was confirmed.
     """
-    return _MAX_WAIT_PART * bound_s
+    return change_time.max_delay_s(
+        _MAX_WAIT_PART * bound_s, age_s, bound_s, _MARGIN_PART * bound_s
+    )
 
 
 def is_search_served(
--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -197,6 +197,7 @@
         replica_by_kind[store_calls.SEARCHERS],
     )
     context.searchers.replica = replica_by_kind[store_calls.SEARCHERS]
+    updates.configuration_replica = replica_by_kind[store_calls.CONFIGURATION]
     return sync_service.SyncService(
         replica_by_kind,
         replicas_changed,
--- a/chivepond/gateway/peer_updates.py
+++ b/chivepond/gateway/peer_updates.py
@@ -61,6 +61,19 @@
         return None
     gateway_telemetry.count('news', 'taken')
     _log_large(channel.end.name, message.progress, reply, gateway_telemetry)
+    _apply(
+        reply, replica_by_kind, sent_at, loop.time() - message.progress.took_s
+    )
+    return reply
+
+
+def _apply(
+    reply: sync_message.SyncReply,
+    replica_by_kind: Mapping[str, replica.Replica],
+    sent_at: float,
+    received_at: float,
+) -> None:
+    """Apply a reply whose first byte was received at ``received_at``."""
     for kind, kind_replica in replica_by_kind.items():
         update = reply.update_by_kind.get(kind)
         if update is not None:
@@ -68,10 +81,9 @@
         # Advances the revision, so that a later watch of the store needs only
         # the history since then.
         kind_replica.apply_changes([], reply.as_of_by_kind.get(kind, 0))
-        kind_replica.confirm(loop.time() - reply.age_s)
+        kind_replica.confirm(received_at - reply.age_s)
         if kind in store_calls.LISTS:
             kind_replica.verify(sent_at - reply.list_age_s)
-    return reply
 
 
 def _log_large(
--- a/chivepond/gateway/store_updates.py
+++ b/chivepond/gateway/store_updates.py
@@ -8,6 +8,7 @@
 from chivepond.decisions import switches
 from chivepond.gateway import (
     closeable,
+    replica,
     request_router,
     routing_table,
     searcher_record,
@@ -29,6 +30,7 @@
         '_telemetry',
         '_versions',
         '_router',
+        'configuration_replica',
     )
 
     def __init__(
@@ -56,6 +58,8 @@
         self._telemetry = gateway_telemetry
         self._on_update = on_update
         self._has_searcher_list = False
+        #: The replica that configurations come from, if there is one.
+        self.configuration_replica: replica.Replica | None = None
 
     def close(self) -> None:
         """Discard the version that waits to become active."""
@@ -134,7 +138,7 @@
             return
         match configuration_codec.decode(stored.spec):
             case result.Ok(table):
-                if self._versions.offer(table):
+                if self._versions.offer(table, self._configuration_age_s()):
                     self._telemetry.emit(
                         events.ROUTES_WAIT,
                         version=table.version,
@@ -148,6 +152,10 @@
                     why=str(failure.unwrap_err()),
                 )
 
+    def _configuration_age_s(self) -> float:
+        known = self.configuration_replica
+        return 0 if known is None else known.age_s(_now())
+
     def _on_active(self, table: routing_table.RoutingTable) -> None:
         self._searchers.shares.limit(table.connection_cap_by_service)
         self._telemetry.gauge('routes_version', table.version)
--- a/chivepond/gateway/version_queue.py
+++ b/chivepond/gateway/version_queue.py
@@ -50,11 +50,14 @@
         """Discard the waiting version."""
         self._clear()
 
-    def offer(self, table: routing_table.RoutingTable) -> bool:
+    def offer(
+        self, table: routing_table.RoutingTable, age_s: float = 0
+    ) -> bool:
         """Activate or queue a version; return whether it waits.
 
-        A newer version replaces the waiting one and inherits its deadline.
-        Versions that are not newer are ignored.
+        The previous version was confirmed ``age_s`` seconds ago. A newer
+        version replaces the waiting one and inherits its deadline. Versions
+        that are not newer are ignored.
         """
         newest = self._waiting or self._router.table
         if newest is not None and table.version <= newest.version:
@@ -65,7 +68,7 @@
         self._waiting = table
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
-                version_wait.max_delay_s(self._bound_s),
+                version_wait.max_delay_s(self._bound_s, age_s),
                 self._activate_waiting,
             )
         return True
