Replies without end are aborted in each of their parts

Callers of a service with one searcher whose replies never end got 504 or 502 for the first requests, and with interim replies or small chunks a gateway was so busy that callers of another service got no answer in 4 s.

Cause: only the size of a body was bounded. Interim replies, replies to other requests, heads, chunk framing and trailers were read until the deadline.

Why this works: each part has a limit in bytes, replies that are skipped and chunks one in number, and the parser stops in the bytes that it was given. An aborted reply is a failure of its searcher, is logged, and the request goes to another one, waiting for the budget of second sends if need be.

--- a/chivepond/gateway/assembly.py
+++ b/chivepond/gateway/assembly.py
@@ -98,6 +98,8 @@
         mechanism_switches,
         settings.leaving_bound_s,
     )
+    searcher_registry.reply_buffers = derived_settings.buffers(settings)
+    peer_gateways.reply_buffers = searcher_registry.reply_buffers
     context = upstream_request.RequestContext(
         searchers=searcher_registry,
         selection=searcher_selection.SearcherSelection(
--- a/chivepond/gateway/connection_pool.py
+++ b/chivepond/gateway/connection_pool.py
@@ -211,6 +211,7 @@
         connection = http_connection.HttpConnection(
             headers.REQUEST_ID,
             self._on_connection_closed,
+            self._remote_end.buffers,
         )
         self._open_connections.add(connection)
         remote = self._remote_end.address
--- a/chivepond/gateway/derived_settings.py
+++ b/chivepond/gateway/derived_settings.py
@@ -1,7 +1,7 @@
 """Derives what the components of a gateway need from its settings."""
 
 from chivepond.decisions import hedge_budget
-from chivepond.gateway import peer_record
+from chivepond.gateway import peer_record, reply_buffers
 from chivepond.settings import gateway_settings
 from chivepond.transport import address
 from chivepond.wire import gateway_entry
@@ -56,6 +56,13 @@
     return settings.peers in settings.seeds or not settings.seeds
 
 
+def buffers(
+    settings: gateway_settings.GatewaySettings,
+) -> reply_buffers.ReplyBuffers:
+    """Return the limit on the memory of replies in progress."""
+    return reply_buffers.ReplyBuffers(settings.memory_mb)
+
+
 def budget_limits(
     settings: gateway_settings.GatewaySettings,
 ) -> hedge_budget.BudgetLimits:
--- a/chivepond/gateway/health_log.py
+++ b/chivepond/gateway/health_log.py
@@ -43,6 +43,11 @@
             self._distrusted.discard(name)
             self._telemetry.emit(self._trusted_event, name=name)
 
+    def record_excess(self, name: str, reason: str) -> None:
+        """Emit an event for a reply that was aborted, and count it."""
+        self._telemetry.count('replies_aborted', self._kind)
+        self._telemetry.emit(events.REPLY_ABORTED, name=name, why=reason)
+
     def forget(self, name: str) -> None:
         """Drop the state of a name that is no longer registered."""
         self._distrusted.discard(name)
--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -5,16 +5,33 @@
 
 import httptools
 
-from chivepond.gateway import header_list, outcome, transfer
+from chivepond.gateway import header_list, outcome, reply_buffers, transfer
 
 #: The largest response body that is buffered, in bytes; a small host has the
 #: memory for a few dozen of them at a time.
 _MAX_REPLY_BYTES = 4194304
+#: Limits on everything else that a receiver may send for one request: the
+#: bytes of one head or trailer, the bytes that frame a body, and the number of
+#: interim replies and of replies to other requests.
+_MAX_HEAD_BYTES = 65536
+_MAX_FRAMING_BYTES = 131072
+_MAX_SKIPPED_REPLIES = 16
+#: Chunks that may be smaller than ``_MIN_CHUNK_BYTES`` on average.
+_MAX_SMALL_CHUNKS = 4096
+_MIN_CHUNK_BYTES = 64
+_LONG_HEAD = 'a reply with a longer head than is held'
+_LONG_BODY = 'a reply larger than is held'
+#: Bytes that frame a header field: a colon, a space and CR LF.
+_FIELD_OVERHEAD_BYTES = 4
 _NO_BODY = frozenset((204, 304))
 _INFORMATIONAL = range(100, 200)  # noqa: WPS432
 _SWITCHING_PROTOCOLS = 101
 
 
+class _LimitExceededError(Exception):
+    """Stops the parser within the bytes that it was given."""
+
+
 class HttpConnection(asyncio.Protocol):
     """Sends a request and returns its outcome; never mixes up replies.
 
@@ -22,20 +39,31 @@
     that arrives late or twice shows up as bytes on an idle connection, which
     abort the connection, or as a reply with another request's identifier,
     which is skipped.
+
+    Guards also against replies that never end: each part of a reply has a
+    limit, and what exceeds it aborts the connection.
     """
 
     __slots__ = (
         '_body',
+        '_buffers',
+        '_chunks',
         '_ends_with_connection',
+        '_excess',
         '_expected_id',
+        '_field_bytes',
+        '_framing_bytes',
+        '_head_bytes',
         '_headers',
         '_id_header',
+        '_is_in_head',
         '_is_head',
         '_last_id',
         '_on_closed',
         '_parser',
         '_pending',
         '_size',
+        '_skipped_replies',
         '_transfer',
         '_transport',
         'closes_after',
@@ -46,8 +74,17 @@
         self,
         id_header: bytes,
         on_closed: Callable[['HttpConnection'], None],
+        buffers: reply_buffers.ReplyBuffers | None = None,
     ) -> None:
-        """Match replies by ``id_header``; call ``on_closed`` once closed."""
+        """Match replies by ``id_header``; call ``on_closed`` once closed.
+
+        Replies in progress are counted in ``buffers``.
+        """
+        self._buffers = buffers
+        #: Why the reply was aborted; empty unless it exceeded a limit.
+        self._excess = ''
+        self._framing_bytes = 0
+        self._skipped_replies = 0
         self._id_header = id_header
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
@@ -103,6 +140,11 @@
         self._last_id = expected_id
         self._is_head = is_head
         self._transfer = progress
+        self._excess = ''
+        self._framing_bytes = 0
+        self._skipped_replies = 0
+        self._is_in_head = True
+        self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(message)
         return pending
@@ -130,10 +172,18 @@
             return
         if self._transfer is not None:
             self._transfer.add_received(len(chunk))
+        self._framing_bytes += len(chunk)
+        if self._is_in_head:
+            self._head_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail('bytes that are no reply')
+            self._check_framing()
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            _LimitExceededError,
+        ):
+            self._fail()
 
     def eof_received(self) -> bool:
         """Complete a reply that is delimited by the end of the connection."""
@@ -152,29 +202,47 @@
         )
         self._on_closed(self)
 
+    def drop_excessive(self, reason: str) -> None:
+        """Drop the reply in progress, which exceeds a limit."""
+        self._resolve(outcome.Broken(reason, is_excessive=True))
+        self.abort()
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Reset the state of the reply."""
         self._headers = header_list.HeaderList()
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
+        self._chunks = 0
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._field_bytes = 0
         self._ends_with_connection = False
 
     def on_header(self, name: bytes, field_value: bytes) -> None:
-        """Add one header field."""
-        self._headers.add(name, field_value)
+        """Add one header field; skip those of a trailer."""
+        self._field_bytes += len(name) + len(field_value)
+        self._field_bytes += _FIELD_OVERHEAD_BYTES
+        if self._field_bytes > _MAX_HEAD_BYTES:
+            self._exceed(_LONG_HEAD)
+        if self._is_in_head:
+            self._headers.add(name, field_value)
 
     def on_headers_complete(self) -> None:
         """Determine how the body of the reply is delimited."""
+        self._is_in_head = False
         status = self._parser.get_status_code()
         if self._is_head and status not in _INFORMATIONAL:
             self.closes_after = True
             self._complete()
             return
-        has_length = self._headers.get(b'content-length') is not None
+        stated_length = self._headers.get(b'content-length')
+        has_length = stated_length is not None
         is_chunked = self._headers.get(b'transfer-encoding') is not None
         has_no_body = status in _NO_BODY or status in _INFORMATIONAL
+        if not has_no_body and int(stated_length or 0) > _MAX_REPLY_BYTES:
+            self._exceed(_LONG_BODY)
         self._ends_with_connection = not (
             has_length or is_chunked or has_no_body
         )
@@ -184,15 +252,29 @@
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body, within the size limit."""
         self._size += len(chunk)
+        self._framing_bytes -= len(chunk)
         if self._size > _MAX_REPLY_BYTES:
-            self._fail('a reply larger than is held')
+            self._exceed(_LONG_BODY)
+        if self._pending is None:
             return
-        self._body.append(chunk)
+        self._body += chunk
+        if (
+            self._buffers is not None
+            and self._size > reply_buffers.UNCOUNTED_BYTES
+        ):
+            self._buffers.add(self, len(chunk))
+
+    def on_chunk_header(self) -> None:
+        """Count a chunk of the body; many small ones occupy the loop."""
+        self._chunks += 1
+        if self._chunks > _MAX_SMALL_CHUNKS + self._size // _MIN_CHUNK_BYTES:
+            self._exceed('a reply in too many small chunks')
 
     def on_message_complete(self) -> None:
         """Deliver the reply; skip informational responses."""
         status = self._parser.get_status_code()
         if status in _INFORMATIONAL and status != _SWITCHING_PROTOCOLS:
+            self._skip_reply()
             return
         if not self._ends_with_connection:
             self._complete()
@@ -204,23 +286,48 @@
             return
         reply_id = self._headers.get(self._id_header)
         if self._expected_id and reply_id not in {None, self._expected_id}:
+            self._skip_reply()
             return
         self._resolve(
             outcome.Reply(
                 status=self._parser.get_status_code(),
                 headers=self._headers,
-                body=b''.join(self._body),
+                body=bytes(self._body),
             ),
         )
 
-    def _fail(self, reason: str) -> None:
-        self._resolve(outcome.Broken(reason))
+    def _fail(self) -> None:
+        if self._excess:
+            self.drop_excessive(self._excess)
+            return
+        self._resolve(outcome.Broken('bytes that are no reply'))
         self.abort()
 
+    def _skip_reply(self) -> None:
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._skipped_replies += 1
+        if self._skipped_replies > _MAX_SKIPPED_REPLIES:
+            self._exceed('too many replies to no request')
+
+    def _check_framing(self) -> None:
+        if self._pending is None:
+            return
+        if self._is_in_head and self._head_bytes > _MAX_HEAD_BYTES:
+            self._exceed(_LONG_HEAD)
+        if self._framing_bytes > _MAX_FRAMING_BYTES + self._size:
+            self._exceed('a reply with more framing than is accepted')
+
+    def _exceed(self, reason: str) -> None:
+        self._excess = reason
+        raise _LimitExceededError
+
     def _resolve(self, exchange_outcome: outcome.Outcome) -> None:
         pending = self._pending
         self._pending = None
         self._transfer = None
+        if self._buffers is not None:
+            self._buffers.release(self)
         self.idle_since = asyncio.get_running_loop().time()
         if pending is not None and not pending.done():
             pending.set_result(exchange_outcome)
--- a/chivepond/gateway/peer_endpoint.py
+++ b/chivepond/gateway/peer_endpoint.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from chivepond.decisions import upstream_health
+from chivepond.gateway import reply_buffers
 from chivepond.transport import address
 
 #: The connect time-out in seconds. TCP retransmits a lost SYN after one second;
@@ -27,3 +28,5 @@
     #: The idle time-out in seconds, unless a reply states one in its
     #: Keep-Alive header.
     idle_s: float = _IDLE_TIMEOUT_S
+    #: The memory of replies in progress, which all ends share.
+    buffers: reply_buffers.ReplyBuffers | None = None
--- a/chivepond/gateway/peers.py
+++ b/chivepond/gateway/peers.py
@@ -21,6 +21,7 @@
     peer_channel,
     peer_endpoint,
     peer_record,
+    reply_buffers,
     telemetry,
 )
 from chivepond.observe import events
@@ -67,6 +68,7 @@
         'is_seed',
         'own_address',
         'own_id',
+        'reply_buffers',
     )
 
     def __init__(
@@ -79,6 +81,8 @@
         is_seed: bool = True,
     ) -> None:
         """Start with the addresses in ``seeds``, which may be stale."""
+        #: The memory of replies in progress, if it is limited.
+        self.reply_buffers: reply_buffers.ReplyBuffers | None = None
         #: Whether other gateways use this one as a seed.
         self.is_seed = is_seed
         self.own_id = own_record.node_id
@@ -349,6 +353,7 @@
                 failures=_FAILURES_BEFORE_DISTRUST,
                 connect_s=_CONNECT_TIMEOUT_S,
                 idle_s=_IDLE_TIMEOUT_S,
+                buffers=self.reply_buffers,
             ),
             _MAX_CONNECTIONS,
             self._health_log,
--- a/chivepond/gateway/registered_searcher.py
+++ b/chivepond/gateway/registered_searcher.py
@@ -3,7 +3,12 @@
 import dataclasses
 
 from chivepond.decisions import searcher_choice
-from chivepond.gateway import peer_channel, peer_endpoint, searcher_record
+from chivepond.gateway import (
+    peer_channel,
+    peer_endpoint,
+    reply_buffers,
+    searcher_record,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,10 +56,12 @@
 
 def peer_endpoint_of(
     record: searcher_record.SearcherRecord,
+    buffers: reply_buffers.ReplyBuffers | None = None,
 ) -> peer_endpoint.PeerEndpoint:
     """Return the parameters of a channel to a searcher."""
     return peer_endpoint.PeerEndpoint(
         name=record.searcher_id,
         address=record.address,
         slots=record.slots,
+        buffers=buffers,
     )
--- a/chivepond/gateway/searchers.py
+++ b/chivepond/gateway/searchers.py
@@ -17,6 +17,7 @@
     peers,
     registered_searcher,
     replica,
+    reply_buffers,
     searcher_record,
     telemetry,
     upstream_shares,
@@ -53,6 +54,7 @@
         'own_data_centre',
         'region_by_data_centre',
         'replica',
+        'reply_buffers',
         'shares',
     )
 
@@ -73,6 +75,8 @@
         self._leaving_bound_s = leaving_bound_s
         #: The replica that the entries come from, if there is one.
         self.replica: replica.Replica | None = None
+        #: The memory of replies in progress, if it is limited.
+        self.reply_buffers: reply_buffers.ReplyBuffers | None = None
         self.own_data_centre = own_data_centre
         self.region_by_data_centre = region_by_data_centre
         self._loop = asyncio.get_running_loop()
@@ -283,7 +287,9 @@
             registered_searcher.RegisteredSearcher(
                 record,
                 peer_channel.PeerChannel(
-                    registered_searcher.peer_endpoint_of(record),
+                    registered_searcher.peer_endpoint_of(
+                        record, self.reply_buffers
+                    ),
                     self.shares.connections(record.service),
                     self._health_log,
                     self._usual_latency(record.service),
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -34,6 +34,9 @@
 #: The most attempts that may fail before a byte was sent: each one may take
 #: a whole connect time-out.
 _MAX_UNSENT_ATTEMPTS = 3
+#: How often the budget is asked again for a request whose reply was aborted,
+#: in seconds.
+_BUDGET_POLL_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +94,7 @@
     """A request to one service, over all its attempts."""
 
     __slots__ = (
+        '_awaits_budget',
         '_delivered_attempts',
         '_first_kind',
         '_hedge_at',
@@ -139,6 +143,8 @@
         self._sends = 0
         self._unsent_attempts = 0
         self._delivered_attempts = 0
+        #: Whether its reply was aborted, and the budget had no second attempt.
+        self._awaits_budget = False
         self._reason = 'no searcher is registered'
         self._may_have_run = False
         self._reply: outcome.Reply | None = None
@@ -201,7 +207,7 @@
         self._keeps_attempts_running = True
 
     async def _first_accepted(self) -> outcome.Reply | None:
-        while self._running:
+        while await self._is_pending():
             done, _ = await asyncio.wait(
                 self._running,
                 timeout=self._hedge_timeout_s(),
@@ -222,6 +228,20 @@
                 )
         return None
 
+    async def _is_pending(self) -> bool:
+        """Return whether an attempt runs; wait for the budget of another one.
+
+        Guards against failing a request because its searcher sends replies
+        without end, while other searchers are idle.
+        """
+        loop = asyncio.get_running_loop()
+        while not self._running and self._awaits_budget:
+            if loop.time() + _BUDGET_POLL_S >= self._times.deadline:
+                return False
+            await asyncio.sleep(_BUDGET_POLL_S)
+            self._send_additional()
+        return bool(self._running)
+
     def _may_hedge(self) -> bool:
         is_on = self._context.switches.is_on(mechanism.Mechanism.SECOND_ASKS)
         return is_on and self._route.is_idempotent
@@ -242,6 +262,9 @@
                 self._unsent_attempts += 1
                 self._reason = reason
             case outcome.Broken(reason=reason):
+                self._awaits_budget = (
+                    exchange_outcome.is_excessive and self._route.is_idempotent
+                )
                 self._delivered_attempts += 1
                 self._may_have_run = True
                 self._reason = reason
@@ -299,6 +322,8 @@
             self._hedge_at = self._times.due
 
     def _send_additional(self) -> None:
+        awaits_budget = self._awaits_budget
+        self._awaits_budget = False
         if self._sends >= self._route.max_attempts:
             return
         if self._request.evidence.is_retry_unsafe:
@@ -312,6 +337,9 @@
             self._context.telemetry.count('second_sends', 'sent')
             self._send(send_counts.SendKind.HEDGED)
         else:
+            self._awaits_budget = awaits_budget
+            if awaits_budget:
+                return
             self._context.telemetry.count('second_sends', 'over budget')
             self._trace.note(
                 f'{self.service}: not sent again, budget exhausted'
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -308,6 +308,13 @@
     'requests sent more than once',
     'The sends to each service since the last such line, by their reason.',
 )
+REPLY_ABORTED = event.Event(
+    6037,
+    'WARNING',
+    'reply aborted',
+    'A reply of a searcher or another gateway exceeded a limit; its connection '
+    'was closed.',
+)
 REQUEST_ANSWERED = event.Event(
     6100,
     'INFO',
