Gather identifiers take 12 bytes

A name, a token and a number in text took some 40 bytes in each message between gateways, which are paid for between regions.

--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -258,7 +258,7 @@
         self._start_elsewhere(sorted(moved_shards))
 
     def _mark_not_run(self) -> None:
-        self._context.search.request.mark_not_run(self._gather_id.decode())
+        self._context.search.request.mark_not_run(self._gather_id.hex())
 
     def _fail_shards(self, shards: list[str], reason: str) -> None:
         """Mark shards as missing after their gateway stopped replying.
--- a/chivepond/gateway/peer_message.py
+++ b/chivepond/gateway/peer_message.py
@@ -99,7 +99,7 @@
     def encode(self, receiver: str, left_s: float) -> bytes:
         """Return the bytes, with the time left as of now."""
         if self._origin is not None:
-            self._origin.mark_sent(self._request.gather_id.decode())
+            self._origin.mark_sent(self._request.gather_id.hex())
         self.sent_at = asyncio.get_running_loop().time()
         self._request.answer_in_s = self._due_at - self.sent_at
         self._body = msgspec.msgpack.encode(self._request)
