--- a/chivepond/soak/gateway_calls.py
+++ b/chivepond/soak/gateway_calls.py
@@ -13,14 +13,29 @@
 #: Target latency of a gathered answer, in milliseconds.
 _LATENCY_TARGET_MS = 200
 _PATH_BY_KIND = types.MappingProxyType(
-    {'search': '/search/', 'stamp': '/stamp/', 'read': '/read/'},
+    {
+        'search': '/search/',
+        'stamp': '/stamp/',
+        'read': '/read/',
+        'wait': '/wait/',
+    },
 )
+_TIMEOUT_MS = 1500
+#: Deadline of requests that wait for a service with too few searchers.
+_WAIT_TIMEOUT_MS = 8000
+_GRACE_S = 2.5
 
 
 def route(name: str, **overrides: Any) -> dict[str, Any]:
     """Return a route in the form of the configuration, with ``overrides``."""
     prefix = _PATH_BY_KIND.get(name, f'/{name}/')
-    return documents.route(name, _HOST, prefix, timeout_ms=1500, **overrides)
+    return documents.route(
+        name, _HOST, prefix, timeout_ms=_timeout_ms(name), **overrides
+    )
+
+
+def _timeout_ms(kind: str) -> int:
+    return _WAIT_TIMEOUT_MS if kind == 'wait' else _TIMEOUT_MS
 
 
 def gather_options(shards: tuple[str, ...]) -> dict[str, Any]:
@@ -74,20 +89,22 @@
 ) -> outcome.Outcome:
     """Send a request of a kind, and return its outcome.
 
-    Aborts the connection when no reply arrives within four seconds.
+    Aborts the connection when no reply arrives 2.5 seconds after its deadline.
     """
+    timeout_ms = _timeout_ms(kind)
     method = 'POST' if kind == 'stamp' else 'GET'
     raw = (
         f'{method} {_PATH_BY_KIND[kind]}x HTTP/1.1\r\nHost: {_HOST}\r\n'
         f'{headers.REQUEST_ID.decode()}: {request_id.decode()}\r\n'
-        f'{headers.TIME_LEFT_MS.decode()}: 1500\r\nContent-Length: 0\r\n\r\n'
+        f'{headers.TIME_LEFT_MS.decode()}: {timeout_ms}\r\n'
+        'Content-Length: 0\r\n\r\n'
     )
     try:
-        async with asyncio.timeout(4):
+        async with asyncio.timeout(timeout_ms / 1000 + _GRACE_S):
             return await connection.begin(raw.encode(), request_id)
     except TimeoutError:
         connection.abort()
-        return outcome.NotSent('the caller timed out after 4 s')
+        return outcome.NotSent('the caller timed out')
 
 
 async def is_ready(process: gateway_process.GatewayProcess) -> bool:
--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -18,15 +18,23 @@
     gateway_process,
     loopback_proxy,
     loopback_subnet,
+    removal_fault,
     searcher_ledger,
+    waiting_callers,
 )
 from chivepond.standins import routed_store, scripted_searcher
 
-_STAMPS = 'stamps'
+_STAMPS = removal_fault.SERVICE
 _READS = 'reads'
+_WAITS = waiting_callers.SERVICE
 _COPIES = 2
 _DATA_CENTRES = ('base', 'hub')
 _CALLERS = 10
+#: Connections that a searcher accepts, drawn for each configuration; with few
+#: of them requests wait, and go through other gateways.
+_CONNECTION_CAPS = (40, 40, 4, 2)
+#: A longer soak begins without faults but a reader's cut (``RemovalFault``).
+_LONG_SOAK_S = 20
 _READY_POLLS = 400
 _POLL_S = 0.05
 #: Seconds within which a new configuration takes effect: later answers must
@@ -74,6 +82,12 @@
         self._searcher_by_id: dict[str, scripted_searcher.ScriptedSearcher] = {}
         #: Processes that perform a planned stop.
         self._stopping: set[asyncio.subprocess.Process] = set()
+        self._waiting_callers = waiting_callers.WaitingCallers(
+            self._random, self.processes, self.checks, self._ledger
+        )
+        self._removal = removal_fault.RemovalFault(
+            self._store, self._ledger, self._configure
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
@@ -83,9 +97,12 @@
             *itertools.chain(*gateway_calls.SHARD_SETS),
             _STAMPS,
             _READS,
+            _WAITS,
         ):
             for copy in range(_COPIES):
                 await self._add_searcher(f's-{service}-{copy}', service)
+        for copy in range(_COPIES):
+            self._ledger.behaviour_by_searcher_id[f's-{_WAITS}-{copy}'] = 'hang'
         for _ in range(_INITIAL_BEHAVIOUR_CHANGES):
             await self._change_behaviour()
         self._configure()
@@ -100,6 +117,7 @@
             proxy = loopback_proxy.LoopbackProxy(self._store.address)
             await self._exit_stack.enter_async_context(proxy)
             self._proxies.append(proxy)
+            self._removal.proxy_by_gateway[f'gate-{number}'] = proxy
             process = gateway_process.GatewayProcess(
                 f'gate-{number}',
                 subnet.ip(number),
@@ -131,9 +149,11 @@
         """Run callers and faults for ``seconds``, then check the totals."""
         loop = asyncio.get_running_loop()
         end_at = loop.time() + seconds
-        async with asyncio.TaskGroup() as group:
+        async with self._waiting_callers, asyncio.TaskGroup() as group:
             for _ in range(_CALLERS):
                 group.create_task(self._run_caller(end_at))
+            if seconds >= _LONG_SOAK_S:
+                await self._removal.run()
             group.create_task(self._inject_faults(end_at))
         await asyncio.sleep(1)
         for process in self.processes:
@@ -141,6 +161,7 @@
                 self.checks.add_violation(
                     'a gateway does not exit by itself', process.name
                 )
+        self._removal.check(self.checks)
         self.checks.check_totals(_STAMPS)
 
     async def _add_searcher(self, searcher_id: str, service: str) -> None:
@@ -179,11 +200,13 @@
                         'stamp', service=_STAMPS, kind='non_idempotent'
                     ),
                     gateway_calls.route('read', service=_READS),
+                    gateway_calls.route('wait', service=_WAITS),
                     gateway_calls.route(
                         f'only-{self._version}', service=_READS
                     ),
                 ],
                 routing_table.DEFAULT_LIMITS,
+                self._random.choice(_CONNECTION_CAPS),
             ),
         )
 
@@ -210,6 +233,7 @@
         request_id = b'r%d' % next(self._id_numbers)
         shards = self._shards
         serving = process.process
+        self._removal.record_request(kind, request_id, process.name)
         self._ledger.record_client_request(
             {'search': shards, 'stamp': (_STAMPS,), 'read': (_READS,)}[kind]
         )
@@ -339,6 +363,7 @@
 
     async def _pause_gateway(self) -> None:
         process = self._random.choice(self.processes)
+        self._waiting_callers.stopped.discard(process.process)
         self._mark_fault()
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._random.uniform(0.1, 1.5))
@@ -349,6 +374,7 @@
         process = self._random.choice(self.processes)
         # A kill ends a planned stop, which then guarantees nothing.
         self._stopping.discard(process.process)
+        self._waiting_callers.stopped.discard(process.process)
         self._mark_fault()
         await process.restart(signal.SIGKILL)
 
@@ -360,6 +386,7 @@
             return
         self._mark_fault()
         self._stopping.add(stopping)
+        self._waiting_callers.stopped.add(stopping)
         await process.restart(signal.SIGTERM)
         self._stopping.discard(stopping)
 
--- a/chivepond/soak/searcher_ledger.py
+++ b/chivepond/soak/searcher_ledger.py
@@ -4,13 +4,14 @@
 import collections
 import dataclasses
 import hashlib
+import math
 import random
 import time
 import types
 from collections.abc import Iterable
 
 from chivepond.platform import headers
-from chivepond.standins import scripted_searcher
+from chivepond.standins import endless_searcher, scripted_searcher
 
 _RECORDS = 5
 _RECORD_BYTES = 16
@@ -25,7 +26,7 @@
 #: Behaviours of searchers, drawn with equal weight per entry: ``slow`` and
 #: ``hang`` reply late, ``full`` rejects half of the requests, ``reset`` resets
 #: the connection halfway through half of the replies, ``twice`` sends each
-#: reply twice.
+#: reply twice, ``endless`` sends replies that do not end.
 BEHAVIOURS = (
     'sound',
     'sound',
@@ -35,6 +36,7 @@
     'reset',
     'full',
     'twice',
+    'endless',
 )
 
 #: Share of the requests that a searcher rejects, by its behaviour.
@@ -75,8 +77,10 @@
         'arrivals_by_service',
         'last_fault_at',
         'arrivals_after_drain',
+        'arrivals_after_removal',
         'draining_at_by_searcher_id',
         'behaviour_by_searcher_id',
+        'removed_at_by_searcher_id',
         'request_times_by_service',
         'runs',
     )
@@ -97,6 +101,10 @@
         #: Requests that reached a searcher more than ``_DRAIN_BOUND_S`` after
         #: it began to drain.
         self.arrivals_after_drain: list[str] = []
+        #: When the entry of a searcher was removed that had not announced it,
+        #: and requests that reached it more than ``_DRAIN_BOUND_S`` later.
+        self.removed_at_by_searcher_id: dict[str, float] = {}
+        self.arrivals_after_removal: list[tuple[str, bytes]] = []
         #: Requests at the searchers of each service, including those
         #: rejected with 503.
         self.arrivals_by_service: dict[str, list[Arrival]] = (
@@ -149,6 +157,8 @@
         await asyncio.sleep(
             {'slow': _SLOW_S, 'hang': _HANG_S}.get(behaviour, _WORK_S)
         )
+        if behaviour == 'endless':
+            return self._endless_response(request.request_id)
         body = b''.join(records(shard, request.request_id))
         response = scripted_searcher.good(
             request,
@@ -158,6 +168,9 @@
         return self._alter_response(behaviour, response)
 
     def _check_drain(self, searcher_id: str, request_id: bytes) -> None:
+        removed_at = self.removed_at_by_searcher_id.get(searcher_id, math.inf)
+        if time.monotonic() - removed_at > _DRAIN_BOUND_S:
+            self.arrivals_after_removal.append((searcher_id, request_id))
         draining_at = self.draining_at_by_searcher_id.get(searcher_id)
         if (
             draining_at is None
@@ -180,3 +193,8 @@
         if behaviour == 'twice':
             return scripted_searcher.Told(response.written * 2)
         return response
+
+    def _endless_response(self, request_id: bytes) -> scripted_searcher.Told:
+        part = self._random.choice(list(endless_searcher.ReplyPart))
+        start, repeated = endless_searcher.reply_bytes(part, request_id)
+        return scripted_searcher.Told(start, 'endless', repeated)
--- a/chivepond/standins/endless_searcher.py
+++ b/chivepond/standins/endless_searcher.py
@@ -57,7 +57,7 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             request = await reader.readuntil(_HEAD_END)
-            start, repeated = _reply(self._part, _request_id(request))
+            start, repeated = reply_bytes(self._part, _request_id(request))
             writer.write(start)
             block = repeated * (_BLOCK_BYTES // len(repeated))
             for _ in range(int(_MAX_REPLY_S / self._block_s)):
@@ -75,7 +75,7 @@
     return b''
 
 
-def _reply(part: ReplyPart, request_id: bytes) -> tuple[bytes, bytes]:
+def reply_bytes(part: ReplyPart, request_id: bytes) -> tuple[bytes, bytes]:
     """Return the start of the reply, and what is repeated without end."""
     own_id = b'%s: %s\r\n' % (headers.REQUEST_ID, request_id)
     other_id = b'%s: other\r\n' % headers.REQUEST_ID
--- a/chivepond/standins/scripted_searcher.py
+++ b/chivepond/standins/scripted_searcher.py
@@ -11,6 +11,10 @@
 from chivepond.transport import address
 
 _HEAD_END = b'\r\n\r\n'
+#: Size, pauses and largest number of the blocks of an endless reply.
+_BLOCK_BYTES = 65536
+_BLOCK_PAUSE_S = 0.01
+_MAX_BLOCKS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,8 +37,10 @@
 
     written: bytes
     #: ``keep`` or ``close`` the connection, ``reset`` it, or ``crash``, which
-    #: stops the whole searcher.
+    #: stops the whole searcher; ``endless`` repeats ``repeated`` until the
+    #: other side closes.
     then: str = 'keep'
+    repeated: bytes = b''
 
 
 Reply = Callable[[Got], Awaitable[Told]]
@@ -149,9 +155,22 @@
             self.stop()
         if response.then == 'close':
             writer.close()
+        if response.then == 'endless':
+            await _write_endlessly(writer, response.repeated)
         return response.then == 'keep'
 
 
+async def _write_endlessly(
+    writer: asyncio.StreamWriter, repeated: bytes
+) -> None:
+    block = repeated * max(1, _BLOCK_BYTES // len(repeated))
+    for _ in range(_MAX_BLOCKS):
+        writer.write(block)
+        await writer.drain()
+        await asyncio.sleep(_BLOCK_PAUSE_S)
+    writer.close()
+
+
 async def _read_request(reader: asyncio.StreamReader) -> Got:
     head = await reader.readuntil(_HEAD_END)
     line, *fields = head.removesuffix(_HEAD_END).split(b'\r\n')
