--- a/chivepond/tests/test_gateway_updates.py
+++ b/chivepond/tests/test_gateway_updates.py
@@ -1,19 +1,28 @@
 """Tests how a gateway applies updates of routes and searchers."""
 
 import asyncio
+import types
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
 from chivepond.decisions import change_time
-from chivepond.gateway import replica
+from chivepond.gateway import (
+    header_list,
+    outcome,
+    peer_updates,
+    replica,
+    telemetry,
+)
 from chivepond.platform import documents, store_calls
 from chivepond.settings import mechanism
 from chivepond.soak import loopback_proxy
 from chivepond.standins import routed_store, scripted_searcher
 from chivepond.tests import gateway_bench, support
 from chivepond.transport import address
+from chivepond.wire import sync_message
 
 ReceivedRequest = scripted_searcher.Got
 ScriptedReply = scripted_searcher.Told
@@ -258,6 +267,41 @@
         assert age_s + delay_s <= bound_s - margin_s + 1e-9
 
 
+class _SlowSource:
+    """Stands in for the channel to a gateway whose reply takes 0.3 s."""
+
+    end = types.SimpleNamespace(name='gate-9')
+
+    async def send(self, message, deadline: float) -> outcome.Outcome:
+        message.progress.add_received(1)
+        await asyncio.sleep(0.3)
+        reply = sync_message.SyncReply({}, age_s=0, list_age_s=0)
+        body = msgspec.msgpack.encode(reply)
+        return outcome.Reply(200, header_list.HeaderList(), body)
+
+
+def test_content_is_as_old_as_the_begin_of_a_long_reply():
+    """Guards against content that counts as new after a slow transfer."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        known = replica.Replica(
+            replica.Sink(lambda stored: None, lambda change: None),
+            asyncio.Event(),
+        )
+        began_at = loop.time()
+        await peer_updates.fetch(
+            _SlowSource(),
+            {store_calls.CONFIGURATION: known},
+            0,
+            0,
+            telemetry.Telemetry('gate-1'),
+        )
+        assert began_at <= known.confirmed_at < began_at + 0.2
+
+    support.run(scenario())
+
+
 def test_a_report_of_an_earlier_process_does_not_remove_a_searcher():
     """Guards against a restarted searcher that counts as shutting down.
 
--- a/chivepond/tests/test_gateway_versions.py
+++ b/chivepond/tests/test_gateway_versions.py
@@ -103,6 +103,29 @@
     support.run(scenario())
 
 
+def test_a_version_that_is_read_late_waits_less_for_its_searchers():
+    """Guards against a bound that begins when a version is read.
+
+    The version may have been acknowledged right after the last confirmation.
+    """
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await _register_searchers(bench, _OLD_SHARDS)
+            bench.configure(1, _search(_OLD_SHARDS))
+            gateway = await bench.ready_gateway(
+                routes_bound_ms=12000, leaving_bound_ms=12000
+            )
+            known = gateway._components.store_updates.configuration_replica
+            known.confirmed_at = asyncio.get_running_loop().time() - 11
+            bench.configure(2, _search(_NEW_SHARDS))
+            async with asyncio.timeout(2):
+                while gateway.counts.routes_version < 2:
+                    await asyncio.sleep(0.05)
+
+    support.run(scenario())
+
+
 def test_a_version_whose_searchers_are_listed_is_active_at_once():
     """A version that adds a route with listed searchers does not wait."""
 
