--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -56,7 +56,7 @@
         '_head_bytes',
         '_headers',
         '_id_header',
-        '_is_in_head',
+        '_is_reading_head',
         '_is_head',
         '_last_id',
         '_on_closed',
@@ -143,7 +143,7 @@
         self._excess = ''
         self._framing_bytes = 0
         self._skipped_replies = 0
-        self._is_in_head = True
+        self._is_reading_head = True
         self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(message)
@@ -173,7 +173,7 @@
         if self._transfer is not None:
             self._transfer.add_received(len(chunk))
         self._framing_bytes += len(chunk)
-        if self._is_in_head:
+        if self._is_reading_head:
             self._head_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
@@ -215,7 +215,7 @@
         self._body = bytearray()
         self._size = 0
         self._chunks = 0
-        self._is_in_head = True
+        self._is_reading_head = True
         self._head_bytes = 0
         self._field_bytes = 0
         self._ends_with_connection = False
@@ -226,12 +226,12 @@
         self._field_bytes += _FIELD_OVERHEAD_BYTES
         if self._field_bytes > _MAX_HEAD_BYTES:
             self._exceed(_LONG_HEAD)
-        if self._is_in_head:
+        if self._is_reading_head:
             self._headers.add(name, field_value)
 
     def on_headers_complete(self) -> None:
         """Determine how the body of the reply is delimited."""
-        self._is_in_head = False
+        self._is_reading_head = False
         status = self._parser.get_status_code()
         if self._is_head and status not in _INFORMATIONAL:
             self.closes_after = True
@@ -304,7 +304,7 @@
         self.abort()
 
     def _skip_reply(self) -> None:
-        self._is_in_head = True
+        self._is_reading_head = True
         self._head_bytes = 0
         self._skipped_replies += 1
         if self._skipped_replies > _MAX_SKIPPED_REPLIES:
@@ -313,7 +313,7 @@
     def _check_framing(self) -> None:
         if self._pending is None:
             return
-        if self._is_in_head and self._head_bytes > _MAX_HEAD_BYTES:
+        if self._is_reading_head and self._head_bytes > _MAX_HEAD_BYTES:
             self._exceed(_LONG_HEAD)
         if self._framing_bytes > _MAX_FRAMING_BYTES + self._size:
             self._exceed('a reply with more framing than is accepted')
