A stop of a killed process is no planned stop in the soak

Cause: the soak. gate-1's log has no event 6003, and its next process started 1.6 s later; a stop takes over 3 s. It was killed, and before it was reaped a stop of the same process was recorded. On a quiet host that takes a millisecond.

Why this works: processes that were sent SIGKILL are remembered. test_stop_of_a_process_that_was_killed_is_no_planned_stop is red before the change.

--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -82,6 +82,7 @@
         self._searcher_by_id: dict[str, scripted_searcher.ScriptedSearcher] = {}
         #: Processes that perform a planned stop.
         self._stopping: set[asyncio.subprocess.Process] = set()
+        self._killed: set[asyncio.subprocess.Process] = set()
         self._waiting_callers = waiting_callers.WaitingCallers(
             self._random, self.processes, self.checks, self._ledger
         )
@@ -372,7 +373,9 @@
 
     async def _kill_gateway(self) -> None:
         process = self._random.choice(self.processes)
-        # A kill ends a planned stop, which then guarantees nothing.
+        # A kill ends a planned stop, which then guarantees nothing. It may
+        # take a while on a busy host, and a stop in this time comes too late.
+        self._killed.add(process.process)
         self._stopping.discard(process.process)
         self._waiting_callers.stopped.discard(process.process)
         self._mark_fault()
@@ -382,7 +385,7 @@
         process = self._random.choice(self.processes)
         stopping = process.process
         # A second SIGTERM ends a planned stop at once, by request.
-        if not process.is_running or stopping in self._stopping:
+        if not process.is_running or stopping in self._stopping | self._killed:
             return
         self._mark_fault()
         self._stopping.add(stopping)
--- a/chivepond/tests/test_gateway_soak.py
+++ b/chivepond/tests/test_gateway_soak.py
@@ -257,6 +257,28 @@
     assert asyncio.run(restart_at_once()) == 2
 
 
+def test_stop_of_a_process_that_was_killed_is_no_planned_stop(tmp_path):
+    """Guards against a kill that counts as a stop which cuts requests.
+
+    The stop follows the kill before the process has ended.
+    """
+
+    async def kill_and_stop() -> bool:
+        soak = gateway_soak.GatewaySoak(1, tmp_path, 1)
+        async with soak:
+            killed = soak.processes[0].process
+            kill = asyncio.create_task(soak._kill_gateway())
+            await asyncio.sleep(0)
+            assert killed.returncode is None
+            stop = asyncio.create_task(soak._stop_gateway())
+            await asyncio.sleep(0)
+            is_planned_stop = killed in soak._stopping
+            await asyncio.gather(kill, stop)
+        return is_planned_stop
+
+    assert not asyncio.run(kill_and_stop())
+
+
 def test_process_that_exits_with_an_error_is_reported(tmp_path):
     """Guards against a gateway that fails to start without being noticed."""
 
