The soak counts the answers of waiting callers, and starts with all connections

Since configurations draw the connections of a searcher, the first one may have left so few that most requests were refused with 503 in these five seconds.

Now only changes of the configuration draw it, and the answers of waiting callers are checked and counted like all others. The bound stays.

--- a/chivepond/soak/gateway_soak.py
+++ b/chivepond/soak/gateway_soak.py
@@ -30,9 +30,10 @@
 _COPIES = 2
 _DATA_CENTRES = ('base', 'hub')
 _CALLERS = 10
-#: Connections that a searcher accepts, drawn for each configuration; with few
-#: of them requests wait, and go through other gateways.
-_CONNECTION_CAPS = (40, 40, 4, 2)
+#: Connections that a searcher accepts, drawn for each change of the
+#: configuration; with few of them requests wait, and go through other gateways.
+_MAX_CONNECTION_CAP = 40
+_CONNECTION_CAPS = (_MAX_CONNECTION_CAP, _MAX_CONNECTION_CAP, 4, 2)
 #: A longer soak begins without faults but a reader's cut (``RemovalFault``).
 _LONG_SOAK_S = 20
 _READY_POLLS = 400
@@ -185,7 +186,7 @@
             ),
         )
 
-    def _configure(self) -> None:
+    def _configure(self, connection_cap: int = _MAX_CONNECTION_CAP) -> None:
         self._version += 1
         self._configured_at = asyncio.get_running_loop().time()
         self._store.put(
@@ -207,7 +208,7 @@
                     ),
                 ],
                 routing_table.DEFAULT_LIMITS,
-                self._random.choice(_CONNECTION_CAPS),
+                connection_cap,
             ),
         )
 
@@ -414,7 +415,7 @@
 
     async def _change_configuration(self) -> None:
         self._shards = self._random.choice(gateway_calls.SHARD_SETS)
-        self._configure()
+        self._configure(self._random.choice(_CONNECTION_CAPS))
 
     def _mark_fault(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/chivepond/soak/waiting_callers.py
+++ b/chivepond/soak/waiting_callers.py
@@ -97,6 +97,9 @@
         took_s = time.monotonic() - began_at
         match call_outcome:
             case outcome.Reply():
+                self._checks.check_single(
+                    request_id, SERVICE, call_outcome, is_idempotent=True
+                )
                 return True
             case _ if serving in self.stopped and took_s > _LOSS_SLACK_S:
                 self._checks.add_violation(
