Replies outside the protocol are no replies

What callers saw: a searcher that answered with status 000, 001 or 099 got every request, and its answer reached clients as `HTTP/1.1 0 Unknown`. So did HTTP/2.0, HTTP/0.9 and RTSP/1.0 status lines (as 200), 101 without a request for it, control bytes in the reason phrase, bodies in a transfer coding that was not requested, and, for requests that must not be repeated, status 600. Another gateway that replied 000 or 600 made the first one promise 503 (not run) for a request that may have run.

Cause: the parser of httptools was the only one to decide what a reply is, and it lets these through. What it lets through counted as a good reply where the status was below 500, so that the faulty searcher looked fast and healthy.

Change: `transport/reply_head.py` decides what a valid head is: version 1.0 or 1.1, status 100 to 599, names and values of allowed bytes, one definite length, chunks as the only transfer coding, no content encoding. HttpConnection asks it for each head, interim ones too, and therefore for searchers (single, gathered, hedged, HEAD), other gateways and the store. A reply that is refused there or by the parser closes the connection, is logged as 6037 with the reason, and counts as a failure of the sender; a repeatable request goes to another searcher, also where the budget of second sends has to be waited for, others get 502. The check of content encodings moves there from UpstreamRequest: a searcher that encodes all bodies now counts as failing too.

Why it works: nothing of a reply is delivered before its head is complete, and the check runs in that callback; the fault ends the exchange as `Broken`, which every caller already takes for a request without a reply.

--- a/chivepond/gateway/health_log.py
+++ b/chivepond/gateway/health_log.py
@@ -43,7 +43,7 @@
             self._distrusted.discard(name)
             self._telemetry.emit(self._trusted_event, name=name)
 
-    def record_excess(self, name: str, reason: str) -> None:
+    def record_aborted(self, name: str, reason: str) -> None:
         """Emit an event for a reply that was aborted, and count it."""
         self._telemetry.count('replies_aborted', self._kind)
         self._telemetry.emit(events.REPLY_ABORTED, name=name, why=reason)
--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -5,7 +5,14 @@
 
 import httptools
 
-from chivepond.gateway import header_list, outcome, reply_buffers, transfer
+from chivepond.gateway import (
+    header_list,
+    outcome,
+    reply_buffers,
+    reply_start,
+    transfer,
+)
+from chivepond.transport import reply_head
 
 #: The largest response body that is buffered, in bytes; a small host has the
 #: memory for a few dozen of them at a time.
@@ -23,13 +30,10 @@
 _LONG_BODY = 'a reply larger than is held'
 #: Bytes that frame a header field: a colon, a space and CR LF.
 _FIELD_OVERHEAD_BYTES = 4
-_NO_BODY = frozenset((204, 304))
-_INFORMATIONAL = range(100, 200)  # noqa: WPS432
-_SWITCHING_PROTOCOLS = 101
 
 
-class _LimitExceededError(Exception):
-    """Stops the parser within the bytes that it was given."""
+class _ReplyAbortedError(Exception):
+    """Stops the parser within the bytes that it was given; tells why."""
 
 
 class HttpConnection(asyncio.Protocol):
@@ -40,8 +44,9 @@
     abort the connection, or as a reply with another request's identifier,
     which is skipped.
 
-    Guards also against replies that never end: each part of a reply has a
-    limit, and what exceeds it aborts the connection.
+    Guards also against replies that never end, and against replies outside the
+    protocol: what exceeds the limit of a part, or is no valid head, aborts the
+    connection, and the outcome is that of a request without a reply.
     """
 
     __slots__ = (
@@ -49,7 +54,6 @@
         '_buffers',
         '_chunks',
         '_ends_with_connection',
-        '_excess',
         '_expected_id',
         '_field_bytes',
         '_framing_bytes',
@@ -64,6 +68,8 @@
         '_pending',
         '_size',
         '_skipped_replies',
+        '_phrase',
+        '_start',
         '_transfer',
         '_transport',
         'closes_after',
@@ -81,8 +87,7 @@
         Replies in progress are counted in ``buffers``.
         """
         self._buffers = buffers
-        #: Why the reply was aborted; empty unless it exceeded a limit.
-        self._excess = ''
+        self._start = reply_start.ReplyStart()
         self._framing_bytes = 0
         self._skipped_replies = 0
         self._id_header = id_header
@@ -140,11 +145,9 @@
         self._last_id = expected_id
         self._is_head = is_head
         self._transfer = progress
-        self._excess = ''
         self._framing_bytes = 0
         self._skipped_replies = 0
-        self._is_reading_head = True
-        self._head_bytes = 0
+        self._expect_reply()
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(message)
         return pending
@@ -176,14 +179,13 @@
         if self._is_reading_head:
             self._head_bytes += len(chunk)
         try:
-            self._parser.feed_data(chunk)
-            self._check_framing()
+            self._feed(chunk)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
-            _LimitExceededError,
-        ):
-            self._fail()
+            _ReplyAbortedError,
+        ) as error:
+            self.drop_reply(_reason(error))
 
     def eof_received(self) -> bool:
         """Complete a reply that is delimited by the end of the connection."""
@@ -202,16 +204,18 @@
         )
         self._on_closed(self)
 
-    def drop_excessive(self, reason: str) -> None:
-        """Drop the reply in progress, which exceeds a limit."""
-        self._resolve(outcome.Broken(reason, is_excessive=True))
+    def drop_reply(self, reason: str) -> None:
+        """Drop the reply in progress, which is not valid or not held."""
+        self._resolve(outcome.Broken(reason, is_aborted=True))
         self.abort()
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Reset the state of the reply."""
+        self._start.begin()
         self._headers = header_list.HeaderList()
+        self._phrase = b''
         self._body = bytearray()
         self._size = 0
         self._chunks = 0
@@ -220,31 +224,42 @@
         self._field_bytes = 0
         self._ends_with_connection = False
 
+    def on_status(self, phrase: bytes) -> None:
+        """Add bytes of the reason phrase."""
+        self._phrase += phrase
+
     def on_header(self, name: bytes, field_value: bytes) -> None:
         """Add one header field; skip those of a trailer."""
         self._field_bytes += len(name) + len(field_value)
         self._field_bytes += _FIELD_OVERHEAD_BYTES
         if self._field_bytes > _MAX_HEAD_BYTES:
-            self._exceed(_LONG_HEAD)
+            raise _ReplyAbortedError(_LONG_HEAD)
         if self._is_reading_head:
             self._headers.add(name, field_value)
 
     def on_headers_complete(self) -> None:
-        """Determine how the body of the reply is delimited."""
+        """Check the head, and determine how the body is delimited."""
         self._is_reading_head = False
-        status = self._parser.get_status_code()
-        if self._is_head and status not in _INFORMATIONAL:
+        head = reply_head.ReplyHead(
+            self._parser.get_http_version(),
+            self._parser.get_status_code(),
+            self._headers.pairs,
+            self._phrase,
+        )
+        fault = head.find_fault()
+        if fault:
+            raise _ReplyAbortedError(fault)
+        if self._is_head and not head.is_interim:
             self.closes_after = True
             self._complete()
             return
         stated_length = self._headers.get(b'content-length')
         has_length = stated_length is not None
         is_chunked = self._headers.get(b'transfer-encoding') is not None
-        has_no_body = status in _NO_BODY or status in _INFORMATIONAL
-        if not has_no_body and int(stated_length or 0) > _MAX_REPLY_BYTES:
-            self._exceed(_LONG_BODY)
+        if not head.has_no_body and int(stated_length or 0) > _MAX_REPLY_BYTES:
+            raise _ReplyAbortedError(_LONG_BODY)
         self._ends_with_connection = not (
-            has_length or is_chunked or has_no_body
+            has_length or is_chunked or head.has_no_body
         )
         if not self._parser.should_keep_alive():
             self.closes_after = True
@@ -254,7 +269,7 @@
         self._size += len(chunk)
         self._framing_bytes -= len(chunk)
         if self._size > _MAX_REPLY_BYTES:
-            self._exceed(_LONG_BODY)
+            raise _ReplyAbortedError(_LONG_BODY)
         if self._pending is None:
             return
         self._body += chunk
@@ -268,12 +283,11 @@
         """Count a chunk of the body; many small ones occupy the loop."""
         self._chunks += 1
         if self._chunks > _MAX_SMALL_CHUNKS + self._size // _MIN_CHUNK_BYTES:
-            self._exceed('a reply in too many small chunks')
+            raise _ReplyAbortedError('a reply in too many small chunks')
 
     def on_message_complete(self) -> None:
         """Deliver the reply; skip informational responses."""
-        status = self._parser.get_status_code()
-        if status in _INFORMATIONAL and status != _SWITCHING_PROTOCOLS:
+        if reply_head.is_interim(self._parser.get_status_code()):
             self._skip_reply()
             return
         if not self._ends_with_connection:
@@ -296,31 +310,31 @@
             ),
         )
 
-    def _fail(self) -> None:
-        if self._excess:
-            self.drop_excessive(self._excess)
-            return
-        self._resolve(outcome.Broken('bytes that are no reply'))
-        self.abort()
-
     def _skip_reply(self) -> None:
-        self._is_reading_head = True
-        self._head_bytes = 0
+        self._expect_reply()
         self._skipped_replies += 1
         if self._skipped_replies > _MAX_SKIPPED_REPLIES:
-            self._exceed('too many replies to no request')
+            raise _ReplyAbortedError('too many replies to no request')
 
-    def _check_framing(self) -> None:
+    def _expect_reply(self) -> None:
+        self._is_reading_head = True
+        self._head_bytes = 0
+        self._start = reply_start.ReplyStart()
+
+    def _feed(self, chunk: bytes) -> None:
+        if not self._start.is_valid_with(chunk):
+            raise _ReplyAbortedError(
+                'bytes that are no reply: another protocol'
+            )
+        self._parser.feed_data(chunk)
         if self._pending is None:
             return
         if self._is_reading_head and self._head_bytes > _MAX_HEAD_BYTES:
-            self._exceed(_LONG_HEAD)
+            raise _ReplyAbortedError(_LONG_HEAD)
         if self._framing_bytes > _MAX_FRAMING_BYTES + self._size:
-            self._exceed('a reply with more framing than is accepted')
-
-    def _exceed(self, reason: str) -> None:
-        self._excess = reason
-        raise _LimitExceededError
+            raise _ReplyAbortedError(
+                'a reply with more framing than is accepted'
+            )
 
     def _resolve(self, exchange_outcome: outcome.Outcome) -> None:
         pending = self._pending
@@ -331,3 +345,12 @@
         self.idle_since = asyncio.get_running_loop().time()
         if pending is not None and not pending.done():
             pending.set_result(exchange_outcome)
+
+
+def _reason(error: Exception) -> str:
+    """Return why parsing stopped; the parser wraps errors of callbacks."""
+    for cause in (error, error.__context__):
+        match cause:
+            case _ReplyAbortedError():
+                return str(cause)
+    return f'bytes that are no reply: {error}'
--- a/chivepond/gateway/outcome.py
+++ b/chivepond/gateway/outcome.py
@@ -37,8 +37,8 @@
     received_bytes: int = 0
     #: Whether the peer closed or reset the connection.
     is_disconnect: bool = False
-    #: Whether the reply was aborted as it exceeded a limit.
-    is_excessive: bool = False
+    #: Whether the reply was aborted, as it exceeded a limit or is not valid.
+    is_aborted: bool = False
 
 
 Outcome = Reply | NotSent | Broken
--- a/chivepond/gateway/peer_channel.py
+++ b/chivepond/gateway/peer_channel.py
@@ -229,8 +229,8 @@
                 self.health.failed(attempt, now)
                 self._log_health(reason)
             case outcome.Broken(reason=reason, received_bytes=received):
-                if exchange_outcome.is_excessive:
-                    self._health_log.record_excess(self.end.name, reason)
+                if exchange_outcome.is_aborted:
+                    self._health_log.record_aborted(self.end.name, reason)
                 self.health.failed(attempt, now)
                 self._log_health(
                     f'{reason}, {received} bytes received'
--- a/chivepond/gateway/reply_buffers.py
+++ b/chivepond/gateway/reply_buffers.py
@@ -12,7 +12,7 @@
 class Receiver(Protocol):
     """A connection that receives a reply."""
 
-    def drop_excessive(self, reason: str) -> None:
+    def drop_reply(self, reason: str) -> None:
         """Drop the reply in progress, which exceeds a limit."""
 
 
@@ -40,7 +40,7 @@
             largest = max(
                 self._size_by_receiver, key=self._size_by_receiver.__getitem__
             )
-            largest.drop_excessive(
+            largest.drop_reply(
                 'the replies in progress exceed the memory for them'
             )
 
--- a/chivepond/gateway/upstream_request.py
+++ b/chivepond/gateway/upstream_request.py
@@ -232,7 +232,7 @@
         """Return whether an attempt runs; wait for the budget of another one.
 
         Guards against failing a request because its searcher sends replies
-        without end, while other searchers are idle.
+        without end or outside the protocol, while other searchers are idle.
         """
         loop = asyncio.get_running_loop()
         while not self._running and self._awaits_budget:
@@ -263,7 +263,7 @@
                 self._reason = reason
             case outcome.Broken(reason=reason):
                 self._awaits_budget = (
-                    exchange_outcome.is_excessive and self._route.is_idempotent
+                    exchange_outcome.is_aborted and self._route.is_idempotent
                 )
                 self._delivered_attempts += 1
                 self._may_have_run = True
@@ -281,12 +281,6 @@
         if reply.status == _MISDIRECTED or reply.headers.get(headers.NOT_RUN):
             self._reason = f'a searcher turned it away with {reply.status}'
             return False
-        if reply.headers.get(b'content-encoding') is not None:
-            self._may_have_run = True
-            self._reason = (
-                'a reply has a content encoding that was not requested'
-            )
-            return False
         self._may_have_run = True
         if reply.status < _SERVER_ERROR or not self._route.is_idempotent:
             return True
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -312,8 +312,8 @@
     6037,
     'WARNING',
     'reply aborted',
-    'A reply of a searcher or another gateway exceeded a limit; its connection '
-    'was closed.',
+    'A reply of a searcher or another gateway exceeded a limit or was not '
+    'valid; its connection was closed.',
 )
 REQUEST_ANSWERED = event.Event(
     6100,
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -202,6 +202,12 @@
         await self._open.enter_async_context(started)
         return started
 
+    async def enter(
+        self, entered: contextlib.AbstractAsyncContextManager[Any]
+    ) -> None:
+        """Enter a context that is left when the bench stops."""
+        await self._open.enter_async_context(entered)
+
     async def caller(self, to: address.Address) -> Caller:
         """Connect a client to an address."""
         connection = http_connection.HttpConnection(
--- a/chivepond/tests/test_endless_replies.py
+++ b/chivepond/tests/test_endless_replies.py
@@ -206,7 +206,7 @@
     def __init__(self) -> None:
         self.is_dropped = False
 
-    def drop_excessive(self, reason: str) -> None:
+    def drop_reply(self, reason: str) -> None:
         self.is_dropped = True
 
 
