Responses inside a gateway's reply are checked like any other

What callers saw: a gateway that forwards a request for another one returns the searcher's response inside its own reply. The receiving gateway passed on whatever status and fields were in it: `HTTP/1.1 0 Unknown`, `600 Unknown`, a name with a blank, a value with a line break (which adds a field to the client's response), a body in a 204.

Cause: DelegatedRequest decoded the response and asked nobody whether it is one.

Change: DelegatedRequest asks reply_head as well, for the whole response. One that is not valid is the failure of a request that may have run: 502.

--- a/chivepond/gateway/delegated_request.py
+++ b/chivepond/gateway/delegated_request.py
@@ -15,6 +15,7 @@
     upstream_request,
     upstream_shares,
 )
+from chivepond.transport import reply_head
 from chivepond.wire import forward_request
 
 _OK = 200
@@ -130,6 +131,11 @@
         )
     match reply.response:
         case forward_request.ForwardedResponse() as response:
+            fault = reply_head.find_fault_of_final(
+                response.status, response.headers, response.body
+            )
+            if fault:
+                return _failure(fault, may_have_run=True)
             fields = header_list.HeaderList()
             for pair in response.headers:
                 fields.add(*pair)
--- a/chivepond/tests/test_invalid_replies.py
+++ b/chivepond/tests/test_invalid_replies.py
@@ -13,7 +13,7 @@
 from chivepond.platform import headers, store_calls
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, invalid_replies, support
-from chivepond.wire import gateway_entry, sync_message
+from chivepond.wire import forward_request, gateway_entry, sync_message
 
 _GOOD = b'right'
 _NO_UPDATES = msgspec.msgpack.encode(sync_message.SyncReply({}, 0))
@@ -271,6 +271,28 @@
     return serve
 
 
+def _nested(fault: str) -> bytes:
+    """Return a sound reply of a gateway that holds an invalid response."""
+    status, field = {
+        'status 000': (0, (b'X', b'y')),
+        'status 600': (600, (b'X', b'y')),
+        'interim status': (103, (b'X', b'y')),
+        'blank in a name': (200, (b'X Odd', b'y')),
+        'line break in a value': (200, (b'X-Odd', b'a\r\nX-More: b')),
+        'content encoding': (200, (b'Content-Encoding', b'gzip')),
+        'body without content': (204, (b'X', b'y')),
+    }[fault]
+    forwarded = forward_request.ForwardedResponse(
+        status, [field], invalid_replies.WRONG
+    )
+    body = msgspec.msgpack.encode(forward_request.ForwardReply(forwarded))
+    return b'HTTP/1.1 200 OK\r\n%s: ID\r\nContent-Length: %d\r\n\r\n%s' % (
+        headers.REQUEST_ID,
+        len(body),
+        body,
+    )
+
+
 @some_faults
 def test_an_invalid_reply_of_another_gateway_becomes_an_error(fault):
     """Guards against an invalid reply that passes two gateways."""
@@ -286,3 +308,31 @@
 
     log = _log_of(scenario)
     assert _names_of(log, events.REPLY_ABORTED)
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        'status 000',
+        'status 600',
+        'interim status',
+        'blank in a name',
+        'line break in a value',
+        'content encoding',
+        'body without content',
+    ],
+)
+def test_an_invalid_response_inside_a_gateways_reply_becomes_an_error(fault):
+    """Guards against a gateway of an earlier release that lets one through."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-1', 'desk', _good)
+            bench.configure(1, *_desk_routes(), connection_cap=2)
+            gateway = await _delegating_gateway(
+                bench, _forwarding(_nested(fault))
+            )
+            assert await _statuses(gateway, 'POST', '/w/', 1) == [502]
+            assert await _statuses(gateway, 'GET', '/r/', 1) == [502]
+
+    _log_of(scenario)
--- a/chivepond/transport/reply_head.py
+++ b/chivepond/transport/reply_head.py
@@ -135,3 +135,18 @@
 def is_interim(status: int) -> bool:
     """Tell whether the final reply follows one with this status."""
     return status in _INFORMATIONAL
+
+
+def find_fault_of_final(
+    status: int, fields: Sequence[tuple[bytes, bytes]], body: bytes
+) -> str:
+    """Return why a reply that another process read is not valid.
+
+    Empty if it is a valid final reply.
+    """
+    head = ReplyHead('1.1', status, fields)
+    if head.is_interim:
+        return 'an interim reply in place of a final one'
+    if head.has_no_body and body:
+        return 'a body in a reply without one'
+    return head.find_fault()
