Nodes read valid replies only, each to its end

What callers saw: a node took replies with status 000, versions 2.0 and 0.9, an unrequested 101, field names with blanks or control bytes and two lengths for answers. After an interim reply, a reply without a length or a trailer, the rest of its bytes was read as the reply to the next request on that connection. A status line or a cookie that the library can't read ended the caller with an exception that nothing expected. Bodies, chunks and trailers were read without a bound until the time-out.

Cause: aiosonic reads heads leniently (a line without a colon ends the head), parses sizes with int(), and bounds no body.

--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 from collections.abc import AsyncIterator
+from http import cookies
 from typing import Self
 
 import aiosonic
@@ -23,6 +24,7 @@
     OSError,
     EOFError,
     ValueError,
+    cookies.CookieError,
 )
 _NOT_CONNECTED = (ConnectionRefusedError, exceptions.ConnectTimeout)
 _CONNECT_S = 2
@@ -208,7 +210,11 @@
             headers=self._headers | headers if headers else self._headers,
             data=body,
         )
-        return reply.Reply(response.status_code, await response.content())
+        if not response.chunked:
+            return reply.Reply(response.status_code, await response.content())
+        # The library joins chunks in quadratic time.
+        chunks = [chunk async for chunk in response.read_chunks()]
+        return reply.Reply(response.status_code, b''.join(chunks))
 
     async def _stream(
         self,
--- a/chivepond/transport/reply_head.py
+++ b/chivepond/transport/reply_head.py
@@ -132,6 +132,14 @@
         return self.is_interim or self.status == _NO_CONTENT
 
 
+def is_field_line(line: bytes) -> bool:
+    """Tell whether a line that ends with CR LF is a field."""
+    field = _FIELD_LINE.fullmatch(line)
+    if field is None or not _FIELD_NAMES.fullmatch(field[1]):
+        return False
+    return not _CONTROL_BYTE.search(field[2])
+
+
 def is_interim(status: int) -> bool:
     """Tell whether the final reply follows one with this status."""
     return status in _INFORMATIONAL
