One odd entry of the store costs no other one

What operators saw: after another program had written one entry with deeply nested lists or objects (1,100 levels are enough), the gateways went on serving what they knew, and followed no later change of that kind; a gateway that started beside such an entry never became ready. The same for half a surrogate pair ("\ud800") in any text of an entry: valid JSON, and a reply that is wrong at each read.

Cause: the decoder of msgspec recurses also over what it skips, and raises RecursionError; it refuses unpaired surrogates also in fields that nobody reads. Entries are decoded one by one, but the page around them is decoded whole, and KindReader expected DecodeError alone. The same held for the entries of gateways and of crashes, for replies to writes, and for messages between gateways.

Change: everything that is read from the store goes through store_codec, which reads a text again without what the decoder can't read: values nested deeper than 100 become null, half pairs the replacement character (plain_json, one pass without recursion, only after a first failure). The entry is then refused by its own codec, or used if the odd part is one that nobody reads. Messages between gateways go through peer_codec, for which a RecursionError is a message that can't be decoded.

--- a/chivepond/gateway/crash_registry.py
+++ b/chivepond/gateway/crash_registry.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import msgspec
-
 from chivepond.decisions import crash_quarantine
 from chivepond.gateway import (
     closeable,
@@ -14,7 +12,7 @@
     store_sync,
     telemetry,
 )
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.transport import address
 from chivepond.wire import crash_entry
 
@@ -124,9 +122,8 @@
         body: bytes,
         record: crash_quarantine.CrashRecord,
     ) -> bool:
-        try:
-            stored = msgspec.json.decode(body, type=store_calls.StoredObject)
-        except msgspec.DecodeError:
+        stored = store_codec.decode(body, store_calls.StoredObject).ok()
+        if stored is None:
             return False
         stored_record = crash_table.decode_record(stored) or record
         merged_record = crash_quarantine.merged(stored_record, record)
--- a/chivepond/gateway/crash_table.py
+++ b/chivepond/gateway/crash_table.py
@@ -3,12 +3,10 @@
 import asyncio
 import time
 
-import msgspec
-
 from chivepond.decisions import crash_quarantine, switches
 from chivepond.gateway import forwarded_request, recent_replies, telemetry
 from chivepond.observe import events
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.settings import mechanism
 from chivepond.wire import crash_entry
 
@@ -194,8 +192,7 @@
     stored: store_calls.StoredObject,
 ) -> crash_quarantine.CrashRecord | None:
     """Decode an object of the store; return ``None`` if it is malformed."""
-    try:
-        entry = msgspec.json.decode(stored.spec, type=crash_entry.CrashEntry)
-    except msgspec.DecodeError:
-        return None
-    return crash_quarantine.CrashRecord(entry.crashes_by_request, entry.seen_at)
+    entry = store_codec.decode(stored.spec, crash_entry.CrashEntry).ok()
+    return entry and crash_quarantine.CrashRecord(
+        entry.crashes_by_request, entry.seen_at
+    )
--- a/chivepond/gateway/delegated_request.py
+++ b/chivepond/gateway/delegated_request.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import msgspec
-
 from chivepond.gateway import (
     forwarded_request,
     header_list,
@@ -16,7 +14,7 @@
     upstream_shares,
 )
 from chivepond.transport import reply_head
-from chivepond.wire import forward_request
+from chivepond.wire import forward_request, peer_codec
 
 _OK = 200
 #: Gateways that are tried until one accepts the request.
@@ -122,13 +120,14 @@
 def _decode_reply(
     body: bytes,
 ) -> outcome.Reply | upstream_request.UpstreamFailure:
-    try:
-        reply = msgspec.msgpack.decode(body, type=forward_request.ForwardReply)
-    except msgspec.DecodeError as error:
+    decoded = peer_codec.decode(body, forward_request.ForwardReply)
+    if decoded.is_err():
+        reason = decoded.unwrap_err().message
         return _failure(
-            f'cannot decode the reply of the forwarding gateway: {error}',
+            f'cannot decode the reply of the forwarding gateway: {reason}',
             may_have_run=True,
         )
+    reply = decoded.unwrap()
     match reply.response:
         case forward_request.ForwardedResponse() as response:
             fault = reply_head.find_fault_of_final(
--- a/chivepond/gateway/gateway_registration.py
+++ b/chivepond/gateway/gateway_registration.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from chivepond.gateway import closeable, outcome, replica, store_client
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.transport import address
 from chivepond.wire import gateway_entry
 
@@ -191,19 +191,10 @@
 
 
 def _decode_object(body: bytes) -> store_calls.StoredObject | None:
-    try:
-        return msgspec.json.decode(body, type=store_calls.StoredObject)
-    except msgspec.DecodeError:
-        return None
+    return store_codec.decode(body, store_calls.StoredObject).ok()
 
 
 def _decode_entry(
     stored: store_calls.StoredObject,
 ) -> gateway_entry.GatewayEntry | None:
-    try:
-        return msgspec.json.decode(
-            stored.spec,
-            type=gateway_entry.GatewayEntry,
-        )
-    except msgspec.DecodeError:
-        return None
+    return store_codec.decode(stored.spec, gateway_entry.GatewayEntry).ok()
--- a/chivepond/gateway/gateway_sweeper.py
+++ b/chivepond/gateway/gateway_sweeper.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import msgspec
-
 from chivepond.decisions import gateway_removal
 from chivepond.gateway import (
     closeable,
@@ -16,7 +14,7 @@
     telemetry,
 )
 from chivepond.observe import events
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.transport import address
 from chivepond.wire import gateway_entry, sync_message
 
@@ -127,13 +125,9 @@
         stored = self._gateway_replica.find(node_id)
         if stored is None:
             return
-        try:
-            entry = msgspec.json.decode(
-                stored.spec,
-                type=gateway_entry.GatewayEntry,
-            )
-        except msgspec.DecodeError as error:
-            self._telemetry.count('sweeps', f'unreadable: {error}')
+        entry = store_codec.decode(stored.spec, gateway_entry.GatewayEntry).ok()
+        if entry is None:
+            self._telemetry.count('sweeps', 'unreadable entry')
             return
         entry.suspected_by = self._peer_gateways.own_id
         call_outcome = await self._client.put(
@@ -150,9 +144,8 @@
                 self._telemetry.count('sweeps', 'not marked')
 
     def _record_mark(self, node_id: str, body: bytes) -> None:
-        try:
-            stored = msgspec.json.decode(body, type=store_calls.StoredObject)
-        except msgspec.DecodeError:
+        stored = store_codec.decode(body, store_calls.StoredObject).ok()
+        if stored is None:
             self._telemetry.count('sweeps', 'unreadable reply')
             return
         self._marked_revision_by_id[node_id] = stored.meta.revision
--- a/chivepond/gateway/group_request.py
+++ b/chivepond/gateway/group_request.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
-import msgspec
-
 from chivepond.gateway import (
     gather_id,
     outcome,
@@ -20,7 +18,7 @@
 )
 from chivepond.gateway import search as searches
 from chivepond.settings import mechanism
-from chivepond.wire import gather_request
+from chivepond.wire import gather_request, peer_codec
 
 _OK = 200
 _NOT_FOUND = 404
@@ -359,12 +357,6 @@
     """Return the decoded reply, or ``None`` after any kind of failure."""
     match exchange_outcome:
         case outcome.Reply(status=status, body=body) if status == _OK:
-            try:
-                return msgspec.msgpack.decode(
-                    body,
-                    type=gather_request.GatherReply,
-                )
-            except msgspec.DecodeError:
-                return None
+            return peer_codec.decode(body, gather_request.GatherReply).ok()
         case _:
             return None
--- a/chivepond/gateway/kind_reader.py
+++ b/chivepond/gateway/kind_reader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import msgspec
+import result
 
 from chivepond.decisions import sync_source
 from chivepond.gateway import (
@@ -15,7 +15,7 @@
     telemetry,
 )
 from chivepond.observe import events
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.transport import address
 
 _CALL_TIMEOUT_S = 1.0
@@ -207,7 +207,9 @@
 def _decode(
     body: bytes, response_type: type[Decoded]
 ) -> tuple[str, Decoded | None]:
-    try:
-        return ('', msgspec.json.decode(body, type=response_type))
-    except msgspec.DecodeError as error:
-        return (f'a reply that is wrong: {error}', None)
+    match store_codec.decode(body, response_type):
+        case result.Ok(decoded):
+            return ('', decoded)
+        case failure:
+            error = failure.unwrap_err()
+            return (f'a reply that is wrong: {error.message}', None)
--- a/chivepond/gateway/peer_list.py
+++ b/chivepond/gateway/peer_list.py
@@ -1,9 +1,7 @@
 """Applies the store's list of gateways to the known peers."""
 
-import msgspec
-
 from chivepond.gateway import peer_record, peers
-from chivepond.platform import store_calls
+from chivepond.platform import store_calls, store_codec
 from chivepond.transport import address
 from chivepond.wire import gateway_entry
 
@@ -58,13 +56,7 @@
 def _entry(
     stored: store_calls.StoredObject,
 ) -> gateway_entry.GatewayEntry | None:
-    try:
-        return msgspec.json.decode(
-            stored.spec,
-            type=gateway_entry.GatewayEntry,
-        )
-    except msgspec.DecodeError:
-        return None
+    return store_codec.decode(stored.spec, gateway_entry.GatewayEntry).ok()
 
 
 def _record(
--- a/chivepond/gateway/peer_service.py
+++ b/chivepond/gateway/peer_service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
+import result
 
 from chivepond.gateway import (
     client_request,
@@ -20,7 +21,12 @@
 )
 from chivepond.observe import events
 from chivepond.platform import headers
-from chivepond.wire import forward_request, gather_request, sync_message
+from chivepond.wire import (
+    forward_request,
+    gather_request,
+    peer_codec,
+    sync_message,
+)
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -102,11 +108,13 @@
             return client_response.refusal(
                 _NOT_FOUND, 'no endpoint at this path'
             )
-        try:
-            message = msgspec.msgpack.decode(request.body, type=message_type)
-        except msgspec.DecodeError as error:
-            return client_response.refusal(_BAD_REQUEST, str(error))
-        return await self._dispatch(request.request_id, message)
+        match peer_codec.decode(request.body, message_type):
+            case result.Ok(message):
+                return await self._dispatch(request.request_id, message)
+            case failure:
+                return client_response.refusal(
+                    _BAD_REQUEST, failure.unwrap_err().message
+                )
 
     async def _dispatch(
         self,
--- a/chivepond/gateway/peer_updates.py
+++ b/chivepond/gateway/peer_updates.py
@@ -16,7 +16,7 @@
 )
 from chivepond.observe import events
 from chivepond.platform import store_calls
-from chivepond.wire import sync_message
+from chivepond.wire import peer_codec, sync_message
 
 #: Time that a reply may take beyond the requested wait, in seconds.
 _REPLY_GRACE_S = 0.25
@@ -107,22 +107,24 @@
 ) -> sync_message.SyncReply | None:
     match call_outcome:
         case outcome.Reply(status=status, body=body) if status == _OK:
-            try:
-                return _unpack_reply(
-                    msgspec.msgpack.decode(body, type=sync_message.SyncReply),
-                )
-            except msgspec.DecodeError:
-                return None
+            reply = peer_codec.decode(body, sync_message.SyncReply).ok()
+            return reply and _unpack_reply(reply)
         case _:
             return None
 
 
-def _unpack_reply(reply: sync_message.SyncReply) -> sync_message.SyncReply:
-    return sync_message.SyncReply(
-        {
+def _unpack_reply(
+    reply: sync_message.SyncReply,
+) -> sync_message.SyncReply | None:
+    try:
+        update_by_kind = {
             kind: update_packing.unpack(update)
             for kind, update in reply.update_by_kind.items()
-        },
+        }
+    except msgspec.DecodeError:
+        return None
+    return sync_message.SyncReply(
+        update_by_kind,
         reply.age_s,
         reply.origin,
         reply.as_of_by_kind,
--- a/chivepond/gateway/update_packing.py
+++ b/chivepond/gateway/update_packing.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterable
 
 import msgspec
+import result
 
-from chivepond.wire import sync_message
+from chivepond.wire import peer_codec, sync_message
 
 #: Minimum size of an update that is compressed, in bytes.
 _MIN_PACKED_BYTES = 8192
@@ -75,11 +76,11 @@
         raise msgspec.DecodeError(str(error)) from error
     if not decompressor.eof:
         raise msgspec.DecodeError('packed entries are truncated or too large')
-    entries = msgspec.msgpack.decode(
-        encoded,
-        type=list[sync_message.ObjectEntry],
-    )
-    return msgspec.structs.replace(update, entries=entries, packed=b'')
+    match peer_codec.decode(encoded, list[sync_message.ObjectEntry]):
+        case result.Ok(entries):
+            return msgspec.structs.replace(update, entries=entries, packed=b'')
+        case failure:
+            raise msgspec.DecodeError(failure.unwrap_err().message)
 
 
 def _compress(update: sync_message.KindUpdate) -> sync_message.KindUpdate:
--- a/chivepond/platform/configuration_codec.py
+++ b/chivepond/platform/configuration_codec.py
@@ -5,6 +5,7 @@
 
 from chivepond.errors import invalid
 from chivepond.gateway import routing_table
+from chivepond.platform import store_codec
 
 _MS_PER_S = 1000
 _REMEDY = 'write a complete configuration; the previous version stays in force'
@@ -57,11 +58,12 @@
     spec: bytes | msgspec.Raw,
 ) -> result.Result[routing_table.RoutingTable, invalid.Invalid]:
     """Return the routing table, or ``Invalid`` when decoding fails."""
-    try:
-        configuration = msgspec.json.decode(spec, type=_Configuration)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return result.Err(invalid.Invalid(str(error), _REMEDY))
-    return result.Ok(_routing_table(configuration))
+    match store_codec.decode(spec, _Configuration):
+        case result.Ok(configuration):
+            return result.Ok(_routing_table(configuration))
+        case failure:
+            message = failure.unwrap_err().message
+            return result.Err(invalid.Invalid(message, _REMEDY))
 
 
 def _routing_table(configuration: _Configuration) -> routing_table.RoutingTable:
--- a/chivepond/platform/searcher_codec.py
+++ b/chivepond/platform/searcher_codec.py
@@ -7,6 +7,7 @@
 
 from chivepond.errors import invalid
 from chivepond.gateway import searcher_record
+from chivepond.platform import store_codec
 from chivepond.transport import address
 
 _REMEDY = 'check which program wrote this entry; other entries are unaffected'
@@ -36,10 +37,10 @@
 
     An entry needs a valid address, a service and at least one slot.
     """
-    try:
-        entry = msgspec.json.decode(spec, type=_Entry)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return result.Err(invalid.Invalid(str(error), _REMEDY))
+    decoded = store_codec.decode(spec, _Entry)
+    if decoded.is_err():
+        return result.Err(decoded.unwrap_err())
+    entry = decoded.unwrap()
     endpoint = address.parse(entry.address)
     if endpoint.is_err():
         return result.Err(endpoint.unwrap_err())
--- a/chivepond/tests/gateway_bench.py
+++ b/chivepond/tests/gateway_bench.py
@@ -6,7 +6,7 @@
 import itertools
 import types
 from collections.abc import Callable, Mapping
-from typing import Any, Self
+from typing import Any, Self, TypeVar
 
 from chivepond.gateway import (
     gateway,
@@ -31,6 +31,8 @@
 )
 _request_ids = itertools.count(1)
 
+Entered = TypeVar('Entered')
+
 
 def route(name: str, prefix: str, **overrides: Any) -> dict[str, Any]:
     """Return a route as operators write it, idempotent by default."""
@@ -203,10 +205,10 @@
         return started
 
     async def enter(
-        self, entered: contextlib.AbstractAsyncContextManager[Any]
-    ) -> None:
+        self, entered: contextlib.AbstractAsyncContextManager[Entered]
+    ) -> Entered:
         """Enter a context that is left when the bench stops."""
-        await self._open.enter_async_context(entered)
+        return await self._open.enter_async_context(entered)
 
     async def caller(self, to: address.Address) -> Caller:
         """Connect a client to an address."""
