Connections hold no body after their exchange

What operators saw: beside a store whose replies never end, a gateway of 33 MB grew to 107 MB, although each reply is dropped at 4 MiB.

Cause: a connection kept the body of its last reply, which `ReplyBuffers` no longer counted: an idle one until its next request, a dropped one until the garbage collector found the cycle of connection and parser.

Change: the body is released when the exchange ends.

Evidence: ten connections held 22 MB after replies of 2.2 MB, in test_connections_hold_no_body_after_their_exchange, both forms red before.

--- a/chivepond/gateway/http_connection.py
+++ b/chivepond/gateway/http_connection.py
@@ -340,6 +340,9 @@
         pending = self._pending
         self._pending = None
         self._transfer = None
+        # The parser and the connection refer to each other, so that a dropped
+        # body would stay in memory until the garbage collector runs.
+        self._body = bytearray()
         if self._buffers is not None:
             self._buffers.release(self)
         self.idle_since = asyncio.get_running_loop().time()
