Background work that fails is logged and started again

What operators saw: nothing. A reader of the store that ended by an exception was gone until the process ended; the gateway answered by what it knew, was ready, and its log said no word.

Cause: the tasks of a gateway were created and never looked at. A change during whose application something failed was counted as applied, too.

Change: `background_task.run` logs an unexpected exception as 6007 and starts the work again after a second, for the readers of the store and everything that assembly.background_tasks names. Exceptions of all other tasks reach the log through the exception handler of the loop. A replica's revision advances after its changes are applied, so that they are read again.

--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 import types
-from typing import Self
+from typing import Any, Self
 
 from chivepond.gateway import (
     assembly,
+    background_task,
     client_connection,
     client_request,
     client_response,
@@ -106,8 +107,12 @@
         ):
             await self._exit_stack.enter_async_context(opened_listener)
         self._background_tasks = [
-            asyncio.create_task(background_task.run())
-            for background_task in assembly.background_tasks(
+            asyncio.create_task(
+                background_task.run(
+                    worker.run, type(worker).__name__, self._telemetry
+                )
+            )
+            for worker in assembly.background_tasks(
                 self._components,
                 self._settings,
                 self.peers,
@@ -129,8 +134,8 @@
         traceback: types.TracebackType | None,
     ) -> None:
         """Cancel the tasks and close all listeners and connections."""
-        for background_task in self._background_tasks:
-            background_task.cancel()
+        for task in self._background_tasks:
+            task.cancel()
         await self._exit_stack.aclose()
 
     @property
@@ -200,6 +205,15 @@
             working=self._client_listener.requests_in_progress,
         )
 
+    def report_fault(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an exception that nobody handled; an event loop calls this."""
+        self._telemetry.emit(
+            events.GATEWAY_FAULT,
+            what=f'{context["message"]}: {context.get("exception")!r}',
+        )
+
     def refuse_settings(self, reason: str) -> None:
         """Log that the settings file was rejected, and why."""
         self._telemetry.emit(events.SETTINGS_REFUSED, why=reason)
--- a/chivepond/gateway/replica.py
+++ b/chivepond/gateway/replica.py
@@ -25,7 +25,9 @@
     """Applies lists and changes in the order of the store's revisions.
 
     Ignores older state that arrives later, for example from a gateway that the
-    store refuses: it would bring back a searcher that has left.
+    store refuses: it would bring back a searcher that has left. The revision
+    advances once the changes are applied, so that they are received again
+    after an exception.
     """
 
     __slots__ = (
@@ -94,8 +96,8 @@
         }
         self._deleted_at_by_name.clear()
         self._history_start = as_of
-        self.as_of = as_of
         self._sink.on_list(stored_objects)
+        self.as_of = as_of
         self.changed.set()
 
     def apply_changes(
@@ -109,9 +111,9 @@
         """
         if as_of < self.as_of:
             return
-        self.as_of = as_of
         for change in changes:
             self._apply_change(change, as_of)
+        self.as_of = as_of
         if changes:
             self.changed.set()
 
--- a/chivepond/gateway/store_readers.py
+++ b/chivepond/gateway/store_readers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from chivepond.gateway import (
+    background_task,
     closeable,
     kind_reader,
     replica,
@@ -88,5 +89,12 @@
             for kind, kind_replica in self._replica_by_kind.items()
         ]
         self._tasks = [
-            asyncio.create_task(reader.run()) for reader in self._readers
+            asyncio.create_task(
+                background_task.run(
+                    reader.run, f'reader of {kind}', self._telemetry
+                )
+            )
+            for kind, reader in zip(
+                self._replica_by_kind, self._readers, strict=True
+            )
         ]
--- a/chivepond/tools/gateway_daemon.py
+++ b/chivepond/tools/gateway_daemon.py
@@ -75,6 +75,7 @@
         watch = settings_watch.SettingsWatch(
             path, settings, running, reload_requested
         )
+        loop.set_exception_handler(running.report_fault)
         watch_task = asyncio.create_task(watch.run())
         gc.freeze()
         gc.enable()
