The name of an entry adds no field to requests

What callers would see: a searcher whose entry is named `s\r\nX-Added: 1` got each request with a field that its client had not sent.

Cause: the name of the entry becomes a header field (X-Expect-Instance, or Host between gateways), and nobody looked at its bytes.

Evidence: test_the_name_of_an_entry_adds_no_field_to_requests, red before: the searcher had got requests. Found by trying what else of one entry may matter; no report has shown it.

--- a/chivepond/gateway/peer_list.py
+++ b/chivepond/gateway/peer_list.py
@@ -63,7 +63,7 @@
     node_id: str, entry: gateway_entry.GatewayEntry
 ) -> peer_record.PeerRecord | None:
     parsed_address = address.parse(entry.address)
-    if parsed_address.is_err():
+    if parsed_address.is_err() or not node_id.isprintable():
         return None
     return peer_record.PeerRecord(
         node_id,
--- a/chivepond/platform/searcher_codec.py
+++ b/chivepond/platform/searcher_codec.py
@@ -44,6 +44,9 @@
     endpoint = address.parse(entry.address)
     if endpoint.is_err():
         return result.Err(endpoint.unwrap_err())
+    if not searcher_id.isprintable():
+        # The name becomes a header field of each request.
+        return result.Err(invalid.Invalid('control byte in the name', _REMEDY))
     if entry.slots < 1 or not entry.service:
         return result.Err(
             invalid.Invalid('slots is below 1 or service is empty', _REMEDY)
--- a/chivepond/tests/test_odd_entries.py
+++ b/chivepond/tests/test_odd_entries.py
@@ -175,3 +175,23 @@
     support.run(scenario())
     for log in tmp_path.glob('*.log'):
         assert 'Traceback' not in log.read_text()
+
+
+def test_the_name_of_an_entry_adds_no_field_to_requests():
+    """Guards against a request that a name with a line break changes."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            odd = await bench.searcher('s\r\nX-Added: 1', 'desk', _echo)
+            await bench.searcher('s-1', 'desk', _echo, zone='hub')
+            bench.configure(
+                1, gateway_bench.route('desk', '/desk/', service='desk')
+            )
+            gateway = await bench.ready_gateway()
+            remote = (gateway.client_address.ip, gateway.client_address.port)
+            for _ in range(5):
+                raw = gateway_bench.request('GET', '/desk/')
+                assert await gateway_processes.exchange(remote, raw) == 200
+            assert not odd.got
+
+    support.run(scenario())
