Entries with port 0 are refused

What operators saw: a searcher listed with port 0 was taken for one to connect to, and cost its service an attempt for each request until it was ejected, and again at each trial.

Cause: address.parse also reads addresses to listen on, where port 0 lets the system choose.

Change: parse_remote, for addresses to connect to, refuses port 0; the codecs of searchers and gateways use it.

Evidence: test_an_entry_with_a_port_out_of_range_is_refused[0], red before; -1, 65536 and 99999 were refused before.

--- a/chivepond/gateway/peer_list.py
+++ b/chivepond/gateway/peer_list.py
@@ -62,7 +62,7 @@
 def _record(
     node_id: str, entry: gateway_entry.GatewayEntry
 ) -> peer_record.PeerRecord | None:
-    parsed_address = address.parse(entry.address)
+    parsed_address = address.parse_remote(entry.address)
     if parsed_address.is_err() or not node_id.isprintable():
         return None
     return peer_record.PeerRecord(
--- a/chivepond/platform/searcher_codec.py
+++ b/chivepond/platform/searcher_codec.py
@@ -41,7 +41,7 @@
     if decoded.is_err():
         return result.Err(decoded.unwrap_err())
     entry = decoded.unwrap()
-    endpoint = address.parse(entry.address)
+    endpoint = address.parse_remote(entry.address)
     if endpoint.is_err():
         return result.Err(endpoint.unwrap_err())
     if not searcher_id.isprintable():
--- a/chivepond/tests/test_odd_entries.py
+++ b/chivepond/tests/test_odd_entries.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from chivepond.platform import store_calls
+from chivepond.platform import searcher_codec, store_calls
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, gateway_processes, support
 
@@ -195,3 +195,11 @@
             assert not odd.got
 
     support.run(scenario())
+
+
+@pytest.mark.parametrize('port', [-1, 0, 65536, 99999])
+def test_an_entry_with_a_port_out_of_range_is_refused(port):
+    """Guards against searchers and gateways that can't be connected to."""
+    spec = json.dumps(dict(_SEARCHER) | {'address': f'127.0.0.1:{port}'})
+    refused = searcher_codec.decode('s-1', spec.encode())
+    assert str(port) in refused.unwrap_err().message
--- a/chivepond/transport/address.py
+++ b/chivepond/transport/address.py
@@ -41,6 +41,17 @@
     return result.Ok(Address(ip=str(ip_number), port=int(port)))
 
 
+def parse_remote(text: str) -> result.Result[Address, invalid.Invalid]:
+    """Parse an address to connect to, whose port is not 0."""
+    return parse(text).and_then(
+        lambda parsed: (
+            result.Ok(parsed)
+            if parsed.port
+            else result.Err(_invalid_address(text))
+        ),
+    )
+
+
 def _invalid_address(text: str) -> invalid.Invalid:
     return invalid.Invalid(
         message=f'{quoting.quoted(text)} is not a valid address',
