Nodes read lines of successful replies only

What callers may get: a searcher that answered with 404, 500 or 503 and lines that look like results had these taken for results.

Cause: Client.lines and line_groups never looked at the status.

Change: a status other than 200 fails the call, as everything that serves lines answers with 200.

Evidence: test_lines_of_a_reply_that_is_no_success_are_not_read, red for 206, 404, 500 and 503 before. Found by reading; no report has shown it.

--- a/chivepond/tests/test_invalid_replies_to_nodes.py
+++ b/chivepond/tests/test_invalid_replies_to_nodes.py
@@ -84,6 +84,21 @@
     support.run(scenario())
 
 
+@pytest.mark.parametrize('status', [204, 206, 404, 500, 503])
+def test_lines_of_a_reply_that_is_no_success_are_not_read(status):
+    """Guards against results in a searcher's failure that count as results."""
+    written = b'HTTP/1.1 %d X\r\nContent-Length: 4\r\n\r\n{}\n\n' % status
+
+    async def scenario() -> None:
+        odd = _scripted(written)
+        async with odd, client.Client(odd.address, 1) as node_client:
+            for _ in range(2):
+                lines = await _lines(node_client)
+                assert [line.is_err() for line in lines] == [True]
+
+    support.run(scenario())
+
+
 async def _good(request: Request) -> Response:
     return scripted_searcher.good(request, b'right')
 
--- a/chivepond/transport/client.py
+++ b/chivepond/transport/client.py
@@ -27,6 +27,7 @@
     cookies.CookieError,
 )
 _NOT_CONNECTED = (ConnectionRefusedError, exceptions.ConnectTimeout)
+_OK = 200
 _CONNECT_S = 2
 _IDLE_MS = 60000
 
@@ -227,6 +228,10 @@
             headers=self._headers,
             data=body,
         ) as response:
+            if response.status_code != _OK:
+                raise exceptions.HttpParsingError(
+                    f'status {response.status_code} in place of lines'
+                )
             partial_line = b''
             async for chunk in response.read_chunks():
                 *lines, partial_line = (partial_line + chunk).split(b'\n')
