The bound on replies to nodes counts the bytes that are read

Cause: a streamed body is read with up to 64 KiB a call, and each call counted as that many bytes.

Change: a body with a length is bounded by that length, when its head is read; the reads are not counted. A length has 18 digits at most.

Evidence: test_a_long_reply_in_small_pieces_is_read_whole, 4 MB in lines of 1 KiB, red before.

--- a/chivepond/tests/test_invalid_replies_to_nodes.py
+++ b/chivepond/tests/test_invalid_replies_to_nodes.py
@@ -7,7 +7,7 @@
 
 from chivepond.standins import scripted_searcher
 from chivepond.tests import gateway_bench, invalid_replies, support
-from chivepond.transport import client
+from chivepond.transport import address, client
 
 Request = scripted_searcher.Got
 Response = scripted_searcher.Told
@@ -99,6 +99,31 @@
     support.run(scenario())
 
 
+def test_a_long_reply_in_small_pieces_is_read_whole():
+    """Guards against a bound on replies that counts some bytes twice."""
+    line = b'.' * 1023 + b'\n'
+    head = b'%sContent-Length: %d\r\n\r\n' % (_OK, len(line) * 4000)
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        for _ in range(4000):
+            writer.write(line)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        ip, port = server.sockets[0].getsockname()
+        remote = address.Address(ip, port)
+        async with server, client.Client(remote, 1) as node_client:
+            lines = await _lines(node_client)
+            assert len(lines) == 4000
+            assert {got.unwrap() for got in lines} == {line[:-1]}
+
+    support.run(scenario())
+
+
 async def _good(request: Request) -> Response:
     return scripted_searcher.good(request, b'right')
 
--- a/chivepond/transport/checked_connection.py
+++ b/chivepond/transport/checked_connection.py
@@ -63,11 +63,6 @@
         _raise_fault(self._framing.add_body(part))
         return part
 
-    async def read(self, size: int = -1) -> bytes:
-        """Read up to ``size`` bytes of a body that has a length."""
-        _raise_fault(self._framing.expect_body(size))
-        return await super().read(size)
-
 
 def _raise_fault(fault: str) -> None:
     if fault:
--- a/chivepond/transport/reply_head.py
+++ b/chivepond/transport/reply_head.py
@@ -21,6 +21,7 @@
 _NOT_MODIFIED = 304
 _CHUNKED = (b'chunked',)
 _STATUS_LINE = re.compile(rb'HTTP/(\d\.\d) (\d{3})(?: ([^\r\n]*))?\r\n')
+_LENGTH = re.compile(rb'\d{1,18}')
 _FIELD_LINE = re.compile(rb'([^:\r\n]*):[ \t]*([^\r\n]*?)[ \t]*\r\n')
 _TOKEN = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+"
 #: Names of fields, with colons between them (RFC 9110, section 5.6.2).
@@ -101,7 +102,7 @@
 
     def _length_fault(self) -> str:
         lengths = list(map(bytes.strip, self.values_of(b'content-length')))
-        is_definite = all(map(bytes.isdigit, lengths))
+        is_definite = all(map(_LENGTH.fullmatch, lengths))
         if len(lengths) > 1 or not is_definite:
             return 'a reply without a definite length'
         if self._is_never_framed and any(map(int, lengths)):
