A colon in the name of a field is refused

What callers may get: a response inside another gateway's reply with a field named `X:Odd` reached the client as a field `X` with the value `Odd: ...`.

Cause: names are checked together, and were joined by colons, so that one within a name passed for two names.

Change: they are joined by nothing, and none of them may be empty.

Evidence: the form 'colon in a name' of test_an_invalid_response_inside_a_gateways_reply_becomes_an_error, red before. Parsers never deliver such a name; only replies of gateways can hold one.

--- a/chivepond/transport/reply_head.py
+++ b/chivepond/transport/reply_head.py
@@ -23,9 +23,8 @@
 _STATUS_LINE = re.compile(rb'HTTP/(\d\.\d) (\d{3})(?: ([^\r\n]*))?\r\n')
 _LENGTH = re.compile(rb'\d{1,18}')
 _FIELD_LINE = re.compile(rb'([^:\r\n]*):[ \t]*([^\r\n]*?)[ \t]*\r\n')
-_TOKEN = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+"
-#: Names of fields, with colons between them (RFC 9110, section 5.6.2).
-_FIELD_NAMES = re.compile(rb'%s(?::%s)*' % (_TOKEN, _TOKEN))
+#: Bytes of the names of fields (RFC 9110, section 5.6.2).
+_TOKEN = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]*")
 #: Bytes that values of fields and reason phrases must not have.
 _CONTROL_BYTE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 
@@ -93,8 +92,8 @@
 
     def _field_fault(self) -> str:
         # Joined, as a search for each field takes three times as long.
-        names = b':'.join([name for name, _ in self.fields])
-        if self.fields and not _FIELD_NAMES.fullmatch(names):
+        names = [name for name, _ in self.fields]
+        if not all(names) or not _TOKEN.fullmatch(b''.join(names)):
             return 'a field name with a byte that is not allowed in one'
         if _CONTROL_BYTE.search(b'\t'.join([text for _, text in self.fields])):
             return 'a control byte in a field value'
@@ -136,9 +135,10 @@
 def is_field_line(line: bytes) -> bool:
     """Tell whether a line that ends with CR LF is a field."""
     field = _FIELD_LINE.fullmatch(line)
-    if field is None or not _FIELD_NAMES.fullmatch(field[1]):
+    if field is None or not field[1]:
         return False
-    return not _CONTROL_BYTE.search(field[2])
+    name, text = field.groups()
+    return bool(_TOKEN.fullmatch(name)) and not _CONTROL_BYTE.search(text)
 
 
 def is_interim(status: int) -> bool:
