--- a/chivepond/tests/test_late_requests.py
+++ b/chivepond/tests/test_late_requests.py
@@ -95,7 +95,7 @@
 
 
 class _Work:
-    """Works for a time that varies, and longer once it is told so."""
+    """Works for a time that varies, and for a long one while ``is_long``."""
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
