--- a/chivepond/tests/test_background_tasks.py
+++ b/chivepond/tests/test_background_tasks.py
@@ -1,5 +1,7 @@
 """Background work of gateways that fails."""
 
+import asyncio
+import gc
 import io
 import json
 
@@ -49,6 +51,25 @@
     assert runs == [0, 1, 2]
 
 
+def test_an_exception_of_any_task_is_logged():
+    """Guards against a task that ends by an exception and leaves no line."""
+
+    async def fail() -> None:
+        raise LookupError('odd')
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            gateway = await bench.unready_gateway()
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(gateway.report_fault)
+            loop.create_task(fail())
+            await asyncio.sleep(0.05)
+            gc.collect()
+            await asyncio.sleep(0.05)
+
+    assert any('odd' in fault for fault in _faults_of(scenario))
+
+
 def _raise_once(monkeypatch, owner, name: str) -> list[str]:
     """Make the next call raise; the list is not empty once it has."""
     original = getattr(owner, name)
--- a/chivepond/tests/test_endless_peers.py
+++ b/chivepond/tests/test_endless_peers.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import json
-import statistics
 import tracemalloc
 
 import msgspec
@@ -87,8 +86,7 @@
                 endless_processes.core_seconds(gateway) - core_s_before
             ) / _PLAY_S
             assert {status for status, _ in single} == {200}
-            times = [took_s for _, took_s in single]
-            assert statistics.quantiles(times, n=10)[-1] < _TARGET_S
+            assert max(took_s for _, took_s in single) < _TARGET_S
             assert {status for status, _ in gathered} <= {200, 502}
             assert core_share < _MAX_CORE_SHARE
             assert endless_processes.peak_mb(gateway) < _MAX_PEAK_MB
