A request body is held in one buffer, not as one object a chunk

Cause: each chunk was kept as an object of its own until the request was complete. Two bytes take 35 and a slot of the list, so that a body within the limit of 262,144 bytes held over 5 MB.

Change: the body is one bytearray; what it holds is what was received.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -54,8 +54,7 @@
     """Parses HTTP/1.1 requests and writes the responses in the same order."""
 
     __slots__ = (
-        '_body_chunks',
-        '_body_bytes',
+        '_body',
         '_received_at',
         '_connections',
         '_unparsed_bytes',
@@ -161,8 +160,7 @@
         """Reset the state of the request that is being parsed."""
         self._headers = header_list.HeaderList()
         self._target = b''
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._parsed_head_bytes = 0
         self._received_at = self._loop.time()
 
@@ -194,13 +192,11 @@
     def on_body(self, chunk: bytes) -> None:
         """Append bytes to the body; refuse a body above the size limit."""
         self._unparsed_bytes = 0
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._service.limits().body_bytes:
+        self._body += chunk
+        if len(self._body) > self._service.limits().body_bytes:
             self._refuse(
                 _CONTENT_TOO_LARGE, 'request body exceeds the size limit'
             )
-            return
-        self._body_chunks.append(chunk)
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and serve it if none is in progress."""
@@ -213,7 +209,7 @@
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
-                body=b''.join(self._body_chunks),
+                body=bytes(self._body),
                 received_at=self._received_at,
                 is_kept_alive=self._parser.should_keep_alive(),
                 network_delay_s=self._network_delay_s(),
