Requests sent ahead are parsed when they can be queued

Cause: one read of a socket returns up to 256 KB, which hold 14,000 of the smallest requests. All were parsed at once and queued, at 1 KB and more each; reading paused only after that, and went on with the next request that was taken from the queue, however many still waited. The loop served no other connection while it parsed.

Change: BoundedConnection stands between the socket and the parser. RequestReader, out of ClientConnection, builds requests. A request that is dropped behind a malformed one gets 503 where the client would have taken the 400 for the answer to an earlier request.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -4,26 +4,22 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
-import httptools
-
 from chivepond.gateway import (
     client_request,
     client_response,
-    header_list,
+    network_delay,
+    request_reader,
     routing_table,
-    tcp_round_trip,
 )
+from chivepond.transport import bounded_connection
 
-#: Queued pipelined requests above which reading from the socket pauses.
+#: Queued pipelined requests, and their bytes, above which no more are parsed.
 _MAX_PIPELINED_REQUESTS = 8
-#: Round trip assumed where the kernel reports none, in seconds.
-_DEFAULT_ROUND_TRIP_S = 0.002
-#: Bytes that frame a header field: a colon, a space and CR LF.
-_FIELD_OVERHEAD_BYTES = 4
-_BAD_REQUEST = 400
+_MAX_PIPELINED_BYTES = 65536
 _REQUEST_TIMEOUT = 408
-_CONTENT_TOO_LARGE = 413
-_HEADERS_TOO_LARGE = 431
+_UNAVAILABLE = 503
+#: When clients may return whose requests were dropped, in seconds.
+_RETRY_AFTER_S = 0.5
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -51,26 +47,21 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Parses HTTP/1.1 requests and writes the responses in the same order."""
+    """Queues requests, and writes the responses in the same order."""
 
     __slots__ = (
-        '_body',
-        '_received_at',
+        '_connection',
         '_connections',
-        '_unparsed_bytes',
-        '_headers',
-        '_is_receiving',
         '_is_blocked',
-        '_is_first_request',
-        '_loop',
-        '_parser',
-        '_parsed_head_bytes',
         '_is_refused',
+        '_loop',
+        '_network_delay',
+        '_queued_bytes',
+        '_queued_requests',
+        '_reader',
         '_service',
-        '_target',
         '_timer',
         '_transport',
-        '_queued_requests',
         'current_task',
     )
 
@@ -82,20 +73,22 @@
         """Add the connection to ``connections`` while it is open."""
         self._service = service
         self._connections = connections
+        self._connection: bounded_connection.BoundedConnection
         self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = request_reader.RequestReader(self, service.limits)
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._queued_requests: list[client_request.ClientRequest] = []
+        self._queued_bytes = 0
         #: The task that serves the current request; ``None`` while idle.
         self.current_task: asyncio.Task[None] | None = None
         self._is_refused = False
-        #: Whether no request has been read on this connection yet.
-        self._is_first_request = True
+        self._network_delay = network_delay.NetworkDelay()
         self._is_blocked = False
-        self._unparsed_bytes = 0
-        self._is_receiving = False
-        self.on_message_begin()
+
+    def use(self, connection: bounded_connection.BoundedConnection) -> None:
+        """Take the connection that requests are read from."""
+        self._connection = connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timer, or reset a connection above the maximum."""
@@ -110,12 +103,12 @@
         """Cancel the current request and drop queued ones."""
         self._connections.discard(self)
         self._stop_timer()
-        self._queued_requests.clear()
+        self._drop_unserved()
         if self.current_task is not None:
             self.current_task.cancel()
 
     def pause_writing(self) -> None:
-        """Start no further request while the write buffer is full.
+        """Start no further request while a response is not sent.
 
         Guards against a client that sends requests and never reads: its
         responses would use memory without bound.
@@ -129,143 +122,90 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
-        if self.current_task is None and not self._is_receiving:
+        is_serving = self.current_task is not None or self._has_unserved
+        if not is_serving and not self._reader.is_receiving:
             self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection."""
         self._transport.abort()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Feed received bytes to the parser; reject malformed requests."""
-        if self._is_refused:
-            return
-        if not self._is_receiving and self.current_task is None:
-            self._start_receiving()
-        self._unparsed_bytes += len(chunk)
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported. The request is answered as
-            # if it had not offered one, and the connection is then closed.
-            self._is_refused = True
-        except httptools.HttpParserError:
-            self._refuse(_BAD_REQUEST, 'malformed HTTP request')
-        else:
-            self._check_received_bytes()
-
-    # The parser calls the methods from here to `on_message_complete`.
-
-    def on_message_begin(self) -> None:
-        """Reset the state of the request that is being parsed."""
-        self._headers = header_list.HeaderList()
-        self._target = b''
-        self._body = bytearray()
-        self._parsed_head_bytes = 0
-        self._received_at = self._loop.time()
-
-    def on_url(self, chunk: bytes) -> None:
-        """Append bytes to the request target (path and query)."""
-        self._target += chunk
-        self._count_head_bytes(len(chunk))
-
-    def on_header(self, name: bytes, field_value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, field_value)
-        self._count_head_bytes(
-            len(name) + len(field_value) + _FIELD_OVERHEAD_BYTES
-        )
-
-    def on_headers_complete(self) -> None:
-        """Check the stated body length; reply to ``Expect: 100-continue``."""
-        self._unparsed_bytes = 0
-        if self._is_refused:
-            return
-        stated_length = self._headers.get(b'content-length') or b'0'
-        if int(stated_length) > self._service.limits().body_bytes:
-            self._refuse(
-                _CONTENT_TOO_LARGE, 'request body exceeds the size limit'
-            )
-        elif self._headers.get(b'expect') is not None:
-            self._transport.write(_CONTINUE)
-
-    def on_body(self, chunk: bytes) -> None:
-        """Append bytes to the body; refuse a body above the size limit."""
-        self._unparsed_bytes = 0
-        self._body += chunk
-        if len(self._body) > self._service.limits().body_bytes:
-            self._refuse(
-                _CONTENT_TOO_LARGE, 'request body exceeds the size limit'
-            )
+    def data_received(self, piece: bytes) -> None:
+        """Parse received bytes."""
+        self._reader.read_at = self._connection.read_at
+        self._reader.feed(piece)
 
-    def on_message_complete(self) -> None:
-        """Queue the complete request, and serve it if none is in progress."""
-        self._is_receiving = False
-        self._unparsed_bytes = 0
-        if self._is_refused:
-            return
-        self._queued_requests.append(
-            client_request.ClientRequest(
-                method=self._parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=bytes(self._body),
-                received_at=self._received_at,
-                is_kept_alive=self._parser.should_keep_alive(),
-                network_delay_s=self._network_delay_s(),
-            ),
-        )
-        if len(self._queued_requests) > _MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
-        self._serve_next()
+    # The reader calls the methods from here to `refuse`.
 
-    def _network_delay_s(self) -> float:
-        """Return the network delay of a request and its response, in seconds.
+    def on_begin(self) -> None:
+        """Limit the time in which a request arrives."""
+        self._start_timer(self._service.limits().header_timeout_s)
 
-        The first request of a connection also waits for the TCP handshake,
-        which is one more round trip.
-        """
-        round_trip_s = tcp_round_trip.seconds(
-            self._transport, _DEFAULT_ROUND_TRIP_S
-        )
-        round_trips = 2 if self._is_first_request else 1
-        self._is_first_request = False
-        return round_trips * round_trip_s
+    def on_expect(self) -> None:
+        """Let the client send the body of the request."""
+        self._transport.write(_CONTINUE)
 
-    def _start_receiving(self) -> None:
-        self._is_receiving = True
-        self._received_at = self._loop.time()
-        self._start_timer(self._service.limits().header_timeout_s)
+    def on_request(self, request: client_request.ClientRequest) -> None:
+        """Queue a complete request, and serve it if none is in progress."""
+        self._stop_timer()
+        request.network_delay_s = self._network_delay.next_s(self._transport)
+        self._queued_requests.append(request)
+        self._queued_bytes += request.held_bytes
+        self._serve_next()
+        self._update_reading()
 
-    def _count_head_bytes(self, size: int) -> None:
-        self._parsed_head_bytes += size
-        if self._parsed_head_bytes > self._service.limits().header_bytes:
-            self._refuse(
-                _HEADERS_TOO_LARGE, 'request header exceeds the size limit'
-            )
+    def refuse(self, status: int, text: str) -> None:
+        """Answer the next request with ``status``, and close."""
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._stop_timer()
+        if self._queued_requests:
+            # The client takes the response for that of the first of these.
+            status = _UNAVAILABLE
+        self._drop_unserved()
+        if self.current_task is not None:
+            # The response to the current request is written first; then
+            # the connection is closed.
+            return
+        response = client_response.refusal(
+            status,
+            text,
+            _RETRY_AFTER_S if status == _UNAVAILABLE else None,
+        )
+        response.is_last = True
+        self._transport.write(response.encode(keep_alive=False, has_body=True))
+        self._transport.close()
 
-    def _check_received_bytes(self) -> None:
-        is_long = self._unparsed_bytes > self._service.limits().header_bytes
-        if is_long and self._is_receiving:
-            self._refuse(
-                _HEADERS_TOO_LARGE, 'request header exceeds the size limit'
-            )
+    @property
+    def _has_unserved(self) -> bool:
+        return bool(self._queued_requests or self._connection.has_backlog)
+
+    def _update_reading(self) -> None:
+        """Parse no more while many requests wait."""
+        is_many = len(self._queued_requests) > _MAX_PIPELINED_REQUESTS
+        if is_many or self._queued_bytes > _MAX_PIPELINED_BYTES:
+            self._connection.pause_reading()
+        else:
+            self._connection.resume_reading()
 
     def _serve_next(self) -> None:
         is_busy = self.current_task is not None or self._is_blocked
         if is_busy or not self._queued_requests:
             return
-        self._stop_timer()
         request = self._queued_requests.pop(0)
-        self._transport.resume_reading()
+        self._queued_bytes -= request.held_bytes
         self.current_task = self._loop.create_task(self._serve_request(request))
+        self._update_reading()
 
     async def _serve_request(
         self, request: client_request.ClientRequest
     ) -> None:
         response = await self._service.serve(request)
         self.current_task = None
-        is_closing = self._service.is_stopping() and not self._queued_requests
+        is_closing = self._is_refused or (
+            self._service.is_stopping() and not self._has_unserved
+        )
         keep_alive = request.is_kept_alive and not is_closing
         self._transport.write(
             response.encode(
@@ -273,25 +213,21 @@
                 has_body=request.method != b'HEAD',
             ),
         )
-        if not keep_alive or response.is_last or self._is_refused:
+        if keep_alive and not response.is_last:
+            self._continue()
+        else:
             self._transport.close()
-            return
-        self._start_timer(self._service.longest_idle_s)
+
+    def _continue(self) -> None:
+        """Serve the next request, or wait for it."""
+        if not (self._reader.is_receiving or self._queued_requests):
+            self._start_timer(self._service.longest_idle_s)
         self._serve_next()
 
-    def _refuse(self, status: int, text: str) -> None:
-        if self._is_refused:
-            return
-        self._is_refused = True
-        if self.current_task is not None:
-            # The response to the current request is written first; then
-            # the connection is closed.
-            self._queued_requests.clear()
-            return
-        response = client_response.refusal(status, text)
-        response.is_last = True
-        self._transport.write(response.encode(keep_alive=False, has_body=True))
-        self._transport.close()
+    def _drop_unserved(self) -> None:
+        self._queued_requests.clear()
+        self._queued_bytes = 0
+        self._reader.stop()
 
     def _start_timer(self, delay_s: float) -> None:
         self._stop_timer()
@@ -303,9 +239,13 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._is_receiving:
-            self._refuse(
+        is_receiving = self._reader.is_receiving
+        if is_receiving and self._connection.is_held_back:
+            # The client is not late: the connection parses no more for now.
+            self._start_timer(self._service.limits().header_timeout_s)
+        elif is_receiving:
+            self.refuse(
                 _REQUEST_TIMEOUT, 'request was not received in full in time'
             )
-            return
-        self._transport.close()
+        else:
+            self._transport.close()
--- a/chivepond/gateway/client_request.py
+++ b/chivepond/gateway/client_request.py
@@ -23,7 +23,9 @@
     received_at: float
     is_kept_alive: bool
     #: Network delay of the request and its response, in seconds.
-    network_delay_s: float
+    network_delay_s: float = 0
+    #: An estimate of the memory of the request, in bytes.
+    held_bytes: int = 0
 
     @property
     def path(self) -> bytes:
--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -5,7 +5,7 @@
 from typing import Self
 
 from chivepond.gateway import client_connection
-from chivepond.transport import address
+from chivepond.transport import address, bounded_connection, read_turns
 
 _BACKLOG = 512
 
@@ -13,7 +13,13 @@
 class Listener:
     """A listening socket and its open connections."""
 
-    __slots__ = ('_connections', '_bind_address', '_server', '_service')
+    __slots__ = (
+        '_connections',
+        '_bind_address',
+        '_server',
+        '_service',
+        '_turns',
+    )
 
     def __init__(
         self,
@@ -23,6 +29,7 @@
         """Prepare to listen on ``bind_address``; entering starts it."""
         self._bind_address = bind_address
         self._service = service
+        self._turns = read_turns.ReadTurns()
         self._connections: set[client_connection.ClientConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -79,8 +86,9 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _create_connection(self) -> client_connection.ClientConnection:
-        return client_connection.ClientConnection(
+    def _create_connection(self) -> bounded_connection.BoundedConnection:
+        connection = client_connection.ClientConnection(
             self._service,
             self._connections,
         )
+        return bounded_connection.BoundedConnection(connection, self._turns)
--- /dev/null
+++ b/chivepond/transport/bounded_connection.py
@@ -0,0 +1,168 @@
+"""Bounds what one connection of a client holds."""
+
+import asyncio
+from typing import Protocol
+
+from chivepond.transport import read_turns
+
+#: Bytes that are parsed at a time. The smallest requests are 18 bytes long, so
+#: that a piece holds few of them.
+_PIECE_BYTES = 512
+#: Pieces that are parsed without a turn for other connections.
+_PIECES_A_TURN = 8
+
+
+class RequestParser(Protocol):
+    """A protocol that parses requests and writes responses."""
+
+    def use(self, connection: 'BoundedConnection') -> None:
+        """Take the connection; called before ``connection_made``."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """See ``asyncio.Protocol``."""
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """See ``asyncio.Protocol``."""
+
+    def data_received(self, piece: bytes) -> None:
+        """See ``asyncio.Protocol``."""
+
+    def pause_writing(self) -> None:
+        """See ``asyncio.Protocol``."""
+
+    def resume_writing(self) -> None:
+        """See ``asyncio.Protocol``."""
+
+
+class BoundedConnection(asyncio.BufferedProtocol):
+    """Passes received bytes on in pieces, as the parser takes them.
+
+    No more is read from the socket while bytes wait here.
+    """
+
+    __slots__ = (
+        '_backlog',
+        '_is_in_line',
+        '_is_parsing',
+        '_is_paused',
+        '_is_socket_held',
+        '_loop',
+        '_offset',
+        '_parser',
+        '_transport',
+        '_turns',
+        'read_at',
+    )
+
+    def __init__(
+        self, parser: RequestParser, turns: read_turns.ReadTurns
+    ) -> None:
+        """Pass what is received to ``parser``."""
+        self._parser = parser
+        self._turns = turns
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._backlog = b''
+        self._offset = 0
+        self._is_paused = False
+        self._is_socket_held = False
+        self._is_parsing = False
+        self._is_in_line = False
+        #: When bytes were last read, in seconds on the monotonic clock.
+        self.read_at = self._loop.time()
+        parser.use(self)
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether bytes of the client wait here or in the socket."""
+        return self._is_paused or self.has_backlog
+
+    @property
+    def has_backlog(self) -> bool:
+        """Whether received bytes wait here."""
+        return self._offset < len(self._backlog)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Report each response that can't be sent at once."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._parser.connection_made(transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Drop what is not parsed."""
+        self._drop_backlog()
+        self._parser.connection_lost(error)
+
+    def get_buffer(self, size_hint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self._turns.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Parse the first pieces of what was read."""
+        self.read_at = self._loop.time()
+        received = bytes(self._turns.buffer[:size])
+        self._backlog = self._backlog[self._offset :] + received
+        self._offset = 0
+        self._parse()
+
+    def take_turn(self) -> None:
+        """Parse further pieces of what was read."""
+        self._is_in_line = False
+        self._parse()
+
+    def pause_reading(self) -> None:
+        """Pass nothing on until ``resume_reading``."""
+        self._is_paused = True
+        self._update_reading()
+
+    def resume_reading(self) -> None:
+        """Pass on what waits, then read on."""
+        self._is_paused = False
+        self._update_reading()
+
+    def pause_writing(self) -> None:
+        """Let the parser serve no further request."""
+        self._parser.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Let the parser continue."""
+        self._parser.resume_writing()
+
+    @property
+    def _is_open(self) -> bool:
+        return not self._transport.is_closing()
+
+    def _parse(self) -> None:
+        self._is_parsing = True
+        for _ in range(_PIECES_A_TURN):
+            if self._is_paused or not self.has_backlog or not self._is_open:
+                break
+            start = self._offset
+            self._offset += _PIECE_BYTES
+            self._parser.data_received(self._backlog[start : self._offset])
+        self._is_parsing = False
+        if not self.has_backlog:
+            self._drop_backlog()
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read on, wait for a turn, or wait for the parser."""
+        if self._is_parsing or not self._is_open:
+            return
+        self._hold_socket(is_held=self._is_paused or self.has_backlog)
+        if self.has_backlog and not (self._is_paused or self._is_in_line):
+            self._is_in_line = True
+            self._turns.add(self)
+
+    def _hold_socket(self, *, is_held: bool) -> None:
+        if is_held == self._is_socket_held:
+            return
+        self._is_socket_held = is_held
+        if is_held:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _drop_backlog(self) -> None:
+        self._backlog = b''
+        self._offset = 0
