The requests of all clients share a part of the memory

Cause: each connection had limits, all of them together had none. A raised limit of the configuration, or more descriptors, raised the sum.

Change: RequestMemory adds up what connections hold: bytes not parsed, heads, bodies, queued requests, requests being served, unsent responses, with an estimate of the objects. All listeners of a gateway share request_memory_share (new, 0.25, checked to be 0.05 to 0.5) of memory_mb. Beyond it the connection that holds most of what is not being served is refused: 503 with Retry-After where its request is incomplete or queued, so certainly not run; a reset where it does not read. A client inside the limits meets this only beside others: with memory_mb 160 the part is 40 MB, 150 of the largest bodies. Event 6038 and requests_refused_for_memory_total tell. What a connection held is given back as it is refused or closes.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -11,15 +11,15 @@
     request_reader,
     routing_table,
 )
-from chivepond.transport import bounded_connection
+from chivepond.transport import bounded_connection, request_memory
 
 #: Queued pipelined requests, and their bytes, above which no more are parsed.
 _MAX_PIPELINED_REQUESTS = 8
 _MAX_PIPELINED_BYTES = 65536
 _REQUEST_TIMEOUT = 408
 _UNAVAILABLE = 503
-#: When clients may return whose requests were dropped, in seconds.
-_RETRY_AFTER_S = 0.5
+#: When clients may return that were refused for want of memory, in seconds.
+_MEMORY_RETRY_AFTER_S = 0.5
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -35,6 +35,8 @@
     serve: Serve
     limits: Callable[[], routing_table.ClientLimits]
     is_stopping: Callable[[], bool]
+    #: The memory of requests and responses, which all listeners share.
+    memory: request_memory.RequestMemory
     #: Connections above this number are reset before any byte is read.
     max_connections: int = 1000
     #: Overrides the idle time-out of the limits, in seconds.
@@ -59,6 +61,7 @@
         '_queued_bytes',
         '_queued_requests',
         '_reader',
+        '_served_bytes',
         '_service',
         '_timer',
         '_transport',
@@ -80,6 +83,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._queued_requests: list[client_request.ClientRequest] = []
         self._queued_bytes = 0
+        #: The memory of the request that is being served.
+        self._served_bytes = 0
         #: The task that serves the current request; ``None`` while idle.
         self.current_task: asyncio.Task[None] | None = None
         self._is_refused = False
@@ -130,6 +135,15 @@
         """Reset the connection."""
         self._transport.abort()
 
+    def holding(self) -> request_memory.Holding:
+        """Return the memory of all requests, and of those not served yet."""
+        freeable = self._reader.held_bytes + self._queued_bytes
+        return request_memory.Holding(freeable + self._served_bytes, freeable)
+
+    def refuse_for_memory(self) -> None:
+        """Refuse all requests that are not being served."""
+        self.refuse(_UNAVAILABLE, 'the memory for requests is used up')
+
     def data_received(self, piece: bytes) -> None:
         """Parse received bytes."""
         self._reader.read_at = self._connection.read_at
@@ -171,7 +185,7 @@
         response = client_response.refusal(
             status,
             text,
-            _RETRY_AFTER_S if status == _UNAVAILABLE else None,
+            _MEMORY_RETRY_AFTER_S if status == _UNAVAILABLE else None,
         )
         response.is_last = True
         self._transport.write(response.encode(keep_alive=False, has_body=True))
@@ -195,6 +209,8 @@
             return
         request = self._queued_requests.pop(0)
         self._queued_bytes -= request.held_bytes
+        # The body is also in the request to the searcher.
+        self._served_bytes = request.held_bytes + len(request.body)
         self.current_task = self._loop.create_task(self._serve_request(request))
         self._update_reading()
 
@@ -203,6 +219,7 @@
     ) -> None:
         response = await self._service.serve(request)
         self.current_task = None
+        self._served_bytes = 0
         is_closing = self._is_refused or (
             self._service.is_stopping() and not self._has_unserved
         )
@@ -217,6 +234,7 @@
             self._continue()
         else:
             self._transport.close()
+        self._connection.update_holding()
 
     def _continue(self) -> None:
         """Serve the next request, or wait for it."""
--- a/chivepond/gateway/derived_settings.py
+++ b/chivepond/gateway/derived_settings.py
@@ -1,9 +1,11 @@
 """Derives what the components of a gateway need from its settings."""
 
+from collections.abc import Callable
+
 from chivepond.decisions import hedge_budget
 from chivepond.gateway import peer_record, reply_buffers
 from chivepond.settings import gateway_settings
-from chivepond.transport import address
+from chivepond.transport import address, request_memory
 from chivepond.wire import gateway_entry
 
 
@@ -63,6 +65,16 @@
     return reply_buffers.ReplyBuffers(settings.memory_mb)
 
 
+def memory_of_requests(
+    settings: gateway_settings.GatewaySettings,
+    on_refusal: Callable[[int], None],
+) -> request_memory.RequestMemory:
+    """Return the limit on the memory of clients' requests and responses."""
+    return request_memory.RequestMemory(
+        settings.memory_mb, settings.request_memory_share, on_refusal
+    )
+
+
 def budget_limits(
     settings: gateway_settings.GatewaySettings,
 ) -> hedge_budget.BudgetLimits:
--- a/chivepond/gateway/gateway.py
+++ b/chivepond/gateway/gateway.py
@@ -55,6 +55,7 @@
         '_peer_service',
         '_background_tasks',
         '_readiness',
+        '_request_memory',
         '_settings',
         '_telemetry',
         '_was_ready_logged',
@@ -75,6 +76,9 @@
             self._components.searchers,
             self._components.peer_gateways,
         )
+        self._request_memory = derived_settings.memory_of_requests(
+            settings, self._on_memory_refusal
+        )
         self._client_listener = self._make_listener(
             settings.callers,
             self._components.router.serve,
@@ -287,6 +291,7 @@
                 limits=self._client_limits,
                 idle_timeout_s=idle_timeout_s,
                 is_stopping=self._is_draining,
+                memory=self._request_memory,
                 max_connections=int(
                     _DESCRIPTOR_SHARE * self._settings.max_descriptors,
                 ),
@@ -299,6 +304,10 @@
             return routing_table.DEFAULT_LIMITS
         return table.limits
 
+    def _on_memory_refusal(self, held_bytes: int) -> None:
+        self._telemetry.count('requests_refused_for_memory', 'connections')
+        self._telemetry.emit(events.REFUSED_FOR_MEMORY, held_bytes=held_bytes)
+
     def _is_draining(self) -> bool:
         return self._is_stopping
 
--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -5,7 +5,7 @@
 from typing import Self
 
 from chivepond.gateway import client_connection
-from chivepond.transport import address, bounded_connection, read_turns
+from chivepond.transport import address, bounded_connection
 
 _BACKLOG = 512
 
@@ -14,11 +14,11 @@
     """A listening socket and its open connections."""
 
     __slots__ = (
+        '_bounds',
         '_connections',
         '_bind_address',
         '_server',
         '_service',
-        '_turns',
     )
 
     def __init__(
@@ -29,7 +29,7 @@
         """Prepare to listen on ``bind_address``; entering starts it."""
         self._bind_address = bind_address
         self._service = service
-        self._turns = read_turns.ReadTurns()
+        self._bounds = bounded_connection.Bounds(service.memory)
         self._connections: set[client_connection.ClientConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -91,4 +91,4 @@
             self._service,
             self._connections,
         )
-        return bounded_connection.BoundedConnection(connection, self._turns)
+        return bounded_connection.BoundedConnection(connection, self._bounds)
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -315,6 +315,13 @@
     'A reply of a searcher or another gateway exceeded a limit or was not '
     'valid; its connection was closed.',
 )
+REFUSED_FOR_MEMORY = event.Event(
+    6038,
+    'WARNING',
+    'client refused for memory',
+    'The requests of all clients exceeded the memory for them; the client '
+    'that held most was refused.',
+)
 REQUEST_ANSWERED = event.Event(
     6100,
     'INFO',
--- a/chivepond/settings/gateway_settings.py
+++ b/chivepond/settings/gateway_settings.py
@@ -18,6 +18,7 @@
 _MS_PER_S = 1000
 _Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 _Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+_MemoryShare = typing.Annotated[float, msgspec.Meta(ge=0.05, le=0.5)]
 _Mechanisms = typing.Annotated[
     list[mechanism.Mechanism],
     msgspec.Meta(description='names of mechanisms, see OPERATIONS.md'),
@@ -29,8 +30,10 @@
 
     ``seeds`` holds the addresses of a few other gateways, which are queried
     while the store can't be read; each gateway listens for them on ``peers``.
-    ``metrics_port`` is opened on the address of ``callers``. New routes must
-    take effect within ``routes_bound_ms``, and a searcher's notice that it is
+    ``metrics_port`` is opened on the address of ``callers``. Requests that
+    are not read or served yet, and responses that clients have not read, use
+    at most ``request_memory_share`` of ``memory_mb``. New routes must take
+    effect within ``routes_bound_ms``, and a searcher's notice that it is
     leaving within ``leaving_bound_ms``. A gateway that was not registered
     before uses its part of the burst of second sends after
     ``entry_settle_s``, by when all others know it. ``is_first_start`` means
@@ -49,6 +52,7 @@
     seeds: list[str] = msgspec.field(default_factory=list)
     metrics_port: _Port = 9464
     memory_mb: _Count = 300
+    request_memory_share: _MemoryShare = 0.25
     max_descriptors: _Count = 1024
     link_mbps: float = 1000
     stop_grace_s: _Seconds = 6
--- a/chivepond/standins/routed_store.py
+++ b/chivepond/standins/routed_store.py
@@ -18,7 +18,7 @@
     routing_table,
 )
 from chivepond.platform import store_calls
-from chivepond.transport import address
+from chivepond.transport import address, request_memory
 
 _OK = 200
 _CREATED = 201
@@ -27,6 +27,7 @@
 _GONE = 410
 _PAGE_SIZE = 50
 _MS_PER_S = 1000
+_MEMORY_MB = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -76,6 +77,7 @@
                 serve=self._serve,
                 limits=lambda: routing_table.DEFAULT_LIMITS,
                 is_stopping=bool,
+                memory=request_memory.RequestMemory(_MEMORY_MB, share=1),
             ),
         )
 
--- /dev/null
+++ b/chivepond/tests/test_refused_clients.py
@@ -0,0 +1,110 @@
+"""What clients learn that a gateway refuses, and who is refused."""
+
+import asyncio
+import dataclasses
+
+from chivepond.standins import scripted_searcher
+from chivepond.tests import client_limits, gateway_bench, support
+from chivepond.transport import request_memory
+
+_DEADLINE_MS = 8000
+_WAIT_S = 8
+#: A quarter of it holds one body of the largest size, but not two.
+_MEMORY_MB = 1
+_LARGE_BYTES = 200000
+_SMALL_BYTES = 150000
+_REPLY_BYTES = 100000
+
+
+async def _reply(request: scripted_searcher.Got) -> scripted_searcher.Told:
+    return scripted_searcher.good(request, bytes(_REPLY_BYTES))
+
+
+async def _setup(bench: gateway_bench.Bench, **limits: float):
+    searcher = await bench.searcher('s-0', 'desk', _reply)
+    client_limits.configure(
+        bench, dataclasses.replace(client_limits.LIMITS, **limits)
+    )
+    gateway = await bench.ready_gateway(memory_mb=_MEMORY_MB)
+    address = gateway.client_address
+    return searcher, (address.ip, address.port)
+
+
+def _request(path: str, body: bytes = b'') -> bytes:
+    method = 'POST' if body else 'GET'
+    return gateway_bench.request(method, path, left_ms=_DEADLINE_MS, body=body)
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(_WAIT_S):
+        return await reader.read()
+
+
+def test_the_largest_request_is_refused_when_memory_is_short():
+    """Guards against a refusal that promises nothing, or hits small clients."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            searcher, remote = await _setup(bench)
+            large, large_writer = await asyncio.open_connection(*remote)
+            large_writer.write(_request('/once/', bytes(_LARGE_BYTES))[:-1])
+            await asyncio.sleep(0.2)
+            small, small_writer = await asyncio.open_connection(*remote)
+            raw = _request('/once/', bytes(_SMALL_BYTES))
+            small_writer.write(raw[:-1])
+            refusal = await _read_all(large)
+            assert refusal.startswith(b'HTTP/1.1 503 ')
+            assert b'\r\nRetry-After: ' in refusal
+            assert b'\r\nConnection: close\r\n' in refusal
+            assert not searcher.got
+            small_writer.write(raw[-1:])
+            line = await asyncio.wait_for(small.readline(), _WAIT_S)
+            assert line.startswith(b'HTTP/1.1 200 ')
+            assert len(searcher.got) == 1
+            for writer in (large_writer, small_writer):
+                writer.close()
+
+    support.run(scenario())
+
+
+def test_a_small_request_is_served_while_memory_is_used_up():
+    """Guards against callers that pay for the requests of others."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, remote = await _setup(bench)
+            unfinished = _request('/once/', bytes(_SMALL_BYTES))[:-1]
+            writers = []
+            for _ in range(20):
+                _, writer = await asyncio.open_connection(*remote)
+                writer.write(unfinished)
+                writers.append(writer)
+            reader, writer = await asyncio.open_connection(*remote)
+            writer.write(_request('/r/'))
+            line = await asyncio.wait_for(reader.readline(), _WAIT_S)
+            assert line.startswith(b'HTTP/1.1 200 ')
+            for opened in (*writers, writer):
+                opened.close()
+
+    support.run(scenario())
+
+
+class _Holder:
+    def __init__(self) -> None:
+        self.is_refused = False
+
+    def refuse_for_memory(self) -> None:
+        self.is_refused = True
+
+
+def test_memory_is_free_again_once_a_connection_is_gone():
+    """Guards against a count that keeps what has been given back."""
+    memory = request_memory.RequestMemory(memory_mb=1, share=0.25)
+    served, receiving = _Holder(), _Holder()
+    memory.update(served, request_memory.Holding(200000, 0))
+    memory.update(receiving, request_memory.Holding(100000, 100000))
+    assert [served.is_refused, receiving.is_refused] == [False, True]
+    assert memory.total_bytes == 200000
+    memory.release(served)
+    memory.release(receiving)
+    assert memory.total_bytes == 0
--- a/chivepond/transport/bounded_connection.py
+++ b/chivepond/transport/bounded_connection.py
@@ -1,9 +1,10 @@
 """Bounds what one connection of a client holds."""
 
 import asyncio
+import dataclasses
 from typing import Protocol
 
-from chivepond.transport import read_turns
+from chivepond.transport import read_turns, request_memory
 
 #: Bytes that are parsed at a time. The smallest requests are 18 bytes long, so
 #: that a piece holds few of them.
@@ -12,12 +13,28 @@
 _PIECES_A_TURN = 8
 
 
+@dataclasses.dataclass(slots=True)
+class Bounds:
+    """What the connections of one listener share."""
+
+    memory: request_memory.RequestMemory
+    turns: read_turns.ReadTurns = dataclasses.field(
+        default_factory=read_turns.ReadTurns
+    )
+
+
 class RequestParser(Protocol):
     """A protocol that parses requests and writes responses."""
 
     def use(self, connection: 'BoundedConnection') -> None:
         """Take the connection; called before ``connection_made``."""
 
+    def holding(self) -> request_memory.Holding:
+        """Return what the requests hold that have been parsed."""
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the requests that are not being served."""
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """See ``asyncio.Protocol``."""
 
@@ -42,6 +59,7 @@
 
     __slots__ = (
         '_backlog',
+        '_bounds',
         '_is_in_line',
         '_is_parsing',
         '_is_paused',
@@ -50,16 +68,14 @@
         '_offset',
         '_parser',
         '_transport',
-        '_turns',
+        '_unsent_bytes',
         'read_at',
     )
 
-    def __init__(
-        self, parser: RequestParser, turns: read_turns.ReadTurns
-    ) -> None:
+    def __init__(self, parser: RequestParser, bounds: Bounds) -> None:
         """Pass what is received to ``parser``."""
         self._parser = parser
-        self._turns = turns
+        self._bounds = bounds
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._backlog = b''
@@ -68,6 +84,7 @@
         self._is_socket_held = False
         self._is_parsing = False
         self._is_in_line = False
+        self._unsent_bytes = 0
         #: When bytes were last read, in seconds on the monotonic clock.
         self.read_at = self._loop.time()
         parser.use(self)
@@ -89,18 +106,19 @@
         self._parser.connection_made(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Drop what is not parsed."""
+        """Free what the connection holds."""
         self._drop_backlog()
+        self._bounds.memory.release(self)
         self._parser.connection_lost(error)
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return self._turns.buffer
+        return self._bounds.turns.buffer
 
     def buffer_updated(self, size: int) -> None:
         """Parse the first pieces of what was read."""
         self.read_at = self._loop.time()
-        received = bytes(self._turns.buffer[:size])
+        received = bytes(self._bounds.turns.buffer[:size])
         self._backlog = self._backlog[self._offset :] + received
         self._offset = 0
         self._parse()
@@ -121,12 +139,35 @@
         self._update_reading()
 
     def pause_writing(self) -> None:
-        """Let the parser serve no further request."""
+        """Count what the client has not read."""
+        self._unsent_bytes = self._transport.get_write_buffer_size()
         self._parser.pause_writing()
+        self.update_holding()
 
     def resume_writing(self) -> None:
-        """Let the parser continue."""
+        """Continue after the client has read all."""
+        self._unsent_bytes = 0
         self._parser.resume_writing()
+        self.update_holding()
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the client, which holds more than all others."""
+        if self._unsent_bytes:
+            self._transport.abort()
+            return
+        self._drop_backlog()
+        self._parser.refuse_for_memory()
+
+    def update_holding(self) -> None:
+        """Report what the connection holds."""
+        parsed = self._parser.holding()
+        own_bytes = len(self._backlog) + self._unsent_bytes
+        self._bounds.memory.update(
+            self,
+            request_memory.Holding(
+                parsed.total + own_bytes, parsed.freeable + own_bytes
+            ),
+        )
 
     @property
     def _is_open(self) -> bool:
@@ -143,6 +184,7 @@
         self._is_parsing = False
         if not self.has_backlog:
             self._drop_backlog()
+        self.update_holding()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -152,7 +194,7 @@
         self._hold_socket(is_held=self._is_paused or self.has_backlog)
         if self.has_backlog and not (self._is_paused or self._is_in_line):
             self._is_in_line = True
-            self._turns.add(self)
+            self._bounds.turns.add(self)
 
     def _hold_socket(self, *, is_held: bool) -> None:
         if is_held == self._is_socket_held:
