Unread responses are held no longer than the idle time-out

Callers: a client that did not read kept its responses, its queued requests and its descriptor for as long as it liked; a request that stopped behind one that was being served ran no time-out.

Cause: the only timer of a connection stopped when a request was served and started when its response was written, read or not. What arrived meanwhile was a request that nobody had started a timer for.

Change: BoundedConnection starts a timer when a response can't be sent whole; a client that has read nothing of it when the idle time-out of the limits ends is reset. A client that reads on, however slowly, is not.

--- a/chivepond/gateway/listener.py
+++ b/chivepond/gateway/listener.py
@@ -29,7 +29,9 @@
         """Prepare to listen on ``bind_address``; entering starts it."""
         self._bind_address = bind_address
         self._service = service
-        self._bounds = bounded_connection.Bounds(service.memory)
+        self._bounds = bounded_connection.Bounds(
+            service.memory, lambda: service.longest_idle_s
+        )
         self._connections: set[client_connection.ClientConnection] = set()
         self._server: asyncio.Server | None = None
 
--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -89,6 +89,37 @@
     support.run(scenario())
 
 
+def test_a_request_that_stops_behind_another_one_is_not_waited_for():
+    """Guards against a connection that runs no time-out after a response."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, remote = await _setup(bench, header_timeout_s=0.3)
+            reader, writer = await asyncio.open_connection(*remote)
+            writer.write(_request('/r/') + _request('/r/')[:-1])
+            answers = await _read_all(reader)
+            assert answers.startswith(b'HTTP/1.1 200 ')
+            assert b'HTTP/1.1 408 ' in answers
+            writer.close()
+
+    support.run(scenario())
+
+
+def test_a_client_that_reads_nothing_is_disconnected():
+    """Guards against responses that are held for as long as a client likes."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, remote = await _setup(bench, idle_timeout_s=0.5)
+            _, writer = await asyncio.open_connection(*remote, limit=1)
+            async with asyncio.timeout(_WAIT_S):
+                while not writer.transport.is_closing():
+                    writer.write(_request('/r/'))
+                    await asyncio.sleep(0.01)
+
+    support.run(scenario())
+
+
 class _Holder:
     def __init__(self) -> None:
         self.is_refused = False
--- a/chivepond/transport/bounded_connection.py
+++ b/chivepond/transport/bounded_connection.py
@@ -1,7 +1,8 @@
-"""Bounds what one connection of a client holds."""
+"""Bounds what one connection of a client holds, and for how long."""
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from chivepond.transport import read_turns, request_memory
@@ -18,6 +19,9 @@
     """What the connections of one listener share."""
 
     memory: request_memory.RequestMemory
+    #: Returns the time after which a client that reads nothing of a response
+    #: is disconnected, in seconds.
+    stall_timeout_s: Callable[[], float]
     turns: read_turns.ReadTurns = dataclasses.field(
         default_factory=read_turns.ReadTurns
     )
@@ -67,6 +71,7 @@
         '_loop',
         '_offset',
         '_parser',
+        '_stall_timer',
         '_transport',
         '_unsent_bytes',
         'read_at',
@@ -85,6 +90,7 @@
         self._is_parsing = False
         self._is_in_line = False
         self._unsent_bytes = 0
+        self._stall_timer: asyncio.TimerHandle | None = None
         #: When bytes were last read, in seconds on the monotonic clock.
         self.read_at = self._loop.time()
         parser.use(self)
@@ -108,6 +114,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Free what the connection holds."""
         self._drop_backlog()
+        self._stop_stall_timer()
         self._bounds.memory.release(self)
         self._parser.connection_lost(error)
 
@@ -139,14 +146,16 @@
         self._update_reading()
 
     def pause_writing(self) -> None:
-        """Count what the client has not read."""
+        """Disconnect the client if it does not read on in time."""
         self._unsent_bytes = self._transport.get_write_buffer_size()
+        self._start_stall_timer()
         self._parser.pause_writing()
         self.update_holding()
 
     def resume_writing(self) -> None:
         """Continue after the client has read all."""
         self._unsent_bytes = 0
+        self._stop_stall_timer()
         self._parser.resume_writing()
         self.update_holding()
 
@@ -208,3 +217,22 @@
     def _drop_backlog(self) -> None:
         self._backlog = b''
         self._offset = 0
+
+    def _start_stall_timer(self) -> None:
+        self._stop_stall_timer()
+        self._stall_timer = self._loop.call_later(
+            self._bounds.stall_timeout_s(), self._on_stall
+        )
+
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _on_stall(self) -> None:
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes >= self._unsent_bytes:
+            self._transport.abort()
+            return
+        self._unsent_bytes = unsent_bytes
+        self._start_stall_timer()
