Refused clients that still send get their refusal

Callers: a client that was refused while it sent (413, 431, 400, 503) read a reset instead of the response, and could not know that its request had not run.

Cause: the connection was closed right after the response. Where bytes of the client are unread then, or arrive later, TCP resets it, and the client's kernel drops the response.

Change: BoundedConnection.finish ends the sending side only, reads on for a second without keeping anything, and closes then, or as soon as the client does.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -189,7 +189,7 @@
         )
         response.is_last = True
         self._transport.write(response.encode(keep_alive=False, has_body=True))
-        self._transport.close()
+        self._connection.finish()
 
     @property
     def _has_unserved(self) -> bool:
@@ -230,7 +230,9 @@
                 has_body=request.method != b'HEAD',
             ),
         )
-        if keep_alive and not response.is_last:
+        if self._is_refused:
+            self._connection.finish()
+        elif keep_alive and not response.is_last:
             self._continue()
         else:
             self._transport.close()
--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -89,6 +89,22 @@
     support.run(scenario())
 
 
+def test_a_client_that_still_sends_gets_its_refusal():
+    """Guards against a reset that destroys a response on its way."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            _, remote = await _setup(bench)
+            reader, writer = await asyncio.open_connection(*remote)
+            writer.write(_request('/once/', bytes(4000000)))
+            await asyncio.sleep(0.5)
+            refusal = await _read_all(reader)
+            assert refusal.startswith(b'HTTP/1.1 413 ')
+            writer.close()
+
+    support.run(scenario())
+
+
 def test_a_request_that_stops_behind_another_one_is_not_waited_for():
     """Guards against a connection that runs no time-out after a response."""
 
--- a/chivepond/transport/bounded_connection.py
+++ b/chivepond/transport/bounded_connection.py
@@ -12,6 +12,10 @@
 _PIECE_BYTES = 512
 #: Pieces that are parsed without a turn for other connections.
 _PIECES_A_TURN = 8
+#: How long a refused client may go on sending before its connection is reset,
+#: in seconds. A close while it sends would reset the connection at once, and
+#: the client might not get the refusal.
+_LINGER_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +68,7 @@
     __slots__ = (
         '_backlog',
         '_bounds',
+        '_is_finished',
         '_is_in_line',
         '_is_parsing',
         '_is_paused',
@@ -89,6 +94,7 @@
         self._is_socket_held = False
         self._is_parsing = False
         self._is_in_line = False
+        self._is_finished = False
         self._unsent_bytes = 0
         self._stall_timer: asyncio.TimerHandle | None = None
         #: When bytes were last read, in seconds on the monotonic clock.
@@ -124,6 +130,8 @@
 
     def buffer_updated(self, size: int) -> None:
         """Parse the first pieces of what was read."""
+        if self._is_finished:
+            return
         self.read_at = self._loop.time()
         received = bytes(self._bounds.turns.buffer[:size])
         self._backlog = self._backlog[self._offset :] + received
@@ -167,6 +175,16 @@
         self._drop_backlog()
         self._parser.refuse_for_memory()
 
+    def finish(self) -> None:
+        """Close after the last response; ignore what the client still sends."""
+        self._is_finished = True
+        self._drop_backlog()
+        if self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._hold_socket(is_held=False)
+        self._loop.call_later(_LINGER_S, self._transport.close)
+
     def update_holding(self) -> None:
         """Report what the connection holds."""
         parsed = self._parser.holding()
@@ -180,7 +198,7 @@
 
     @property
     def _is_open(self) -> bool:
-        return not self._transport.is_closing()
+        return not (self._is_finished or self._transport.is_closing())
 
     def _parse(self) -> None:
         self._is_parsing = True
