Nodes bound what clients send ahead and what all of them hold

The three servers of a node share request_memory_share (new, 0.25, checked to be 0.05 to 0.5) of memory_mb (new, 300). Beyond it the request that holds most and has not arrived whole gets 503 not_run with Retry-After; it has not run. Event 1007 and clients_refused_for_memory_total tell.

Large and two-byte chunks to callers were within the bound before, as bodies there have 65,536 bytes at most; nothing was changed for them.

--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -32,6 +32,7 @@
     burn,
     events,
     journal,
+    memory_refusals,
     metrics,
     node_gauges,
     telemetry,
@@ -44,6 +45,8 @@
     address,
     message_signer,
     message_verifier,
+    node_protocol,
+    request_memory,
     server,
     signed_application,
     token_application,
@@ -144,6 +147,12 @@
             lambda: self.relay.is_relay,
             rng,
         )
+        self._memory_refusals = memory_refusals.MemoryRefusals()
+        self._request_memory = request_memory.RequestMemory(
+            settings.memory_mb,
+            settings.request_memory_share,
+            self._memory_refusals.add,
+        )
         caller_app = entry_application.EntryApplication(
             self.searches,
             admitted_commands.AdmittedCommands(
@@ -170,6 +179,7 @@
             caller_app.build(),
             address.parse(settings.callers).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
+            self._protocol(),
         )
         self.signed = signed_application.SignedApplication(
             peer_app.build(),
@@ -179,6 +189,7 @@
             self.signed,
             address.parse(settings.peers).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
+            self._protocol(),
         )
 
         self.operator_server = server.Server(
@@ -188,6 +199,7 @@
             ),
             address.parse(settings.operators).unwrap(),
             settings.shutdown_grace_ms / _MS_PER_S,
+            self._protocol(),
         )
 
     async def __aenter__(self) -> Self:
@@ -281,6 +293,7 @@
             searchers=len(view.searcher_by_id),
             is_ready=not self.waits_for(),
             unsigned_refused=self.signed.refused,
+            memory_refused=self._memory_refusals.count,
             connections_by_side={
                 'callers': self.caller_server.connections,
                 'peers': self.peer_server.connections,
@@ -324,6 +337,12 @@
             address=str(self.peer_server.address),
         )
 
+    def _protocol(self) -> server.CreateProtocol:
+        """Return what creates the connections of one server."""
+        return node_protocol.ProtocolFactory(
+            node_protocol.Limits(self._request_memory),
+        )
+
     def _make_peers(self) -> peers.Peers:
         return peers.Peers(
             self.directory,
--- a/chivepond/observe/events.py
+++ b/chivepond/observe/events.py
@@ -38,6 +38,13 @@
     'request handling failed',
     'An unhandled exception ended a request; please report it.',
 )
+NODE_REFUSED_FOR_MEMORY = event.Event(
+    1007,
+    'WARNING',
+    'client refused for memory',
+    'The requests of all clients exceeded the memory for them; the client '
+    'that held most was refused.',
+)
 CONFIGURATION_IN_FORCE = event.Event(
     2001,
     'INFO',
--- a/chivepond/observe/metrics.py
+++ b/chivepond/observe/metrics.py
@@ -75,6 +75,12 @@
             'Messages between nodes without a valid signature.',
         )
         refused.set({}, gauges.unsigned_refused)
+        refused_for_memory = _counter(
+            registry,
+            'clients_refused_for_memory_total',
+            'Clients refused as the memory for requests was used up.',
+        )
+        refused_for_memory.set({}, gauges.memory_refused)
         calls = _counter(
             registry,
             'platform_calls_total',
--- a/chivepond/observe/node_gauges.py
+++ b/chivepond/observe/node_gauges.py
@@ -13,6 +13,7 @@
     searchers: int
     is_ready: bool
     unsigned_refused: int
+    memory_refused: int
     connections_by_side: dict[str, int]
     platform_calls_by_result: dict[str, int]
 
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -9,6 +9,8 @@
 
 _Address = typing.Annotated[str, msgspec.Meta(description='ip:port')]
 _Ms = typing.Annotated[float, msgspec.Meta(ge=0, description='milliseconds')]
+_Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+_MemoryShare = typing.Annotated[float, msgspec.Meta(ge=0.05, le=0.5)]
 _Name = typing.Annotated[
     str,
     msgspec.Meta(
@@ -35,6 +37,9 @@
     ``secret`` is the key that signs messages between nodes. With ``unsigned``
     set, messages have no signature, which is logged. If ``operators_token``
     is set, requests to the operators' address must carry it.
+
+    Requests that have no response yet, and responses that clients have not
+    read, use at most ``request_memory_share`` of ``memory_mb``.
     """
 
     node_id: _Name
@@ -62,6 +67,8 @@
     poll_ms: _Ms = 30000
     balancer_lag_ms: _Ms = 1000
     shutdown_grace_ms: _Ms = 10000
+    memory_mb: _Count = 300
+    request_memory_share: _MemoryShare = 0.25
 
     def find_error(self) -> setting_error.SettingError | None:
         """Return the first invalid address or a missing secret, if any."""
--- a/chivepond/tests/test_telemetry.py
+++ b/chivepond/tests/test_telemetry.py
@@ -25,6 +25,7 @@
         searchers=15,
         is_ready=True,
         unsigned_refused=2,
+        memory_refused=3,
         connections_by_side={'callers': 4},
         platform_calls_by_result={'ok': 9},
     )
--- a/chivepond/transport/server.py
+++ b/chivepond/transport/server.py
@@ -5,7 +5,7 @@
 import math
 import socket
 import types
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Self
 
 import uvicorn
@@ -19,6 +19,8 @@
 _KEEP_ALIVE_S = 75
 _START_POLL_S = 0.005
 
+CreateProtocol = Callable[..., asyncio.BaseProtocol]
+
 
 class _SignalFreeServer(uvicorn.Server):
     """A uvicorn server that installs no signal handlers; the daemon does."""
@@ -39,11 +41,12 @@
         application: asgi.ASGIApp,
         listen: address.Address,
         grace_s: float = 10,
-        protocol: type = httptools_impl.HttpToolsProtocol,
+        protocol: CreateProtocol = httptools_impl.HttpToolsProtocol,
     ) -> None:
         """Bind the socket; serving starts on ``async with``.
 
         ``grace_s`` is how long requests in flight may take on a stop.
+        ``protocol`` creates the protocol of each connection.
         """
         family = socket.AF_INET6 if ':' in listen.ip else socket.AF_INET
         # The event loop sets TCP_NODELAY only on sockets whose protocol is
