Nodes limit heads, the time of arrival and their connections

Callers: a head without an end, half a request that is never completed, and connections that never send one stayed at a node for good; enough of them left no descriptor for connections to searchers and other nodes.

Cause: uvicorn limits none of these. The bound on all requests ends a head only when memory is short, and the time-out of a body runs only while an endpoint reads it.

Change: heads have 65,536 bytes at most (431), requests arrive within 10 s (408; late bodies are still answered by their endpoint after 5 s), connections without a request close after 75 s, as kept ones do, and half of max_descriptors (new, 1,024) may be connections to one address. A request that is held back here, behind others, is not timed out.

--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -55,6 +55,8 @@
 
 _MS_PER_S = 1000
 _SHUTDOWN_MARGIN_S = 1
+#: Maximum share of the file descriptors for connections to one server.
+_DESCRIPTOR_SHARE = 0.5
 
 
 class Node:
@@ -340,7 +342,10 @@
     def _protocol(self) -> server.CreateProtocol:
         """Return what creates the connections of one server."""
         return node_protocol.ProtocolFactory(
-            node_protocol.Limits(self._request_memory),
+            node_protocol.Limits(
+                self._request_memory,
+                int(_DESCRIPTOR_SHARE * self.settings.max_descriptors),
+            ),
         )
 
     def _make_peers(self) -> peers.Peers:
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -39,7 +39,8 @@
     is set, requests to the operators' address must carry it.
 
     Requests that have no response yet, and responses that clients have not
-    read, use at most ``request_memory_share`` of ``memory_mb``.
+    read, use at most ``request_memory_share`` of ``memory_mb``. Connections to
+    one address use at most half of ``max_descriptors``.
     """
 
     node_id: _Name
@@ -69,6 +70,7 @@
     shutdown_grace_ms: _Ms = 10000
     memory_mb: _Count = 300
     request_memory_share: _MemoryShare = 0.25
+    max_descriptors: _Count = 1024
 
     def find_error(self) -> setting_error.SettingError | None:
         """Return the first invalid address or a missing secret, if any."""
--- a/chivepond/tests/test_node_protocol.py
+++ b/chivepond/tests/test_node_protocol.py
@@ -17,7 +17,7 @@
 )
 from chivepond.wire import error_reply
 
-_WAIT_S = 8
+_WAIT_S = 20
 _BODY = b'{"text":"a"}'
 
 
@@ -30,10 +30,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _server(memory_mb: float = 300):
+async def _server(memory_mb: float = 300, max_connections: int = 100):
     """Start a server with one endpoint; yield its address."""
     limits = node_protocol.Limits(
-        request_memory.RequestMemory(memory_mb, share=0.25)
+        request_memory.RequestMemory(memory_mb, share=0.25), max_connections
     )
     application = endpoints.application(
         [endpoints.post('/echo', _Message, _serve)]
@@ -99,3 +99,54 @@
                 opened.close()
 
     support.run(scenario())
+
+
+def test_a_head_without_an_end_is_refused():
+    """Guards against a head that is kept for as long as it grows."""
+
+    async def scenario() -> None:
+        async with _server() as remote:
+            reader, writer = await asyncio.open_connection(*remote)
+            fields = b'a: b\r\n' * (node_protocol.MAX_HEAD_BYTES // 6 + 100)
+            writer.write(b'GET /echo HTTP/1.1\r\n' + fields)
+            head, refusal = await _read_refusal(reader)
+            assert head.startswith(b'HTTP/1.1 431 ')
+            assert refusal.error.kind == 'too_large'
+            writer.close()
+
+    support.run(scenario())
+
+
+def test_connections_above_the_maximum_are_reset():
+    """Guards against clients that use up the descriptors of a node."""
+
+    async def scenario() -> None:
+        async with _server(max_connections=2) as remote:
+            opened = [await asyncio.open_connection(*remote) for _ in range(2)]
+            await asyncio.sleep(0.1)
+            reader, writer = await asyncio.open_connection(*remote)
+            with contextlib.suppress(ConnectionError):
+                assert not await asyncio.wait_for(reader.read(), _WAIT_S)
+            first_reader, first_writer = opened[0]
+            first_writer.write(_post(_BODY))
+            line = await asyncio.wait_for(first_reader.readline(), _WAIT_S)
+            assert line.startswith(b'HTTP/1.1 200 ')
+            for _, opened_writer in (*opened, (reader, writer)):
+                opened_writer.close()
+
+    support.run(scenario())
+
+
+def test_a_request_that_does_not_arrive_is_refused():
+    """Guards against connections that stay open for half a request."""
+
+    async def scenario() -> None:
+        async with _server() as remote:
+            reader, writer = await asyncio.open_connection(*remote)
+            writer.write(b'GET /echo HTTP/1.1\r\nHo')
+            head, refusal = await _read_refusal(reader)
+            assert head.startswith(b'HTTP/1.1 408 ')
+            assert refusal.error.kind == 'invalid'
+            writer.close()
+
+    support.run(scenario())
--- a/chivepond/transport/node_protocol.py
+++ b/chivepond/transport/node_protocol.py
@@ -1,21 +1,27 @@
 """The HTTP protocol of the nodes' servers, with limits on what clients send."""
 
+import asyncio
 import collections
 import dataclasses
-from asyncio import transports
 from collections.abc import Callable
 from typing import Any
 
 from uvicorn.protocols.http import flow_control, httptools_impl
 
-from chivepond.errors import not_run, problem
+from chivepond.errors import invalid, not_run, problem, too_large
 from chivepond.transport import (
+    bodies,
     bounded_connection,
     replies,
     request_memory,
 )
 
-#: Time until a client that reads nothing is disconnected, in seconds.
+#: Maximum size of the request line and the header fields, in bytes.
+MAX_HEAD_BYTES = 65536
+#: Time within which a request must arrive whole, in seconds. The endpoints
+#: answer a late body themselves, before this time has passed.
+_ARRIVAL_S = 2 * bodies.ARRIVAL_S
+#: Time until a connection without a request is closed, in seconds.
 _IDLE_S = 75.0
 #: Requests that wait for earlier ones, above which no more are parsed.
 _MAX_PIPELINED_REQUESTS = 8
@@ -23,6 +29,8 @@
 _REQUEST_OBJECT_BYTES = 4096
 _FIELD_OBJECT_BYTES = 200
 _MEMORY_RETRY_AFTER_MS = 500
+_REQUEST_TIMEOUT = 408
+_HEADERS_TOO_LARGE = 431
 _UNAVAILABLE = 503
 
 
@@ -32,35 +40,47 @@
 
     #: The memory of requests and responses, which all servers share.
     memory: request_memory.RequestMemory
+    #: Connections above this number are reset.
+    max_connections: int
 
 
 class NodeProtocol(httptools_impl.HttpToolsProtocol):
-    """Limits the memory of requests and their number."""
+    """Limits the size, the number and the arrival time of requests."""
 
-    def __init__(self, **uvicorn_state: Any) -> None:
+    def __init__(self, limits: Limits, **uvicorn_state: Any) -> None:
         """Create the protocol of one connection."""
         super().__init__(**uvicorn_state)
+        self._limits = limits
         self._connection: bounded_connection.BoundedConnection
         self._is_receiving = False
         self._is_in_head = False
         self._is_refused = False
         self._is_flow_paused = False
+        self._head_bytes = 0
         #: The memory of each request without a complete response.
         self._unanswered_bytes: collections.deque[int] = collections.deque()
+        self._timer: asyncio.TimerHandle | None = None
 
     def use(self, connection: bounded_connection.BoundedConnection) -> None:
         """Take the connection that requests are read from."""
         self._connection = connection
 
-    def connection_made(self, transport: transports.Transport) -> None:
-        """Let uvicorn pause the parser, not the transport."""
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start to wait, or reset a connection above the maximum."""
+        if len(self.connections) >= self._limits.max_connections:
+            self._is_refused = True
+            transport.abort()
+            return
         super().connection_made(transport)
         self.flow = flow_control.FlowControl(_Flow(self._set_flow))
+        self._start_timer(_IDLE_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Let the application know, and drop queued requests."""
+        self._stop_timer()
         self.pipeline.clear()
-        super().connection_lost(exc)
+        if self.transport is not None:
+            super().connection_lost(exc)
 
     def holding(self) -> request_memory.Holding:
         """Return the memory of all requests, and of those not served yet."""
@@ -86,6 +106,8 @@
         if self._is_refused:
             return
         super().data_received(data)
+        if self._is_in_head:
+            self._count_head_bytes(len(data))
         self._update_reading()
 
     def on_message_begin(self) -> None:
@@ -93,7 +115,9 @@
         super().on_message_begin()
         self._is_receiving = True
         self._is_in_head = True
+        self._head_bytes = 0
         self._unanswered_bytes.append(_REQUEST_OBJECT_BYTES)
+        self._start_timer(_ARRIVAL_S)
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Add a header field."""
@@ -117,6 +141,7 @@
     def on_message_complete(self) -> None:
         """Stop waiting for the request."""
         self._is_receiving = False
+        self._stop_timer()
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
@@ -134,6 +159,17 @@
         """Whether the one request has not arrived whole."""
         return self._is_receiving and len(self._unanswered_bytes) == 1
 
+    def _count_head_bytes(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse(
+                too_large.TooLarge(
+                    f'the request head is larger than {MAX_HEAD_BYTES} bytes',
+                    'send fewer or shorter header fields',
+                ),
+                _HEADERS_TOO_LARGE,
+            )
+
     def _set_flow(self, *, is_paused: bool) -> None:
         self._is_flow_paused = is_paused
         self._update_reading()
@@ -151,6 +187,7 @@
         if self._is_refused:
             return
         self._is_refused = True
+        self._stop_timer()
         self.pipeline.clear()
         if self._is_only_receiving:
             self._write_refusal(error, status)
@@ -182,6 +219,30 @@
             )
         )
 
+    def _start_timer(self, delay_s: float) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(delay_s, self._on_timeout)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self) -> None:
+        if self._connection.is_held_back:
+            # The client is not late: the connection parses no more for now.
+            self._start_timer(_ARRIVAL_S)
+        elif self._is_receiving and self._unanswered_bytes:
+            self._refuse(
+                invalid.Invalid(
+                    f'the request did not arrive within {_ARRIVAL_S} s',
+                    'send the whole request without pauses',
+                ),
+                _REQUEST_TIMEOUT,
+            )
+        else:
+            self.transport.close()
+
 
 class _Flow:
     """Passes what uvicorn asks of a transport on to the protocol."""
@@ -204,15 +265,16 @@
 class ProtocolFactory:
     """Creates the protocol of each connection for uvicorn."""
 
-    __slots__ = ('_bounds',)
+    __slots__ = ('_bounds', '_limits')
 
     def __init__(self, limits: Limits) -> None:
         """Create protocols that share ``limits``."""
+        self._limits = limits
         self._bounds = bounded_connection.Bounds(limits.memory, lambda: _IDLE_S)
 
     def __call__(
         self, **uvicorn_state: Any
     ) -> bounded_connection.BoundedConnection:
         """Return a protocol; takes what uvicorn passes to its own one."""
-        protocol = NodeProtocol(**uvicorn_state)
+        protocol = NodeProtocol(self._limits, **uvicorn_state)
         return bounded_connection.BoundedConnection(protocol, self._bounds)
