Small unread responses are coalesced again, and time out at the close

Change: the limit is what RequestMemory does not count, 8 KB. As fewer bytes start no timer now, a connection that closes with unread bytes starts it.

A connection that closes waits no longer for its client: test_refused_clients.py.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -132,7 +132,7 @@
         """Close the connection unless a request is being read or served."""
         is_serving = self.current_task is not None or self._has_unserved
         if not is_serving and not self._reader.is_receiving:
-            self._transport.close()
+            self._connection.close()
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -238,7 +238,7 @@
         elif keep_alive and not response.is_last:
             self._continue()
         else:
-            self._transport.close()
+            self._connection.close()
         self._connection.update_holding()
 
     def _continue(self) -> None:
@@ -271,4 +271,4 @@
                 _REQUEST_TIMEOUT, 'request was not received in full in time'
             )
         else:
-            self._transport.close()
+            self._connection.close()
--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -11,7 +11,7 @@
     gateway_bench,
     support,
 )
-from chivepond.transport import request_memory
+from chivepond.transport import bounded_connection, request_memory
 
 _DEADLINE_MS = 8000
 _WAIT_S = 8
@@ -144,6 +144,50 @@
     support.run(scenario())
 
 
+class _UnreadTransport(asyncio.Transport):
+    """A transport whose peer reads nothing."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+
+    def close(self) -> None:
+        """Wait until the peer has read all."""
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def get_write_buffer_size(self) -> int:
+        return 1
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Ignore the limits."""
+
+
+class _Parser(asyncio.Protocol):
+    def use(self, connection) -> None:
+        """Ignore the connection."""
+
+
+def test_a_connection_that_closes_waits_no_longer_for_its_client():
+    """Guards against descriptors of clients that never read the end."""
+
+    async def scenario() -> None:
+        bounds = bounded_connection.Bounds(
+            request_memory.RequestMemory(memory_mb=1, share=0.25), lambda: 0.01
+        )
+        connection = bounded_connection.BoundedConnection(_Parser(), bounds)
+        transport = _UnreadTransport()
+        connection.connection_made(transport)
+        connection.close()
+        assert not transport.is_aborted
+        async with asyncio.timeout(_WAIT_S):
+            while not transport.is_aborted:
+                await asyncio.sleep(0.01)
+
+    support.run(scenario())
+
+
 class _Holder:
     def __init__(self) -> None:
         self.is_refused = False
--- a/chivepond/transport/bounded_connection.py
+++ b/chivepond/transport/bounded_connection.py
@@ -112,9 +112,9 @@
         return self._offset < len(self._backlog)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Report each response that can't be sent at once."""
+        """Have responses reported that the client does not read."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=0)
+        transport.set_write_buffer_limits(high=request_memory.UNCOUNTED_BYTES)
         self._parser.connection_made(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -175,6 +175,13 @@
         self._drop_backlog()
         self._parser.refuse_for_memory()
 
+    def close(self) -> None:
+        """Close once the client has read the last response."""
+        self._transport.close()
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        if self._unsent_bytes:
+            self._start_stall_timer()
+
     def finish(self) -> None:
         """Close after the last response; ignore what the client still sends."""
         self._is_finished = True
@@ -183,7 +190,7 @@
             return
         self._transport.write_eof()
         self._hold_socket(is_held=False)
-        self._loop.call_later(_LINGER_S, self._transport.close)
+        self._loop.call_later(_LINGER_S, self.close)
 
     def update_holding(self) -> None:
         """Report what the connection holds."""
--- a/chivepond/transport/node_protocol.py
+++ b/chivepond/transport/node_protocol.py
@@ -152,8 +152,14 @@
         else:
             super().on_response_complete()
             self._update_reading()
+        if self.transport.is_closing():
+            self._connection.close()
         self._connection.update_holding()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the idle connection."""
+        self._connection.close()
+
     @property
     def _is_only_receiving(self) -> bool:
         """Whether the one request has not arrived whole."""
@@ -241,7 +247,7 @@
                 _REQUEST_TIMEOUT,
             )
         else:
-            self.transport.close()
+            self._connection.close()
 
 
 class _Flow:
