Freed memory of requests is returned to the system

Cause: buffers that grow come from the heap, and small objects that live on lie between them; the C library keeps the freed pages.

--- a/chivepond/gateway/client_connection.py
+++ b/chivepond/gateway/client_connection.py
@@ -94,7 +94,7 @@
         self._network_delay = network_delay.NetworkDelay()
         self._is_blocked = False
 
-    def use(self, connection: bounded_connection.BoundedConnection) -> None:
+    def attach(self, connection: bounded_connection.BoundedConnection) -> None:
         """Take the connection that requests are read from."""
         self._connection = connection
 
--- a/chivepond/tests/client_crowds.py
+++ b/chivepond/tests/client_crowds.py
@@ -101,5 +101,14 @@
 
 def peak_mb(pid: int) -> float:
     """Return the largest resident memory of a process so far, in MB."""
+    return _memory_mb(pid, 'VmHWM:')
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process now, in MB."""
+    return _memory_mb(pid, 'VmRSS:')
+
+
+def _memory_mb(pid: int, name: str) -> float:
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
-    return int(status.partition('VmHWM:')[2].split()[0]) / 1024
+    return int(status.partition(name)[2].split()[0]) / 1024
--- a/chivepond/tests/test_client_crowds.py
+++ b/chivepond/tests/test_client_crowds.py
@@ -1,5 +1,6 @@
 """Crowds of clients that a gateway process does not control."""
 
+import asyncio
 import types
 
 import pytest
@@ -23,6 +24,9 @@
 _UNFINISHED_BYTES = 262100
 _AHEAD_BYTES = 131072
 _DEADLINE_MS = 8000
+#: A quarter of what requests may use of 300 MB.
+_KEPT_MB = 300 / 16
+_GIVEN_BACK_S = 20
 
 _CROWDS = types.MappingProxyType(
     {
@@ -88,3 +92,27 @@
             assert descriptors < _MAX_DESCRIPTORS
 
     support.run(scenario())
+
+
+def test_memory_is_given_back_after_a_crowd(tmp_path):
+    """Guards against a crowd that a gateway goes on paying for."""
+
+    async def scenario() -> None:
+        async with gateway_bench.Bench() as bench:
+            await bench.searcher('s-0', 'desk', _echo)
+            client_limits.configure(bench)
+            overrides = {'memory_mb': 300, 'max_descriptors': _MAX_DESCRIPTORS}
+            gateways = await bench.enter(
+                gateway_processes.started(bench, tmp_path, 1, overrides)
+            )
+            pid = gateways[0].process.pid
+            before_mb = client_crowds.resident_mb(pid)
+            async with client_crowds.connected(
+                gateways[0].callers, _CLIENTS, _CROWDS['short-body']
+            ):
+                await asyncio.sleep(_PLAY_S)
+            async with asyncio.timeout(_GIVEN_BACK_S):
+                while client_crowds.resident_mb(pid) > before_mb + _KEPT_MB:
+                    await asyncio.sleep(0.1)
+
+    support.run(scenario())
--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -165,7 +165,7 @@
 
 
 class _Parser(asyncio.Protocol):
-    def use(self, connection) -> None:
+    def attach(self, connection) -> None:
         """Ignore the connection."""
 
 
--- a/chivepond/transport/bounded_connection.py
+++ b/chivepond/transport/bounded_connection.py
@@ -34,7 +34,7 @@
 class RequestParser(Protocol):
     """A protocol that parses requests and writes responses."""
 
-    def use(self, connection: 'BoundedConnection') -> None:
+    def attach(self, connection: 'BoundedConnection') -> None:
         """Take the connection; called before ``connection_made``."""
 
     def holding(self) -> request_memory.Holding:
@@ -99,7 +99,7 @@
         self._stall_timer: asyncio.TimerHandle | None = None
         #: When bytes were last read, in seconds on the monotonic clock.
         self.read_at = self._loop.time()
-        parser.use(self)
+        parser.attach(self)
 
     @property
     def is_held_back(self) -> bool:
--- a/chivepond/transport/node_protocol.py
+++ b/chivepond/transport/node_protocol.py
@@ -61,7 +61,7 @@
         self._unanswered_bytes: collections.deque[int] = collections.deque()
         self._timer: asyncio.TimerHandle | None = None
 
-    def use(self, connection: bounded_connection.BoundedConnection) -> None:
+    def attach(self, connection: bounded_connection.BoundedConnection) -> None:
         """Take the connection that requests are read from."""
         self._connection = connection
 
--- a/chivepond/transport/request_memory.py
+++ b/chivepond/transport/request_memory.py
@@ -4,9 +4,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from chivepond.transport import freed_memory
+
 _BYTES_PER_MB = 1048576
 #: Connections that hold at most this much are not counted, in bytes.
 UNCOUNTED_BYTES = 8192
+#: Parts of the limit: freed memory is returned to the system when less than
+#: the second is held after more than the first was.
+_TRIM_AFTER = 0.25
+_TRIM_BELOW = 0.0625
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,8 +43,11 @@
 
     __slots__ = (
         '_holding_by_holder',
+        '_is_trim_due',
         '_limit_bytes',
         '_on_refusal',
+        '_trim_after_bytes',
+        '_trim_below_bytes',
         'total_bytes',
     )
 
@@ -54,6 +63,10 @@
         """
         self._on_refusal = on_refusal or _ignore
         self._limit_bytes = share * memory_mb * _BYTES_PER_MB
+        self._trim_after_bytes = _TRIM_AFTER * self._limit_bytes
+        self._trim_below_bytes = _TRIM_BELOW * self._limit_bytes
+        #: Whether so much was held that freed memory is worth returning.
+        self._is_trim_due = False
         self._holding_by_holder: dict[Holder, Holding] = {}
         self.total_bytes = 0
 
@@ -62,9 +75,12 @@
         known = self._holding_by_holder.pop(holder, _NOTHING)
         self.total_bytes -= known.total
         if holding.total <= UNCOUNTED_BYTES:
+            self._trim()
             return
         self._holding_by_holder[holder] = holding
         self.total_bytes += holding.total
+        if self.total_bytes > self._trim_after_bytes:
+            self._is_trim_due = True
         if holding.total > known.total:
             self._free()
 
@@ -72,6 +88,15 @@
         """Forget a connection that has closed."""
         self.update(holder, _NOTHING)
 
+    def _trim(self) -> None:
+        """Return memory to the system once most of what was held is free.
+
+        The heap keeps freed pages otherwise, as small objects lie between.
+        """
+        if self._is_trim_due and self.total_bytes < self._trim_below_bytes:
+            self._is_trim_due = False
+            freed_memory.trim()
+
     def _free(self) -> None:
         while self.total_bytes > self._limit_bytes:
             largest = max(self._holding_by_holder, key=self._freeable_bytes)
