Refused clients count while their request is served

Callers: a client whose request was being served could send on, be refused, and have the memory of what is served forgotten.

Cause: a refusal released all that the connection had reported, not only what the refusal frees.

Change: what is being served stays counted until its response is sent.

Evidence: the new test fails on the commit before, where nothing is counted after the refusal.

--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -196,6 +196,15 @@
         self.is_refused = True
 
 
+def test_a_refused_client_is_counted_while_its_request_is_served():
+    """Guards against served requests that use memory beyond the limit."""
+    memory = request_memory.RequestMemory(memory_mb=1, share=0.25)
+    holder = _Holder()
+    memory.update(holder, request_memory.Holding(400000, 200000))
+    assert holder.is_refused
+    assert memory.total_bytes == 200000
+
+
 def test_memory_is_free_again_once_a_connection_is_gone():
     """Guards against a count that keeps what has been given back."""
     memory = request_memory.RequestMemory(memory_mb=1, share=0.25)
--- a/chivepond/transport/request_memory.py
+++ b/chivepond/transport/request_memory.py
@@ -100,12 +100,14 @@
     def _free(self) -> None:
         while self.total_bytes > self._limit_bytes:
             largest = max(self._holding_by_holder, key=self._freeable_bytes)
-            freeable_bytes = self._freeable_bytes(largest)
-            if freeable_bytes <= UNCOUNTED_BYTES:
+            holding = self._holding_by_holder[largest]
+            if holding.freeable <= UNCOUNTED_BYTES:
                 return
-            self._on_refusal(freeable_bytes)
+            self._on_refusal(holding.freeable)
             largest.refuse_for_memory()
-            self.release(largest)
+            # What is being served stays in use until its response is sent.
+            served_bytes = holding.total - holding.freeable
+            self.update(largest, Holding(served_bytes, 0))
 
     def _freeable_bytes(self, holder: Holder) -> int:
         return self._holding_by_holder[holder].freeable
