--- a/chivepond/node.py
+++ b/chivepond/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import resource
 import types
 from typing import Self
 
@@ -344,10 +345,16 @@
         return node_protocol.ProtocolFactory(
             node_protocol.Limits(
                 self._request_memory,
-                int(_DESCRIPTOR_SHARE * self.settings.max_descriptors),
+                int(_DESCRIPTOR_SHARE * self._descriptors()),
             ),
         )
 
+    def _descriptors(self) -> int:
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if allowed == resource.RLIM_INFINITY:
+            return self.settings.max_descriptors
+        return min(allowed, self.settings.max_descriptors)
+
     def _make_peers(self) -> peers.Peers:
         return peers.Peers(
             self.directory,
--- a/chivepond/settings/node_settings.py
+++ b/chivepond/settings/node_settings.py
@@ -40,7 +40,8 @@
 
     Requests that have no response yet, and responses that clients have not
     read, use at most ``request_memory_share`` of ``memory_mb``. Connections to
-    one address use at most half of ``max_descriptors``.
+    one address use at most half of ``max_descriptors``, or of the descriptors
+    that the process may open if these are fewer.
     """
 
     node_id: _Name
@@ -70,7 +71,7 @@
     shutdown_grace_ms: _Ms = 10000
     memory_mb: _Count = 300
     request_memory_share: _MemoryShare = 0.25
-    max_descriptors: _Count = 1024
+    max_descriptors: _Count = 65536
 
     def find_error(self) -> setting_error.SettingError | None:
         """Return the first invalid address or a missing secret, if any."""
