--- a/chivepond/tests/test_refused_clients.py
+++ b/chivepond/tests/test_refused_clients.py
@@ -4,6 +4,10 @@
 import dataclasses
 import pathlib
 
+import msgspec
+import pytest
+
+from chivepond.settings import gateway_settings, loader
 from chivepond.standins import scripted_searcher
 from chivepond.tests import (
     client_crowds,
@@ -196,6 +200,19 @@
         self.is_refused = True
 
 
+@pytest.mark.parametrize('share', [0, 0.04, 0.51, 1, -1])
+def test_a_part_of_the_memory_that_is_too_small_or_large_is_refused(
+    share, tmp_path
+):
+    """Guards against a setting that refuses all clients, or none."""
+    settings = gateway_bench.settings(store='127.0.0.1:1')
+    path = tmp_path / 'gateway.yaml'
+    fields = msgspec.to_builtins(settings) | {'request_memory_share': share}
+    path.write_bytes(msgspec.json.encode(fields))
+    error = loader.load(gateway_settings.GatewaySettings, path).unwrap_err()
+    assert 'request_memory_share' in error.message
+
+
 def test_a_refused_client_is_counted_while_its_request_is_served():
     """Guards against served requests that use memory beyond the limit."""
     memory = request_memory.RequestMemory(memory_mb=1, share=0.25)
