--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,6 +24,7 @@
     while time.monotonic() < ends:
         number += 1
         request_id = f'{gateway.name}.{number}'
+        case.note(f'sent {request_id}')
         status, _ = await fleet.ask(
             reader, writer, '/refund/x', request_id, 8000
         )
@@ -86,7 +87,11 @@
     for old, new in zip(releases, releases[1:]):
         drains.append((old, await release(case, store, old, new)))
         await asyncio.sleep(CALM_S)
+        store.remove('servers', old.id)
+        old.leave()
+        case.say(f'{old.id} has left')
     await asyncio.gather(*clients)
+    case.note_runs((*releases, *others))
     return judge(case, drains, answers)
 
 
@@ -120,11 +125,13 @@
     for old, drained_at in drains:
         for arrived_at, request_id in old.arrivals:
             after_s = arrived_at - drained_at
-            case.note(f'{old.id} ran {request_id}, {after_s:.3f} s after the drain')
             if after_s > DRAIN_S:
                 name = request_id.split('.')[0]
                 late.setdefault((old.id, name), []).append(after_s)
     case.say(f'{len(answers)} requests')
+    if not all(old.arrivals for old, _ in drains):
+        case.say('could not run: a searcher got no request before its drain')
+        return 2
     for (old_id, name), times in sorted(late.items()):
         case.say(
             f'BROKEN: {name} sent {len(times)} requests to {old_id}, '
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -21,7 +21,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, METRICS = 8104, 8108, 8106, 9464
-HISTORY_S = 20
+#: Requests that a searcher runs at once, and those that it queues.
+SLOTS, QUEUE = 3, 12
 #: The bounds of the smallest sites, as their settings files state them.
 BOUNDS = {
     'seed_lag_s': 3,
@@ -222,7 +223,7 @@
         'address': address,
         'zone': zone,
         'version': 'v1',
-        'slots': 3,
+        'slots': SLOTS,
         'state': 'ready',
         'warmup_left_ms': 0,
         'sequence': 1,
@@ -231,7 +232,7 @@
 
 
 class Searcher:
-    """A sound searcher; runs each request for ``work_s`` seconds."""
+    """A sound searcher: three slots, a queue of 12, ``work_s`` a request."""
 
     def __init__(self, searcher_id, service, zone, ip='127.0.0.1', work_s=0.01):
         self.id = searcher_id
@@ -239,9 +240,13 @@
         self.zone = zone
         self.work_s = work_s
         self.ip = ip
-        #: Time, request id and whether it ran, of each arrival.
+        #: Time and request id of each arrival, and of each start of a run.
         self.arrivals = []
-        self.finished = set()
+        self.runs = []
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.running = 0
+        self.waiting = 0
+        self.writers = set()
         self.born = int(time.time() * 1000)
         self.sequence = 0
 
@@ -261,39 +266,64 @@
             sequence=self.sequence,
         )
 
+    def leave(self):
+        """Exit: stop listening, and close all connections."""
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line, fields = await read_head(reader)
-                body = await read_body(reader, fields)
-                await self.answer(writer, line, fields, body)
+                await read_body(reader, fields)
+                writer.write(await self._answer(line, fields))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, writer, line, fields, body):
+    async def _answer(self, line, fields):
         request_id = fields.get('x-request-id', '')
         if fields.get('x-expect-instance', self.id) != self.id:
-            writer.write(self.response(421, request_id, b'', not_run=True))
-            return
-        self.arrivals.append((time.monotonic(), request_id))
-        work_s = self.work_s
-        deadline_s = int(fields.get('x-deadline-ms', 60000)) / 1000
-        await asyncio.sleep(min(work_s, deadline_s))
-        if work_s > deadline_s:
-            writer.write(self.response(504, request_id, b''))
-            return
-        self.finished.add(request_id)
-        writer.write(self.response(200, request_id, b'record of ' + line))
-
-    def response(self, status, request_id, body, *, not_run=False):
+            return self._response(421, request_id, not_run=True)
+        now = time.monotonic()
+        ends = now + int(fields.get('x-deadline-ms', 60000)) / 1000
+        self.arrivals.append((now, request_id))
+        if self.waiting >= QUEUE:
+            return self._response(503, request_id, not_run=True)
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self.slots.acquire(), ends - now)
+        except asyncio.TimeoutError:
+            return self._response(503, request_id, not_run=True)
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            return await self._run(line, request_id, ends)
+        finally:
+            self.running -= 1
+            self.slots.release()
+
+    async def _run(self, line, request_id, ends):
+        now = time.monotonic()
+        self.runs.append((now, request_id))
+        await asyncio.sleep(max(0, min(self.work_s, ends - now)))
+        if now + self.work_s > ends:
+            return self._response(504, request_id)
+        return self._response(200, request_id, b'record of ' + line)
+
+    def _response(self, status, request_id, body=b'', *, not_run=False):
         extra = 'X-Not-Executed: 1\r\n' if not_run else ''
         head = (
             f'HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}'
             f'X-Server-Stamp: {self.service}.{request_id}\r\n'
-            f'X-Server-Load: 0,0,3\r\nContent-Length: {len(body)}\r\n\r\n'
+            f'X-Server-Load: {self.running},{self.waiting},{SLOTS}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
         )
         return head.encode() + body
 
@@ -471,6 +501,14 @@
         self.note(text)
         print(text)
 
+    def note_runs(self, searchers):
+        """Record what each searcher got and ran."""
+        for searcher in searchers:
+            for at, request_id in searcher.arrivals:
+                self.note(f'{searcher.id} got {request_id} at {at - self.started:.3f}')
+            for at, request_id in searcher.runs:
+                self.note(f'{searcher.id} ran {request_id} at {at - self.started:.3f}')
+
     def end(self):
         for gateway in self.gateways:
             gateway.end()
